--- a/src/bin/sloegw-wirehost/main.rs
+++ b/src/bin/onyxyoke-benchlink/main.rs
@@ -5,8 +5,8 @@
 mod settings;
 mod wire;
 
-use sloegw::Director;
-use sloegw::interface::{Event, Node};
+use onyxyoke::Director;
+use onyxyoke::interface::{Event, Node};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
@@ -125,7 +125,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("sloegw-wirehost: {message}");
+            eprintln!("onyxyoke-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/sloegw-wirehost/wire.rs
+++ b/src/bin/onyxyoke-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The frame codec: little-endian, no padding, every record with its length.
 
-use sloegw::interface::*;
+use onyxyoke::interface::*;
 
 /// Size of a batch's header.
 const BATCH_HEAD: usize = 20;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! sloegw makes the decisions of a front (a *director*) for caches of large objects behind thin links.
+//! onyxyoke makes the decisions of a front (a *director*) for caches of large objects behind thin links.
 //!
 //! A director learns, per count of positive beliefs, how often its belief that an edge cache holds an
 //! object is wrong, and picks the edge cache and the source of a fill by least expected cost. The policy
@@ -6,8 +6,8 @@
 //! and reads no clock: the host hands in events with the time they happened and carries out the actions.
 //!
 //! ```
-//! use sloegw::interface::*;
-//! use sloegw::Director;
+//! use onyxyoke::interface::*;
+//! use onyxyoke::Director;
 //!
 //! let mut settings = Settings { origin_kind: 2, most_tries: 4, ..Settings::default() };
 //! settings.classes.push(Class { aim: 0.5, deadline: 3.0, ..Class::default() });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small stage for driving a director through its interface.
 #![allow(dead_code)]
 
-use sloegw::Director;
-use sloegw::interface::*;
+use onyxyoke::Director;
+use onyxyoke::interface::*;
 
 pub const PARENT: u16 = 1;
 pub const ORIGIN: u16 = 2;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sloegw::interface::*;
+use onyxyoke::interface::*;
 
 fn fleet() -> Vec<Node> {
     vec![edge(10), edge(11), edge(12), parent(20), parent(21), origin(30)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,8 +4,8 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use sloegw::Director;
-use sloegw::interface::*;
+use onyxyoke::Director;
+use onyxyoke::interface::*;
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -65,7 +65,7 @@
 }
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sloegw-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_onyxyoke-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
