--- a/src/bin/onyxyoke-benchlink/settings.rs
+++ b/src/bin/onyxyoke-benchlink/settings.rs
@@ -1,7 +1,7 @@
 //! The settings' JSON, translated. Keys that are not known are skipped; a missing or wrong one is an error.
 
-use serde_json::Value;
 use onyxyoke::interface::*;
+use serde_json::Value;
 
 /// A JSON value with the path that led to it, for messages.
 struct At<'a> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
-use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use onyxyoke::Director;
 use onyxyoke::interface::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
 
 #[derive(Debug, Clone)]
