--- a/src/bin/onyxyoke-benchlink/main.rs
+++ b/src/bin/onyxyoke-benchlink/main.rs
@@ -2,7 +2,6 @@
 //! Pure translation; every decision is the library's.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use onyxyoke::Director;
@@ -43,7 +42,7 @@
                 }
                 Record::PowerOn { seed, settings } => {
                     let instance = current.ok_or("a start without an instance")?;
-                    let settings = settings::parse(settings)?;
+                    let settings = onyxyoke::config::settings(settings)?;
                     self.directors.insert(instance, Director::new(seed, settings));
                     continue;
                 }
--- /dev/null
+++ b/src/broker/mod.rs
@@ -0,0 +1,642 @@
+//! The core: it knows no wire and reads no clock. One task owns it, with the director and all tables; fronts,
+//! cache connections and the coordinator reach it by queue and hear of it by queue.
+
+mod counters;
+mod run;
+mod timers;
+
+pub use counters::Counters;
+pub use run::{Inputs, run};
+
+use crate::interface::*;
+use crate::{Director, log};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use timers::Timers;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// A connection confirms a withdrawal at once; without that for so long the request is failed (seconds).
+const CONFIRM: f64 = 0.02;
+
+/// A member of the list with where it listens.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Member {
+    /// As the director knows it.
+    pub node: Node,
+    /// Where it listens. The address of a node that has gone may belong to a new one.
+    pub address: SocketAddr,
+}
+
+/// News of the world, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// The whole list, or what has changed in it.
+    Roster {
+        /// Who is absent is gone.
+        full: bool,
+        /// The entries.
+        members: Vec<Member>,
+    },
+    /// Older copies are out of date.
+    Purge {
+        /// The object; none: the whole group.
+        object: Option<ObjectId>,
+        /// The group.
+        group: GroupId,
+        /// When the purge was made, in Unix seconds.
+        at: f64,
+    },
+}
+
+/// What a front asks, whatever its wire.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ask {
+    /// The class.
+    pub class: ClassId,
+    /// The object as the director knows it.
+    pub object: ObjectId,
+    /// The part of the object.
+    pub part: u32,
+    /// The group of the object.
+    pub group: GroupId,
+    /// Size in KB, 0 where not told.
+    pub kb: f64,
+    /// When the answer must be out, in Unix seconds.
+    pub deadline: f64,
+    /// A client's repeat.
+    pub repeat: bool,
+    /// Names this try on the caches' wire.
+    pub call: Box<str>,
+    /// The object on the caches' wire.
+    pub asset: Box<str>,
+    /// Idempotency key.
+    pub key: Option<Box<str>>,
+    /// The bare tag of the client's copy.
+    pub have: Option<Box<str>>,
+    /// What a write carries.
+    pub body: Vec<u8>,
+}
+
+/// The final answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Served: a whole answer of a cache node, unchanged.
+    Served(Content),
+    /// Refused: a further try is harmless, after so many seconds.
+    Refused(f64),
+    /// Failed; it may have run.
+    Failed,
+    /// Failed: its time has passed.
+    Late,
+}
+
+/// What a cache node made.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Content {
+    /// The bytes.
+    pub body: Vec<u8>,
+    /// The tag of the copy.
+    pub etag: Box<str>,
+    /// The client's copy is the one; there are no bytes.
+    pub current: bool,
+}
+
+/// Who asked: a connection of a front, and the tag of the request there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Caller {
+    /// The connection.
+    pub connection: u64,
+    /// The request on it.
+    pub tag: u64,
+}
+
+/// From a front to the broker.
+#[derive(Debug)]
+pub enum Input {
+    /// A request was taken; exactly one answer is owed, unless it is aborted.
+    Ask {
+        /// Who asks.
+        caller: Caller,
+        /// What.
+        ask: Ask,
+        /// Where the answer goes. A connection has few requests open, which bounds its queue.
+        reply: UnboundedSender<(u64, Answer)>,
+    },
+    /// The client stopped waiting; no answer is owed.
+    Abort(Caller),
+}
+
+/// One attempt on its way: the request and the number of the attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt, from 0.
+    pub attempt: u16,
+}
+
+/// An attempt to be written to a cache node.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// Names it in reports.
+    pub ticket: Ticket,
+    /// What is asked.
+    pub ask: Rc<Ask>,
+    /// The class as the wire names it.
+    pub class: Rc<str>,
+    /// Whom to ask.
+    pub node: NodeId,
+    /// Where a miss is filled from; none: no fill.
+    pub source: Option<NodeId>,
+    /// Rank at which the copy is kept.
+    pub rank: u8,
+    /// Oldest copy that will do, in seconds; 0: the class's fresh time.
+    pub age: f64,
+    /// Further options.
+    pub options: FillOptions,
+    /// It is not waited for longer, in Unix seconds.
+    pub due: f64,
+}
+
+/// From the broker to the cache connections.
+#[derive(Debug)]
+pub enum Command {
+    /// Write it, on any connection to its node.
+    Send(Order),
+    /// Take it back: unsent if its write has not begun, else cancelled on the wire. Its end is reported.
+    Cancel {
+        /// Which.
+        ticket: Ticket,
+        /// Its node.
+        node: NodeId,
+    },
+    /// The list has changed.
+    Roster {
+        /// Who is absent is gone.
+        full: bool,
+        /// The entries.
+        members: Vec<Member>,
+    },
+}
+
+/// From the cache connections to the broker.
+#[derive(Debug, PartialEq)]
+pub enum Report {
+    /// Its write has begun; from here on only proof says that it did not run.
+    Written(Ticket),
+    /// It has ended.
+    Ended {
+        /// Which.
+        ticket: Ticket,
+        /// How; `Moot` if it was taken back unsent, `Cancelled` if on the wire.
+        outcome: Outcome,
+        /// Where the content came from, or why not.
+        note: Note,
+        /// Seconds that the node waited for the source.
+        source_wait: f64,
+        /// What was served.
+        content: Option<Content>,
+    },
+}
+
+/// What the core wants done outside.
+#[derive(Debug)]
+pub enum Effect {
+    /// For the cache connections.
+    Command(Command),
+    /// For a caller.
+    Answer {
+        /// Whose.
+        caller: Caller,
+        /// What.
+        answer: Answer,
+    },
+}
+
+struct Attempt {
+    node: NodeId,
+    source: Option<NodeId>,
+    sent_at: f64,
+    written: bool,
+    out: bool,
+    /// Its time ran out, so that its withdrawal is a time-out.
+    timed_out: bool,
+    /// Taken back once already.
+    recalled: bool,
+}
+
+struct Open {
+    caller: Caller,
+    ask: Rc<Ask>,
+    attempts: Vec<Attempt>,
+    /// The final answer is out, or none is owed.
+    done: bool,
+}
+
+/// The core's state.
+pub struct Broker {
+    director: Director,
+    class_names: Vec<Rc<str>>,
+    open: FxHashMap<RequestId, Open>,
+    callers: FxHashMap<Caller, RequestId>,
+    /// Nodes in their last told state.
+    roster: FxHashMap<NodeId, NodeState>,
+    timers: Timers,
+    next_id: u32,
+    /// Bytes of request bodies held, which are bounded.
+    held: usize,
+    held_most: usize,
+    /// Events that follow from carrying out actions.
+    queue: VecDeque<Event>,
+    actions: Vec<Action>,
+    effects: Vec<Effect>,
+    /// What was taken in, sent and answered.
+    pub counters: Counters,
+}
+
+/// What the core is set up with.
+pub struct Setup {
+    /// For random numbers.
+    pub seed: u64,
+    /// The director's settings.
+    pub settings: Settings,
+    /// Names of the classes, in the settings' order.
+    pub class_names: Vec<Rc<str>>,
+    /// Most bytes of request bodies held at a time.
+    pub held_most: usize,
+}
+
+impl Broker {
+    /// A core that knows no nodes yet.
+    pub fn new(setup: Setup) -> Self {
+        Broker {
+            director: Director::new(setup.seed, setup.settings),
+            class_names: setup.class_names,
+            open: FxHashMap::default(),
+            callers: FxHashMap::default(),
+            roster: FxHashMap::default(),
+            timers: Timers::default(),
+            next_id: 0,
+            held: 0,
+            held_most: setup.held_most,
+            queue: VecDeque::new(),
+            actions: Vec::new(),
+            effects: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// How many requests have no final answer yet.
+    pub fn pending(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// What is to be done outside, in order.
+    pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
+        self.effects.drain(..)
+    }
+
+    /// When the next timer is due.
+    pub fn next_timer(&self) -> Option<f64> {
+        self.timers.next()
+    }
+
+    /// Takes news. Attempts whose write has not begun are taken back if the news bear on them: a request
+    /// that waits for a connection must not go to a node that drains, or with an age limit from before a
+    /// purge (rules 3 and 5).
+    pub fn news(&mut self, now: f64, news: News, cached: bool) {
+        match news {
+            News::Roster { full, members } => {
+                self.counters.lists += 1;
+                let zones = self.director.settings().hub_of_zone.len();
+                let known = |m: &&Member| {
+                    let fine = usize::from(m.node.zone.0) < zones;
+                    if !fine {
+                        log!("node s-{:08x} is in no known zone and is left out", m.node.id.0);
+                    }
+                    fine
+                };
+                let members: Vec<Member> = members.iter().filter(known).copied().collect();
+                if full {
+                    self.roster.clear();
+                }
+                self.roster.extend(members.iter().map(|m| (m.node.id, m.node.state)));
+                self.roster.retain(|_, state| *state != NodeState::Gone);
+                let nodes = members.iter().map(|m| m.node).collect();
+                let kind = match (cached, full) {
+                    (true, _) => ListKind::Cached,
+                    (false, true) => ListKind::Full,
+                    (false, false) => ListKind::Delta,
+                };
+                self.effects.push(Effect::Command(Command::Roster { full, members }));
+                self.feed(now, Event::List { kind, nodes });
+                self.recall(|roster, _, a| {
+                    let ready = |id| roster.get(&id) == Some(&NodeState::Ready);
+                    !ready(a.node) || a.source.is_some_and(|s| !ready(s))
+                });
+            }
+            News::Purge { object, group, at } => {
+                self.counters.purges += 1;
+                self.feed(now, Event::Purged { object, group, age: (now - at).max(0.0) });
+                self.recall(|_, ask, _| object.map_or(ask.group == group, |o| ask.object == o));
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Takes back unwritten attempts that `bears` names.
+    fn recall(&mut self, bears: impl Fn(&FxHashMap<NodeId, NodeState>, &Ask, &Attempt) -> bool) {
+        for (&request, open) in &mut self.open {
+            for (i, a) in open.attempts.iter_mut().enumerate() {
+                if a.out && !a.written && !a.recalled && bears(&self.roster, &open.ask, a) {
+                    a.recalled = true;
+                    self.counters.recalled += 1;
+                    let ticket = Ticket { request, attempt: i as u16 };
+                    self.effects.push(Effect::Command(Command::Cancel { ticket, node: a.node }));
+                }
+            }
+        }
+    }
+
+    /// Takes a request from a front.
+    pub fn ask(&mut self, now: f64, caller: Caller, ask: Ask) {
+        self.counters.requests += 1;
+        if ask.deadline <= now {
+            return self.turn_away(caller, Answer::Late);
+        }
+        if self.held + ask.body.len() > self.held_most || self.callers.contains_key(&caller) {
+            let wait = self.director.settings().max_wait;
+            return self.turn_away(caller, Answer::Refused(wait));
+        }
+        let id = self.fresh_id();
+        self.held += ask.body.len();
+        let request = Request {
+            id,
+            class: ask.class,
+            tenant: 0,
+            object: ask.object,
+            part: ask.part,
+            group: ask.group,
+            expires: ask.deadline,
+            kb: ask.kb,
+            repeat: ask.repeat,
+            write: self
+                .director
+                .settings()
+                .classes
+                .get(usize::from(ask.class.0))
+                .is_some_and(|c| c.never_kept),
+        };
+        self.timers.set(ask.deadline, timers::Timer::Deadline(id));
+        self.callers.insert(caller, id);
+        self.open.insert(id, Open { caller, ask: Rc::new(ask), attempts: Vec::new(), done: false });
+        self.feed(now, Event::Request(request));
+        self.settle(now);
+    }
+
+    /// Answers a request that the director never hears of.
+    fn turn_away(&mut self, caller: Caller, answer: Answer) {
+        self.counters.answered(&answer);
+        self.counters.turned_away += 1;
+        self.effects.push(Effect::Answer { caller, answer });
+    }
+
+    fn fresh_id(&mut self) -> RequestId {
+        loop {
+            self.next_id = self.next_id.wrapping_add(1);
+            let id = RequestId(self.next_id);
+            if !self.open.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    /// The client no longer waits. What is out for it is cancelled.
+    pub fn abort(&mut self, now: f64, caller: Caller) {
+        let Some(id) = self.callers.remove(&caller) else { return };
+        self.counters.aborted += 1;
+        self.feed(now, Event::Expired { request: id });
+        self.close(id);
+        self.settle(now);
+    }
+
+    /// Marks a request as concluded, cancels what is still out, forgets it when nothing is.
+    fn close(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.done = true;
+        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && !a.recalled) {
+            a.recalled = true;
+            let ticket = Ticket { request: id, attempt: i as u16 };
+            self.effects.push(Effect::Command(Command::Cancel { ticket, node: a.node }));
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.done && o.attempts.iter().all(|a| !a.out))
+            && let Some(open) = self.open.remove(&id)
+        {
+            self.held -= open.ask.body.len();
+        }
+    }
+
+    /// Gives the final answer.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
+        let caller = open.caller;
+        self.callers.remove(&caller);
+        self.counters.answered(&answer);
+        self.effects.push(Effect::Answer { caller, answer });
+        self.close(id);
+    }
+
+    /// Takes a report of the cache connections.
+    pub fn report(&mut self, now: f64, report: Report) {
+        match report {
+            Report::Written(ticket) => {
+                if let Some(a) = self.attempt(ticket) {
+                    a.written = true;
+                    self.counters.written += 1;
+                }
+            }
+            Report::Ended { ticket, outcome, note, source_wait, content } => {
+                self.ended(now, ticket, outcome, note, source_wait, content);
+            }
+        }
+        self.settle(now);
+    }
+
+    fn attempt(&mut self, ticket: Ticket) -> Option<&mut Attempt> {
+        self.open.get_mut(&ticket.request)?.attempts.get_mut(usize::from(ticket.attempt))
+    }
+
+    fn ended(
+        &mut self,
+        now: f64,
+        ticket: Ticket,
+        outcome: Outcome,
+        note: Note,
+        source_wait: f64,
+        content: Option<Content>,
+    ) {
+        let Some(a) = self.attempt(ticket).filter(|a| a.out) else { return };
+        a.out = false;
+        let outcome = match outcome {
+            Outcome::Cancelled if a.timed_out => Outcome::TimedOut,
+            other => other,
+        };
+        let (node, took) = (a.node, (now - a.sent_at).max(0.0));
+        self.counters.ended(outcome, note);
+        if let Some(content) = content.filter(|_| outcome == Outcome::Ok) {
+            self.answer(ticket.request, Answer::Served(content));
+        }
+        let done = self.open.get(&ticket.request).is_none_or(|o| o.done);
+        self.feed(
+            now,
+            Event::AttemptEnd {
+                request: ticket.request,
+                attempt: ticket.attempt,
+                node,
+                outcome,
+                took,
+                done,
+                note,
+                source_wait,
+                load: Vec::new(),
+            },
+        );
+        self.forget(ticket.request);
+    }
+
+    /// Fires what is due.
+    pub fn tick(&mut self, now: f64) {
+        while let Some(timer) = self.timers.due(now) {
+            match timer {
+                timers::Timer::Alarm(token) => self.feed(now, Event::Alarm { token }),
+                timers::Timer::Deadline(id) => self.overdue(now, id),
+            }
+        }
+        self.settle(now);
+    }
+
+    /// A request's time is up: its attempt is withdrawn as timed out, and the director answers when it hears
+    /// of that. One that the director holds without an attempt is failed here, so that none goes unanswered.
+    fn overdue(&mut self, now: f64, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
+        let mut asked = false;
+        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out) {
+            asked |= !std::mem::replace(&mut a.timed_out, true);
+            let ticket = Ticket { request: id, attempt: i as u16 };
+            if !std::mem::replace(&mut a.recalled, true) {
+                self.effects.push(Effect::Command(Command::Cancel { ticket, node: a.node }));
+            }
+        }
+        if asked {
+            self.timers.set(now + CONFIRM, timers::Timer::Deadline(id));
+        } else if now >= open.ask.deadline {
+            self.feed(now, Event::Expired { request: id });
+            self.answer(id, Answer::Late);
+        }
+    }
+
+    /// Hands the director an event and carries out what it wants.
+    fn feed(&mut self, now: f64, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.director.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(now, action);
+        }
+        self.actions = actions;
+    }
+
+    /// Feeds the events that followed from actions.
+    fn settle(&mut self, now: f64) {
+        while let Some(event) = self.queue.pop_front() {
+            if let Event::AttemptEnd { request, .. } = event {
+                self.feed(now, event);
+                self.forget(request);
+            } else {
+                self.feed(now, event);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, action: Action) {
+        match action {
+            Action::Fetch { request, node, within, source, rank, age, options } => {
+                let source = Some(source).filter(|s| *s != node);
+                self.send(now, request, node, within, source, rank, age, options);
+            }
+            Action::Refuse { request, wait } => self.answer(request, Answer::Refused(wait)),
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let ticket = Ticket { request, attempt };
+                if let Some(a) = self.attempt(ticket).filter(|a| a.out && !a.recalled) {
+                    a.recalled = true;
+                    let node = a.node;
+                    self.effects.push(Effect::Command(Command::Cancel { ticket, node }));
+                }
+            }
+            Action::Alarm { token, after } => self.timers.set(now + after, timers::Timer::Alarm(token)),
+            // The site pushes its list, and this director probes nobody and tells its peers nothing.
+            Action::Probe { .. } | Action::Tell { .. } | Action::Watch { .. } | Action::ReadList => {}
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        now: f64,
+        request: RequestId,
+        node: NodeId,
+        within: f64,
+        source: Option<NodeId>,
+        rank: u8,
+        age: f64,
+        options: FillOptions,
+    ) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let ticket = Ticket { request, attempt: open.attempts.len() as u16 };
+        let due = if within > 0.0 { (now + within).min(open.ask.deadline) } else { open.ask.deadline };
+        // Never two attempts out for one request, none for one that is over, none to a node that drains.
+        let ready = |id: &NodeId| self.roster.get(id) == Some(&NodeState::Ready);
+        let may = !open.done
+            && open.attempts.iter().all(|a| !a.out)
+            && now < due
+            && ready(&node)
+            && source.as_ref().is_none_or(ready);
+        open.attempts.push(Attempt {
+            node,
+            source,
+            sent_at: now,
+            written: false,
+            out: may,
+            timed_out: false,
+            recalled: false,
+        });
+        if !may {
+            self.counters.ended(Outcome::Moot, Note::None);
+            return self.queue.push_back(Event::AttemptEnd {
+                request,
+                attempt: ticket.attempt,
+                node,
+                outcome: Outcome::Moot,
+                took: 0.0,
+                done: open.done,
+                note: Note::None,
+                source_wait: 0.0,
+                load: Vec::new(),
+            });
+        }
+        self.counters.sent += 1;
+        let class = self.class_names[usize::from(open.ask.class.0)].clone();
+        let ask = open.ask.clone();
+        if due < ask.deadline {
+            self.timers.set(due, timers::Timer::Deadline(request));
+        }
+        let order = Order { ticket, ask, class, node, source, rank, age, options, due };
+        self.effects.push(Effect::Command(Command::Send(order)));
+    }
+}
--- /dev/null
+++ b/src/broker/run.rs
@@ -0,0 +1,94 @@
+//! The one task that owns the core.
+
+use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
+use crate::{clock, log};
+use rustc_hash::FxHashMap;
+use std::future::pending;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
+use tokio::time::sleep_until;
+
+/// Messages taken from one queue before the others and the timers get their turn.
+const TURN: usize = 32;
+
+/// The queues that lead to the core, by rank: news first, so that what is decided after them knows of them.
+pub struct Inputs {
+    /// From the coordinator, or a discovery document.
+    pub news: UnboundedReceiver<News>,
+    /// From cache connections; each attempt has two reports at most, which bounds it.
+    pub reports: UnboundedReceiver<Report>,
+    /// From fronts.
+    pub asks: Receiver<Input>,
+    /// Asks for the counters.
+    pub print: Rc<Notify>,
+    /// Asks to end once every request taken is answered.
+    pub close: Rc<Notify>,
+}
+
+/// Runs the core until it was asked to close and nothing is pending.
+pub async fn run(mut broker: Broker, mut inputs: Inputs, commands: UnboundedSender<Command>) {
+    let mut replies: FxHashMap<Caller, UnboundedSender<(u64, Answer)>> = FxHashMap::default();
+    let mut closing = false;
+    loop {
+        for effect in broker.effects() {
+            match effect {
+                Effect::Command(command) => {
+                    let _ = commands.send(command);
+                }
+                Effect::Answer { caller, answer } => {
+                    // A connection that has closed meanwhile has aborted, or is about to.
+                    if let Some(reply) = replies.remove(&caller) {
+                        let _ = reply.send((caller.tag, answer));
+                    }
+                }
+            }
+        }
+        if closing && broker.pending() == 0 {
+            break;
+        }
+        let next = broker.next_timer();
+        let timer = async {
+            match next {
+                Some(at) => sleep_until(clock::instant(at)).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            Some(news) = inputs.news.recv() => {
+                broker.news(clock::now(), news, false);
+                while let Ok(news) = inputs.news.try_recv() {
+                    broker.news(clock::now(), news, false);
+                }
+            }
+            () = timer => {}
+            Some(report) = inputs.reports.recv() => {
+                broker.report(clock::now(), report);
+                for _ in 1..TURN {
+                    let Ok(report) = inputs.reports.try_recv() else { break };
+                    broker.report(clock::now(), report);
+                }
+            }
+            Some(input) = inputs.asks.recv() => take(&mut broker, &mut replies, input),
+            () = inputs.print.notified() => log!("{}", broker.counters),
+            () = inputs.close.notified() => closing = true,
+        }
+        // Whatever came, timers that are due fire now: a busy queue does not hold them up.
+        broker.tick(clock::now());
+    }
+    eprintln!("onyxyoke: at exit: {}", broker.counters);
+}
+
+fn take(broker: &mut Broker, replies: &mut FxHashMap<Caller, UnboundedSender<(u64, Answer)>>, input: Input) {
+    match input {
+        Input::Ask { caller, ask, reply } => {
+            replies.insert(caller, reply);
+            broker.ask(clock::now(), caller, ask);
+        }
+        Input::Abort(caller) => {
+            replies.remove(&caller);
+            broker.abort(clock::now(), caller);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A director learns, per count of positive beliefs, how often its belief that an edge cache holds an
 //! object is wrong, and picks the edge cache and the source of a fill by least expected cost. The policy
-//! is one module, [`Director`]; the types it speaks are in [`interface`]. The library opens no sockets
-//! and reads no clock: the host hands in events with the time they happened and carries out the actions.
+//! is one module, [`Director`]; the types it speaks are in [`interface`]. It opens no sockets and reads no
+//! clock: the host hands in events with the time they happened and carries out the actions. Around it stand
+//! the [`broker`], a core that knows no wire, and the platform's wires in [`net`].
 //!
 //! ```
 //! use onyxyoke::interface::*;
@@ -24,7 +25,12 @@
 #![warn(missing_docs)]
 
 mod brain;
+pub mod broker;
+pub mod clock;
+pub mod config;
 pub mod interface;
+pub mod log;
+pub mod net;
 
 pub use brain::Director;
 
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,272 @@
+//! RESP clients: one task a connection, which reads requests, hands them to the broker and writes answers.
+
+use super::resp::{self, Command};
+use super::{Buffer, Unreadable, amount, number};
+use crate::broker::{Answer, Ask, Caller, Input};
+use crate::config::Classes;
+use crate::interface::*;
+use crate::{clock, log};
+use rustc_hash::FxHashSet;
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::sleep_until;
+
+/// Open requests that one connection may have.
+const OPEN_MOST: usize = 32;
+/// With so many bytes of answers unsent, a connection is not read from.
+const UNSENT: usize = 512 * 1024;
+/// A connection that is idle, or takes nothing of what it is sent, for so long is closed (seconds). Clients
+/// close theirs after 4 s.
+const IDLE: f64 = 20.0;
+/// The answer is to be out this long before the client gives up: its `ttl` counts from its own send, which
+/// lies before our read (seconds).
+const MARGIN: f64 = 0.03;
+/// Longest time that a client may ask for (milliseconds).
+const TTL_MOST: f64 = 600_000.0;
+
+/// What all client connections share.
+pub struct Front {
+    /// To the broker.
+    pub asks: Sender<Input>,
+    /// The classes by name.
+    pub classes: Rc<Classes>,
+    /// Whether health checks are answered with yes.
+    pub ready: Rc<Cell<bool>>,
+    /// Most connections.
+    pub connections: usize,
+    /// Numbers for connections, shared by all fronts.
+    pub numbers: Rc<Cell<u64>>,
+    /// Bytes of answers that connections hold, and the most of them.
+    pub unsent: Rc<Cell<usize>>,
+    /// Over this many of them, new requests are refused.
+    pub unsent_most: usize,
+    /// What a refusal of this front's own says (seconds).
+    pub wait: f64,
+}
+
+/// Accepts until the program ends.
+pub async fn accept(listener: TcpListener, front: Rc<Front>) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            Ok(_) if open.get() >= front.connections => log!("a client is turned away: too many connections"),
+            Ok((stream, peer)) => {
+                let (front, open) = (front.clone(), open.clone());
+                open.set(open.get() + 1);
+                tokio::task::spawn_local(async move {
+                    if let Err(e) = Client::new(front).serve(stream).await {
+                        log!("client {peer}: {e}");
+                    }
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(e) => {
+                log!("cannot accept a client: {e}");
+                sleep_until(clock::instant(clock::now() + 0.01)).await;
+            }
+        }
+    }
+}
+
+struct Client {
+    front: Rc<Front>,
+    number: u64,
+    open: FxHashSet<u64>,
+    reply: UnboundedSender<(u64, Answer)>,
+    answers: UnboundedReceiver<(u64, Answer)>,
+    output: Buffer,
+    /// Bytes of `output` that are counted in the front's sum.
+    counted: usize,
+}
+
+impl Client {
+    fn new(front: Rc<Front>) -> Self {
+        let (reply, answers) = unbounded_channel();
+        let number = front.numbers.get() + 1;
+        front.numbers.set(number);
+        let (open, output) = (FxHashSet::default(), Buffer::default());
+        Client { front, number, open, reply, answers, output, counted: 0 }
+    }
+
+    async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let ended = self.exchange(&stream).await;
+        // A connection that ends takes its requests with it: no answer is owed where none can be given.
+        for tag in self.open.drain() {
+            let caller = Caller { connection: self.number, tag };
+            let _ = self.front.asks.send(Input::Abort(caller)).await;
+        }
+        self.front.unsent.set(self.front.unsent.get() - self.counted);
+        match ended {
+            Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
+                Ok(())
+            }
+            other => other,
+        }
+    }
+
+    async fn exchange(&mut self, stream: &TcpStream) -> io::Result<()> {
+        let mut input = Buffer::default();
+        let mut idle_at = clock::now() + IDLE;
+        loop {
+            while let Ok((tag, answer)) = self.answers.try_recv() {
+                self.answer(tag, &answer);
+            }
+            if self.output.write_to(stream)? > 0 {
+                idle_at = clock::now() + IDLE;
+            }
+            self.count();
+            let full = self.output.len() > UNSENT;
+            let interest = match (full, self.output.is_empty()) {
+                (true, _) => Interest::WRITABLE,
+                (false, false) => Interest::READABLE | Interest::WRITABLE,
+                (false, true) => Interest::READABLE,
+            };
+            let waits = !self.open.is_empty() && self.output.is_empty();
+            tokio::select! {
+                biased;
+                Some((tag, answer)) = self.answers.recv() => self.answer(tag, &answer),
+                ready = stream.ready(interest) => {
+                    if !ready?.is_readable() || full {
+                        continue;
+                    }
+                    match input.read_from(stream) {
+                        Ok(0) => return Ok(()),
+                        Ok(_) => {
+                            idle_at = clock::now() + IDLE;
+                            self.read(&mut input).await?;
+                        }
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                        Err(e) => return Err(e),
+                    }
+                }
+                () = sleep_until(clock::instant(idle_at)), if !waits => return Ok(()),
+            }
+        }
+    }
+
+    /// Keeps the front's sum of unsent bytes.
+    fn count(&mut self) {
+        let unsent = &self.front.unsent;
+        unsent.set(unsent.get() + self.output.len() - self.counted);
+        self.counted = self.output.len();
+    }
+
+    fn answer(&mut self, tag: u64, answer: &Answer) {
+        // After an abort none is owed, and one that crossed it is dropped.
+        if !self.open.remove(&tag) {
+            return;
+        }
+        match answer {
+            Answer::Served(content) if content.current => {
+                resp::answer(&mut self.output, tag, "ok", "current=1", b"");
+            }
+            Answer::Served(content) => resp::answer(&mut self.output, tag, "ok", "", &content.body),
+            Answer::Refused(wait) => self.refuse(tag, *wait),
+            Answer::Failed | Answer::Late => resp::answer(&mut self.output, tag, "fault", "", b""),
+        }
+    }
+
+    fn refuse(&mut self, tag: u64, wait: f64) {
+        let fields = match wait > 0.0 {
+            true => format!("pushback={}", (wait * 1000.0).ceil()),
+            false => String::new(),
+        };
+        resp::answer(&mut self.output, tag, "full", &fields, b"");
+    }
+
+    /// Takes whole frames off the buffer.
+    async fn read(&mut self, input: &mut Buffer) -> io::Result<()> {
+        let unreadable = |e: Unreadable| io::Error::new(io::ErrorKind::InvalidData, e.0);
+        while let Some((command, used)) = resp::parse(input.bytes()).map_err(unreadable)? {
+            let send = match command {
+                Command::Health { tag } => {
+                    let word = if self.front.ready.get() { "yes" } else { "no" };
+                    resp::answer(&mut self.output, tag, word, "", b"");
+                    None
+                }
+                Command::Abort { tag } => {
+                    let caller = Caller { connection: self.number, tag };
+                    self.open.remove(&tag).then_some(Input::Abort(caller))
+                }
+                Command::Unusable { tag } => {
+                    resp::answer(&mut self.output, tag, "fault", "", b"");
+                    None
+                }
+                Command::Request { tag, class, fields, body } => {
+                    if self.open.contains(&tag) {
+                        // Two answers under one tag could not be told apart.
+                        return Err(io::Error::new(io::ErrorKind::InvalidData, "a tag that is in use"));
+                    }
+                    let ask =
+                        self.front.classes.get(class).and_then(|c| parse(clock::now(), c, fields, body));
+                    match ask {
+                        None => {
+                            resp::answer(&mut self.output, tag, "fault", "", b"");
+                            None
+                        }
+                        Some(_) if self.open.len() >= OPEN_MOST => {
+                            self.refuse(tag, self.front.wait);
+                            None
+                        }
+                        Some(_) if self.front.unsent.get() > self.front.unsent_most => {
+                            self.refuse(tag, self.front.wait);
+                            None
+                        }
+                        Some(ask) => {
+                            self.open.insert(tag);
+                            let caller = Caller { connection: self.number, tag };
+                            Some(Input::Ask { caller, ask, reply: self.reply.clone() })
+                        }
+                    }
+                }
+            };
+            input.consume(used);
+            if let Some(send) = send {
+                let ended = |_| io::Error::other("the broker has ended");
+                self.front.asks.send(send).await.map_err(ended)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A word that can be written on the caches' wire as it is: no separators, no spaces, no control bytes.
+fn token(value: &[u8], most: usize) -> Option<Box<str>> {
+    let fine = |b: &u8| b.is_ascii_graphic() && !b",= ".contains(b);
+    let fits = !value.is_empty() && value.len() <= most && value.iter().all(fine);
+    std::str::from_utf8(value).ok().filter(|_| fits).map(Into::into)
+}
+
+/// Reads a request's fields; `None` if one that is needed is missing or cannot be used. Unknown ones are
+/// passed over.
+fn parse(now: f64, class: ClassId, fields: &[u8], body: &[u8]) -> Option<Ask> {
+    let mut ask = Ask { class, body: body.to_vec(), ..Ask::default() };
+    let mut ttl = None;
+    for field in fields.split(|&b| b == b',') {
+        let Some(at) = field.iter().position(|&b| b == b'=') else { continue };
+        let (name, value) = (&field[..at], &field[at + 1..]);
+        match name {
+            b"call" => ask.call = token(value, 64)?,
+            b"ttl" => ttl = Some(amount(value)?),
+            b"rep" => ask.repeat = value == b"1",
+            b"dedupe" => ask.key = Some(token(value, 128)?),
+            b"row" => {
+                ask.asset =
+                    token(value, 16).filter(|v| v.len() == 16 && v.bytes().all(|b| b.is_ascii_hexdigit()))?;
+                ask.object = ObjectId(u64::from_str_radix(&ask.asset, 16).ok()?);
+            }
+            b"slice" => ask.part = u32::try_from(number(value)?).ok()?,
+            b"set" => ask.group = GroupId(u32::try_from(number(value)?).ok()?),
+            b"heap" => ask.kb = amount(value)?,
+            b"seen" => ask.have = Some(token(value, 128)?),
+            _ => {}
+        }
+    }
+    ask.deadline = now + ttl?.min(TTL_MOST) / 1000.0 - MARGIN;
+    (!ask.call.is_empty() && !ask.asset.is_empty()).then_some(ask)
+}
--- /dev/null
+++ b/src/net/coordinator.rs
@@ -0,0 +1,128 @@
+//! The coordinator's feed: connects, tells the last number it has, hands each event to the broker in order,
+//! and connects again after a gap, a broken frame or silence. Events come by no other way.
+
+use super::frames::{self, Frame};
+use super::{Buffer, Unreadable};
+use crate::broker::News;
+use crate::{clock, log};
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{sleep_until, timeout_at};
+
+/// A connection that is not made by then is given up (seconds). What the coordinator has to tell counts as
+/// told 7 s after it came up, so that a silent machine must be noticed well before.
+const CONNECT_WITHIN: f64 = 1.0;
+/// An empty frame comes each second; without any for so long the connection is dead (seconds).
+const SILENT_AFTER: f64 = 2.5;
+/// Pause before connecting again (seconds), longer after each failure up to the second.
+const PAUSE: (f64, f64) = (0.05, 0.5);
+
+/// What to do with a frame.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    /// Hand it on.
+    Take(News),
+    /// It was had before, or holds nothing.
+    Skip,
+    /// Something before it is missing: ask again from the last number.
+    Resume,
+}
+
+/// Where the feed stands: the last number had, and whether a gap was met at that number before.
+#[derive(Debug, Default)]
+pub struct Feed {
+    /// Number of the last event that was handed on.
+    pub last: u64,
+    gap: bool,
+}
+
+impl Feed {
+    /// A feed that goes on after `last`.
+    pub fn new(last: u64) -> Self {
+        Feed { last, gap: false }
+    }
+
+    /// Judges a frame. Guards against a lost frame (a purge or a drain never heard of) and against one that
+    /// comes twice after a reconnect. A gap that is still there when asked again from the last number will
+    /// not close: the coordinator has forgotten what lay in it, and what it does have is taken.
+    pub fn judge(&mut self, number: u64, frame: Frame) -> Step {
+        match frame {
+            Frame::Idle if number <= self.last || self.gap => Step::Skip,
+            Frame::News(_) if number <= self.last => Step::Skip,
+            Frame::News(news) if number == self.last + 1 || self.gap => {
+                (self.last, self.gap) = (number, false);
+                Step::Take(news)
+            }
+            _ => {
+                self.gap = true;
+                Step::Resume
+            }
+        }
+    }
+}
+
+/// Follows the coordinator for ever.
+pub async fn follow(address: SocketAddr, last: u64, news: UnboundedSender<News>) {
+    let mut feed = Feed::new(last);
+    let mut pause = PAUSE.0;
+    loop {
+        let before = feed.last;
+        let why = match session(address, &mut feed, &news).await {
+            Ok(why) => why.to_owned(),
+            Err(e) => e.to_string(),
+        };
+        if news.is_closed() {
+            return;
+        }
+        log!("coordinator {address}: {why}; again from {}", feed.last);
+        pause = if feed.last > before { PAUSE.0 } else { (2.0 * pause).min(PAUSE.1) };
+        sleep_until(clock::instant(clock::now() + pause)).await;
+    }
+}
+
+/// One connection, until it fails; says why.
+async fn session(
+    address: SocketAddr,
+    feed: &mut Feed,
+    news: &UnboundedSender<News>,
+) -> std::io::Result<&'static str> {
+    let connect_by = clock::instant(clock::now() + CONNECT_WITHIN);
+    let Ok(stream) = timeout_at(connect_by, TcpStream::connect(address)).await else {
+        return Ok("no connection in time");
+    };
+    let mut stream = stream?;
+    stream.set_nodelay(true)?;
+    stream.write_all(&feed.last.to_be_bytes()).await?;
+    let mut buffer = Buffer::default();
+    let mut silent_at = clock::instant(clock::now() + SILENT_AFTER);
+    loop {
+        let Ok(ready) = timeout_at(silent_at, stream.readable()).await else { return Ok("silence") };
+        ready?;
+        match buffer.read_from(&stream) {
+            Ok(0) => return Ok("connection closed"),
+            Ok(_) => {}
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+            Err(e) => return Err(e),
+        }
+        loop {
+            let (number, frame, used) = match frames::parse(buffer.bytes()) {
+                Ok(Some(frame)) => frame,
+                Ok(None) => break,
+                Err(Unreadable(why)) => return Ok(why),
+            };
+            buffer.consume(used);
+            silent_at = clock::instant(clock::now() + SILENT_AFTER);
+            match feed.judge(number, frame) {
+                Step::Take(event) => {
+                    if news.send(event).is_err() {
+                        return Ok("the broker has ended");
+                    }
+                }
+                Step::Skip => {}
+                Step::Resume => return Ok("a gap in the numbers"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/exchange.rs
@@ -0,0 +1,131 @@
+//! What is under way on one connection to a cache node, without the socket: orders that wait for their
+//! write, requests that are out, and withdrawn ones whose answer may still come.
+
+use super::{Buffer, Unreadable, lines};
+use crate::broker::{Content, Order, Report, Ticket};
+use crate::interface::{Note, Outcome};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::VecDeque;
+
+/// Bytes that are encoded ahead of the socket. What waits beyond can still be taken back unsent.
+const AHEAD: usize = 16 * 1024;
+/// With so many withdrawn requests a connection is given no new ones.
+const WITHDRAWN_MOST: usize = 512;
+/// A request that heard nothing on its connection for so long speaks against the connection (seconds).
+const SILENCE: f64 = 0.4;
+
+struct Sent {
+    ticket: Ticket,
+    at: f64,
+}
+
+/// The state of one connection.
+#[derive(Default)]
+pub struct Exchange {
+    waiting: VecDeque<Order>,
+    out: FxHashMap<Box<str>, Sent>,
+    withdrawn: FxHashSet<Box<str>>,
+    cancels: Vec<Box<str>>,
+    last_read: f64,
+    silent: bool,
+}
+
+impl Exchange {
+    /// How many requests are waiting or out.
+    pub fn load(&self) -> usize {
+        self.waiting.len() + self.out.len()
+    }
+
+    /// May a request of this name go here? Not to a connection that is silent, and not where an answer to
+    /// an earlier attempt of the same name could be taken for the new one's.
+    pub fn takes(&self, call: &str) -> bool {
+        !self.silent
+            && self.withdrawn.len() < WITHDRAWN_MOST
+            && !self.out.contains_key(call)
+            && !self.withdrawn.contains(call)
+            && self.waiting.iter().all(|o| &*o.ask.call != call)
+    }
+
+    /// Is the connection of no more use once nothing is under way?
+    pub fn worn(&self) -> bool {
+        self.silent || self.withdrawn.len() >= WITHDRAWN_MOST
+    }
+
+    /// Queues an order.
+    pub fn queue(&mut self, order: Order) {
+        self.waiting.push_back(order);
+    }
+
+    /// Takes an attempt back; its end, if it is here. An order that still waits was never sent.
+    pub fn recall(&mut self, now: f64, ticket: Ticket) -> Option<Report> {
+        if let Some(at) = self.waiting.iter().position(|o| o.ticket == ticket) {
+            self.waiting.remove(at);
+            return Some(ended(ticket, Outcome::Moot));
+        }
+        let call = self.out.iter().find(|(_, s)| s.ticket == ticket).map(|(call, _)| call.clone())?;
+        let sent = self.out.remove(&call)?;
+        // Guards against a machine that has vanished: its connections stay open and say nothing, and the
+        // next request must not go to one of them.
+        self.silent |= now - self.last_read.max(sent.at) > SILENCE;
+        self.withdrawn.insert(call.clone());
+        self.cancels.push(call);
+        Some(ended(ticket, Outcome::Cancelled))
+    }
+
+    /// Encodes what waits, as long as the socket keeps up. What is overdue is not sent any more.
+    pub fn encode(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) {
+        for call in self.cancels.drain(..) {
+            lines::cancel(out, &call);
+        }
+        while out.len() < AHEAD
+            && let Some(order) = self.waiting.pop_front()
+        {
+            let patience = ((order.due - now) * 1000.0) as u64;
+            if now >= order.due || patience == 0 {
+                report(ended(order.ticket, Outcome::Moot));
+                continue;
+            }
+            lines::serve(out, &order, patience);
+            report(Report::Written(order.ticket));
+            self.out.insert(order.ask.call.clone(), Sent { ticket: order.ticket, at: now });
+        }
+    }
+
+    /// Takes whole answers off the head of the buffer. Only a whole one becomes `Ok`.
+    pub fn decode(
+        &mut self,
+        now: f64,
+        buffer: &mut Buffer,
+        mut report: impl FnMut(Report),
+    ) -> Result<(), Unreadable> {
+        (self.last_read, self.silent) = (now, false);
+        while let Some((answer, used)) = lines::parse(buffer.bytes())? {
+            if let Some(sent) = self.out.remove(answer.id) {
+                let outcome = answer.outcome.ok_or(Unreadable("an answer with an unknown word"))?;
+                let content = (outcome == Outcome::Ok).then(|| Content {
+                    body: answer.body.to_vec(),
+                    etag: answer.etag.into(),
+                    current: answer.valid,
+                });
+                let (note, source_wait) = (answer.note, answer.source_wait);
+                report(Report::Ended { ticket: sent.ticket, outcome, note, source_wait, content });
+            } else {
+                // An answer that crossed its cancel; anything else is nobody's.
+                self.withdrawn.remove(answer.id);
+            }
+            buffer.consume(used);
+        }
+        Ok(())
+    }
+
+    /// The connection has ended: what was out may have run, what waited was never sent and is handed back.
+    pub fn broken(&mut self, mut report: impl FnMut(Report)) -> VecDeque<Order> {
+        self.out.drain().for_each(|(_, s)| report(ended(s.ticket, Outcome::Reset)));
+        std::mem::take(&mut self.waiting)
+    }
+}
+
+/// An end without an answer.
+pub fn ended(ticket: Ticket, outcome: Outcome) -> Report {
+    Report::Ended { ticket, outcome, note: Note::None, source_wait: 0.0, content: None }
+}
--- /dev/null
+++ b/src/net/lines.rs
@@ -0,0 +1,134 @@
+//! The line protocol of cache nodes: words ending in CR LF, and after a length so many bytes more. Parsing
+//! and writing only.
+
+use super::{Buffer, Unreadable};
+use crate::broker::Order;
+use crate::interface::{Note, Outcome};
+
+/// Longest line of an answer.
+const LINE: usize = 4096;
+/// Most bytes of an object (240,000), and a little over.
+const BODY: u64 = 256 * 1024;
+
+/// A cache node's answer.
+#[derive(Debug, PartialEq)]
+pub struct Answer<'a> {
+    /// The id of the request, as it was sent.
+    pub id: &'a str,
+    /// How it ended; `None` for a word that is unknown here.
+    pub outcome: Option<Outcome>,
+    /// The client's copy is the one.
+    pub valid: bool,
+    /// Where the content came from, or why not.
+    pub note: Note,
+    /// Seconds that the node waited for the source.
+    pub source_wait: f64,
+    /// The tag of the copy.
+    pub etag: &'a str,
+    /// When the origin gave the copy out, Unix milliseconds.
+    pub made: Option<u64>,
+    /// The bytes.
+    pub body: &'a [u8],
+}
+
+/// Writes `serve` for an order, of which the node may take until `patience_ms` from now.
+pub fn serve(out: &mut Buffer, order: &Order, patience_ms: u64) {
+    use std::fmt::Write;
+    let ask = &order.ask;
+    let mut line = String::with_capacity(160);
+    let _ = write!(line, "serve {} sort={},asset={},slice={}", ask.call, order.class, ask.asset, ask.part);
+    let _ = write!(line, ",patience={patience_ms}");
+    if let Some(key) = &ask.key {
+        let _ = write!(line, ",op={key}");
+    }
+    if let Some(source) = order.source {
+        let _ = write!(line, ",src=s-{:08x}", source.0);
+    }
+    if order.rank > 0 {
+        let _ = write!(line, ",keep={}", order.rank);
+    }
+    if order.age > 0.0 {
+        // Rounded down: a copy of exactly the limit may be told by another clock. 0 would mean no limit.
+        let _ = write!(line, ",maxage={}", ((order.age * 1000.0) as u64).max(1));
+    }
+    let o = order.options;
+    let flags =
+        [(o.join, "merge"), (o.held_only, "local"), (o.no_parent_copy, "skip"), (o.renew, "revalidate")];
+    let mut mark = ",flags=";
+    for (_, word) in flags.iter().filter(|f| f.0) {
+        let _ = write!(line, "{mark}{word}");
+        mark = "+";
+    }
+    if let Some(have) = &ask.have {
+        let _ = write!(line, ",have={have}");
+    }
+    let _ = write!(line, " {}\r\n", ask.body.len());
+    out.push(line.as_bytes());
+    out.push(&ask.body);
+    out.push(b"\r\n");
+}
+
+/// Writes `cancel`.
+pub fn cancel(out: &mut Buffer, id: &str) {
+    out.push(format!("cancel {id}\r\n").as_bytes());
+}
+
+/// Reads one answer off the head of `bytes`, and how long it was; `None` while it is not whole.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Answer<'_>, usize)>, Unreadable> {
+    let Some(end) = bytes.iter().take(LINE).position(|&b| b == b'\n') else {
+        return if bytes.len() >= LINE { Err(Unreadable("an overlong line")) } else { Ok(None) };
+    };
+    let line = bytes[..end].strip_suffix(b"\r").ok_or(Unreadable("a line without CR"))?;
+    let line = std::str::from_utf8(line).map_err(|_| Unreadable("a line that is no text"))?;
+    let mut words = line.split(' ');
+    let (Some(id), Some(word)) = (words.next(), words.next()) else {
+        return Err(Unreadable("a line without a word"));
+    };
+    let fields = words.next().unwrap_or("-");
+    let mut used = end + 1;
+    let mut body: &[u8] = &[];
+    if let Some(length) = words.next() {
+        let length = super::number(length.as_bytes()).filter(|&n| n <= BODY);
+        let length = length.ok_or(Unreadable("a length that is none, or too large"))? as usize;
+        let Some(rest) = bytes.get(used..used + length + 2) else { return Ok(None) };
+        body = rest.strip_suffix(b"\r\n").ok_or(Unreadable("bytes that do not end where they should"))?;
+        used += length + 2;
+    }
+    let outcome = match word {
+        "HIT" | "VALID" => Some(Outcome::Ok),
+        "NONE" => Some(Outcome::Miss),
+        "SHED" => Some(Outcome::Full),
+        "FAULT" => Some(Outcome::Error),
+        "LATE" => Some(Outcome::Moot),
+        _ => None,
+    };
+    let valid = word == "VALID";
+    let (note, source_wait, etag, made) = (Note::None, 0.0, "", None);
+    let mut answer = Answer { id, outcome, valid, note, source_wait, etag, made, body };
+    for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
+        match name {
+            "n" => answer.note = note_of(value),
+            "ttfb" => answer.source_wait = super::amount(value.as_bytes()).unwrap_or(0.0) / 1000.0,
+            "etag" => answer.etag = value,
+            "made" => answer.made = super::number(value.as_bytes()),
+            _ => {}
+        }
+    }
+    Ok(Some((answer, used)))
+}
+
+fn note_of(word: &str) -> Note {
+    match word {
+        "TCP_HIT" => Note::Hit,
+        "TCP_MISS" => Note::Filled,
+        "TCP_MISS_ROOT" => Note::FilledFromOrigin,
+        "TCP_JOIN" => Note::Joined,
+        "TCP_STALE" => Note::Old,
+        "PEER_DENY" => Note::SourceRefused,
+        "PEER_DEAD" => Note::SourceFailed,
+        "PEER_MISS" => Note::SourceLacks,
+        "FILL_FULL" => Note::NoFillPlace,
+        "ROOT_FAIL" => Note::OriginFailed,
+        _ => Note::None,
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,32 @@
+//! The platform's wires: RESP clients, the line protocol to cache nodes, the coordinator's feed. Nothing is
+//! decided here: what arrives is handed to the broker by queue, and what it orders is carried out.
+
+mod buffer;
+pub mod clients;
+pub mod coordinator;
+mod exchange;
+pub mod frames;
+pub mod lines;
+pub mod pool;
+pub mod resp;
+
+pub use buffer::Buffer;
+
+/// Why input cannot be read; the connection that it came on is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreadable(pub &'static str);
+
+/// Plain decimal digits.
+pub fn number(digits: &[u8]) -> Option<u64> {
+    if digits.is_empty() || digits.len() > 19 {
+        return None;
+    }
+    digits.iter().try_fold(0u64, |n, d| d.is_ascii_digit().then(|| n * 10 + u64::from(d - b'0')))
+}
+
+/// A decimal number that is not negative, with or without a fraction.
+pub fn amount(text: &[u8]) -> Option<f64> {
+    let plain = text.len() <= 24 && text.iter().all(|b| b.is_ascii_digit() || *b == b'.');
+    let value: f64 = std::str::from_utf8(text).ok().filter(|_| plain)?.parse().ok()?;
+    value.is_finite().then_some(value)
+}
--- /dev/null
+++ b/src/net/pool.rs
@@ -0,0 +1,294 @@
+//! Connections to cache nodes, by node id (an address may pass from one node to another). One task owns the
+//! pool; each connection is a task of its own that reports straight to the broker.
+
+use super::Buffer;
+use super::exchange::{Exchange, ended};
+use crate::broker::{Command, Member, Order, Report, Ticket};
+use crate::interface::{NodeId, NodeState, Outcome};
+use crate::{clock, log};
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{sleep_until, timeout_at};
+
+/// A further connection to a node is opened once each has so many requests.
+const CROWD: usize = 8;
+/// Most connections to one node.
+const PER_NODE: usize = 6;
+
+/// The pool's limits.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// A connection that is not made by then has failed (seconds).
+    pub connect_within: f64,
+    /// An unused connection is closed after this (seconds); well before the node does.
+    pub idle: f64,
+    /// Most requests on one connection.
+    pub streams: usize,
+    /// Most connections in all.
+    pub connections: usize,
+}
+
+/// To a connection's task.
+enum Job {
+    Write(Order),
+    Recall(Ticket),
+}
+
+/// A connection as the pool sees it.
+struct Link {
+    jobs: UnboundedSender<Job>,
+    state: Rc<RefCell<Exchange>>,
+    /// Orders handed over that its task has not queued yet.
+    pending: Rc<std::cell::Cell<usize>>,
+}
+
+impl Link {
+    fn load(&self) -> usize {
+        self.state.borrow().load() + self.pending.get()
+    }
+}
+
+#[derive(Default)]
+struct Peer {
+    address: Option<SocketAddr>,
+    links: Vec<Link>,
+}
+
+struct Pool {
+    peers: FxHashMap<NodeId, Peer>,
+    reports: UnboundedSender<Report>,
+    returned: UnboundedSender<Order>,
+    limits: Limits,
+}
+
+/// Runs the pool until the broker has ended.
+pub async fn run(mut commands: UnboundedReceiver<Command>, reports: UnboundedSender<Report>, limits: Limits) {
+    let (returned, mut back) = unbounded_channel();
+    let mut pool = Pool { peers: FxHashMap::default(), reports, returned, limits };
+    loop {
+        tokio::select! {
+            biased;
+            // What a broken connection hands back goes first, so that a cancel finds it on its new one.
+            Some(order) = back.recv() => pool.send(order),
+            command = commands.recv() => match command {
+                Some(command) => {
+                    while let Ok(order) = back.try_recv() {
+                        pool.send(order);
+                    }
+                    pool.obey(command);
+                }
+                None => return,
+            },
+        }
+    }
+}
+
+impl Pool {
+    fn obey(&mut self, command: Command) {
+        match command {
+            Command::Send(order) => self.send(order),
+            Command::Cancel { ticket, node } => {
+                for link in self.peers.get(&node).into_iter().flat_map(|p| &p.links) {
+                    let _ = link.jobs.send(Job::Recall(ticket));
+                }
+            }
+            Command::Roster { full, members } => self.roster(full, &members),
+        }
+    }
+
+    /// A node that is gone loses its address and, once they are idle, its connections; what is out on them
+    /// may still be answered.
+    fn roster(&mut self, full: bool, members: &[Member]) {
+        if full {
+            let gone = |id: &NodeId| members.iter().all(|m| m.node.id != *id);
+            self.peers.iter_mut().filter(|(id, _)| gone(id)).for_each(|(_, p)| p.address = None);
+        }
+        for m in members {
+            let peer = self.peers.entry(m.node.id).or_default();
+            let address = Some(m.address).filter(|_| m.node.state != NodeState::Gone);
+            if peer.address != address {
+                // The old connections lead elsewhere: dropping the senders lets their tasks finish.
+                peer.address = address;
+                if address.is_some() {
+                    peer.links.clear();
+                }
+            }
+        }
+        self.peers.retain(|_, p| {
+            p.links.retain(|l| !l.jobs.is_closed());
+            p.address.is_some() || !p.links.is_empty()
+        });
+    }
+
+    fn send(&mut self, order: Order) {
+        let total: usize = self.peers.values().map(|p| p.links.len()).sum();
+        let ticket = order.ticket;
+        let Some(peer) = self.peers.get_mut(&order.node).filter(|p| p.address.is_some()) else {
+            let _ = self.reports.send(ended(ticket, Outcome::Moot));
+            return;
+        };
+        peer.links.retain(|l| !l.jobs.is_closed());
+        let usable = |l: &&Link| l.state.borrow().takes(&order.ask.call) && l.load() < self.limits.streams;
+        let least = peer.links.iter().filter(usable).min_by_key(|l| l.load());
+        let room = peer.links.len() < PER_NODE && total < self.limits.connections;
+        let link = match least {
+            Some(link) if link.load() < CROWD || !room => link,
+            _ if room => {
+                let Some(address) = peer.address else { return };
+                peer.links.push(open(address, self.limits, self.reports.clone(), self.returned.clone()));
+                &peer.links[peer.links.len() - 1]
+            }
+            _ => {
+                // Nothing may be opened and nothing can be used: it was not sent, and counts as refused.
+                let _ = self.reports.send(ended(ticket, Outcome::ConnectFailed));
+                return;
+            }
+        };
+        link.pending.set(link.pending.get() + 1);
+        if link.jobs.send(Job::Write(order)).is_err() {
+            let _ = self.reports.send(ended(ticket, Outcome::ConnectFailed));
+        }
+    }
+}
+
+/// Starts a connection's task.
+fn open(
+    address: SocketAddr,
+    limits: Limits,
+    reports: UnboundedSender<Report>,
+    returned: UnboundedSender<Order>,
+) -> Link {
+    let (jobs, queue) = unbounded_channel();
+    let state = Rc::new(RefCell::new(Exchange::default()));
+    let pending = Rc::new(std::cell::Cell::new(0));
+    let link = Link { jobs, state: state.clone(), pending: pending.clone() };
+    let connection = Connection { address, limits, queue, state, pending, reports, returned };
+    tokio::task::spawn_local(connection.run());
+    link
+}
+
+struct Connection {
+    address: SocketAddr,
+    limits: Limits,
+    queue: UnboundedReceiver<Job>,
+    state: Rc<RefCell<Exchange>>,
+    pending: Rc<std::cell::Cell<usize>>,
+    reports: UnboundedSender<Report>,
+    returned: UnboundedSender<Order>,
+}
+
+impl Connection {
+    fn report(&self, report: Report) {
+        let _ = self.reports.send(report);
+    }
+
+    fn take(&self, job: Job) {
+        let mut state = self.state.borrow_mut();
+        match job {
+            Job::Write(order) => {
+                self.pending.set(self.pending.get().saturating_sub(1));
+                state.queue(order);
+            }
+            Job::Recall(ticket) => {
+                if let Some(report) = state.recall(clock::now(), ticket) {
+                    self.report(report);
+                }
+            }
+        }
+    }
+
+    async fn run(mut self) {
+        let connected = self.connect().await;
+        let made = connected.is_ok();
+        let ended_by = match connected {
+            Ok(stream) => self.serve(stream).await,
+            Err(e) => Err(e),
+        };
+        self.queue.close();
+        while let Ok(job) = self.queue.try_recv() {
+            self.take(job);
+        }
+        let unsent = self.state.borrow_mut().broken(|r| self.report(r));
+        if let Err(e) = ended_by {
+            log!("cache node at {}: {e}", self.address);
+        }
+        for order in unsent {
+            match made {
+                true => {
+                    let _ = self.returned.send(order);
+                }
+                false => self.report(ended(order.ticket, Outcome::ConnectFailed)),
+            }
+        }
+    }
+
+    /// Connects, by the site's deadline for that; orders that come meanwhile wait and can be taken back.
+    async fn connect(&mut self) -> io::Result<TcpStream> {
+        let by = clock::instant(clock::now() + self.limits.connect_within);
+        let connecting = timeout_at(by, TcpStream::connect(self.address));
+        tokio::pin!(connecting);
+        loop {
+            tokio::select! {
+                biased;
+                Some(job) = self.queue.recv() => self.take(job),
+                made = &mut connecting => {
+                    let stream = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+                    stream.set_nodelay(true)?;
+                    return Ok(stream);
+                }
+            }
+        }
+    }
+
+    /// Writes orders and reads answers until the connection breaks, is idle or its node is gone.
+    async fn serve(&mut self, stream: TcpStream) -> io::Result<()> {
+        let (mut input, mut output) = (Buffer::default(), Buffer::default());
+        let mut idle_at = clock::now() + self.limits.idle;
+        let mut orphan = false;
+        loop {
+            while let Ok(job) = self.queue.try_recv() {
+                self.take(job);
+            }
+            self.state.borrow_mut().encode(clock::now(), &mut output, |r| self.report(r));
+            output.write_to(&stream)?;
+            let (load, worn) = (self.state.borrow().load(), self.state.borrow().worn());
+            if load > 0 {
+                idle_at = clock::now() + self.limits.idle;
+            } else if (worn || orphan) && output.is_empty() {
+                return Ok(());
+            }
+            let interest = match output.is_empty() {
+                true => Interest::READABLE,
+                false => Interest::READABLE | Interest::WRITABLE,
+            };
+            tokio::select! {
+                biased;
+                job = self.queue.recv(), if !orphan => match job {
+                    Some(job) => self.take(job),
+                    None => orphan = true,
+                },
+                ready = stream.ready(interest) => {
+                    if ready?.is_readable() {
+                        match input.read_from(&stream) {
+                            Ok(0) if load == 0 => return Ok(()),
+                            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                            Ok(_) => {
+                                let read = self.state.borrow_mut().decode(clock::now(), &mut input, |r| self.report(r));
+                                read.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.0))?;
+                            }
+                            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                            Err(e) => return Err(e),
+                        }
+                    }
+                }
+                () = sleep_until(clock::instant(idle_at)), if load == 0 => return Ok(()),
+            }
+        }
+    }
+}
