Add the second front: signed links, teams' contracts and budgets, xDS discovery

What it is: HTTP/1.1 with URI Signing (RFC 9246) on the same core (src/signed), contracts and budgets in the core for both fronts (src/broker/tenants.rs), Envoy v3 clusters and endpoints as discovery JSON (src/xds.rs).

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -35,6 +35,10 @@
     failed,
     /// Answered: failed, its time was up.
     late,
+    /// Answered: a team's budget was spent.
+    over_budget,
+    /// Answered: no contract covers it.
+    forbidden,
     /// Of the answers: given before the director heard of the request.
     turned_away,
     /// Clients that stopped waiting.
@@ -87,6 +91,8 @@
             Answer::Refused(_) => self.refused += 1,
             Answer::Failed => self.failed += 1,
             Answer::Late => self.late += 1,
+            Answer::OverBudget(_) => self.over_budget += 1,
+            Answer::Forbidden => self.forbidden += 1,
         }
     }
 
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -3,10 +3,12 @@
 
 mod counters;
 mod run;
+mod tenants;
 mod timers;
 
 pub use counters::Counters;
 pub use run::{Inputs, run};
+pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
 use crate::{Director, log};
@@ -67,6 +69,10 @@
     pub deadline: f64,
     /// A client's repeat.
     pub repeat: bool,
+    /// Whose request it is, where teams are configured.
+    pub team: Option<TeamId>,
+    /// Where the object lies in the teams' name space, on a wire that has paths.
+    pub path: Option<Box<str>>,
     /// Names this try on the caches' wire.
     pub call: Box<str>,
     /// The object on the caches' wire.
@@ -90,6 +96,10 @@
     Failed,
     /// Failed: its time has passed.
     Late,
+    /// Refused: the team's budget is spent for so many seconds.
+    OverBudget(f64),
+    /// Refused: no contract covers it.
+    Forbidden,
 }
 
 /// What a cache node made.
@@ -241,6 +251,8 @@
     class_names: Vec<Rc<str>>,
     open: FxHashMap<RequestId, Open>,
     callers: FxHashMap<Caller, RequestId>,
+    contracts: Rc<Contracts>,
+    budgets: tenants::Budgets,
     /// Nodes in their last told state.
     roster: FxHashMap<NodeId, NodeState>,
     timers: Timers,
@@ -264,6 +276,8 @@
     pub settings: Settings,
     /// Names of the classes, in the settings' order.
     pub class_names: Vec<Rc<str>>,
+    /// What teams may ask for.
+    pub contracts: Rc<Contracts>,
     /// Most bytes of request bodies held at a time.
     pub held_most: usize,
 }
@@ -274,6 +288,8 @@
         Broker {
             director: Director::new(setup.seed, setup.settings),
             class_names: setup.class_names,
+            budgets: tenants::Budgets::new(&setup.contracts),
+            contracts: setup.contracts,
             open: FxHashMap::default(),
             callers: FxHashMap::default(),
             roster: FxHashMap::default(),
@@ -293,6 +309,11 @@
         self.callers.len()
     }
 
+    /// Has it heard of any node?
+    pub fn has_nodes(&self) -> bool {
+        !self.roster.is_empty()
+    }
+
     /// What is to be done outside, in order.
     pub fn effects(&mut self) -> std::vec::Drain<'_, Effect> {
         self.effects.drain(..)
@@ -366,10 +387,16 @@
         if ask.deadline <= now {
             return self.turn_away(caller, Answer::Late);
         }
+        if !self.contracts.covers(&ask) {
+            return self.turn_away(caller, Answer::Forbidden);
+        }
         if self.held + ask.body.len() > self.held_most || self.callers.contains_key(&caller) {
             let wait = self.director.settings().max_wait;
             return self.turn_away(caller, Answer::Refused(wait));
         }
+        if let Err(wait) = self.budgets.admit(now, ask.team) {
+            return self.turn_away(caller, Answer::OverBudget(wait));
+        }
         let id = self.fresh_id();
         self.held += ask.body.len();
         let request = Request {
@@ -417,6 +444,8 @@
     pub fn abort(&mut self, now: f64, caller: Caller) {
         let Some(id) = self.callers.remove(&caller) else { return };
         self.counters.aborted += 1;
+        let team = self.open.get(&id).and_then(|o| o.ask.team);
+        self.budgets.release(now, team, 0);
         self.feed(now, Event::Expired { request: id });
         self.close(id);
         self.settle(now);
@@ -443,9 +472,11 @@
     }
 
     /// Gives the final answer.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    fn answer(&mut self, now: f64, id: RequestId, answer: Answer) {
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
-        let caller = open.caller;
+        let (caller, team) = (open.caller, open.ask.team);
+        let bytes = if let Answer::Served(content) = &answer { content.body.len() } else { 0 };
+        self.budgets.release(now, team, bytes);
         self.callers.remove(&caller);
         self.counters.answered(&answer);
         self.effects.push(Effect::Answer { caller, answer });
@@ -490,7 +521,7 @@
         let (node, took) = (a.node, (now - a.sent_at).max(0.0));
         self.counters.ended(outcome, note);
         if let Some(content) = content.filter(|_| outcome == Outcome::Ok) {
-            self.answer(ticket.request, Answer::Served(content));
+            self.answer(now, ticket.request, Answer::Served(content));
         }
         let done = self.open.get(&ticket.request).is_none_or(|o| o.done);
         self.feed(
@@ -537,7 +568,7 @@
             self.timers.set(now + CONFIRM, timers::Timer::Deadline(id));
         } else if now >= open.ask.deadline {
             self.feed(now, Event::Expired { request: id });
-            self.answer(id, Answer::Late);
+            self.answer(now, id, Answer::Late);
         }
     }
 
@@ -569,8 +600,8 @@
                 let source = Some(source).filter(|s| *s != node);
                 self.send(now, request, node, within, source, rank, age, options);
             }
-            Action::Refuse { request, wait } => self.answer(request, Answer::Refused(wait)),
-            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Refuse { request, wait } => self.answer(now, request, Answer::Refused(wait)),
+            Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let ticket = Ticket { request, attempt };
                 if let Some(a) = self.attempt(ticket).filter(|a| a.out && !a.recalled) {
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -3,6 +3,7 @@
 use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
 use crate::{clock, log};
 use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -20,6 +21,8 @@
     pub reports: UnboundedReceiver<Report>,
     /// From fronts.
     pub asks: Receiver<Input>,
+    /// Set once the core has a list of nodes to send to; a front is healthy from then on.
+    pub ready: Rc<Cell<bool>>,
     /// Asks for the counters.
     pub print: Rc<Notify>,
     /// Asks to end once every request taken is answered.
@@ -29,8 +32,12 @@
 /// Runs the core until it was asked to close and nothing is pending.
 pub async fn run(mut broker: Broker, mut inputs: Inputs, commands: UnboundedSender<Command>) {
     let mut replies: FxHashMap<Caller, UnboundedSender<(u64, Answer)>> = FxHashMap::default();
-    let mut closing = false;
+    let (mut closing, mut started) = (false, false);
     loop {
+        if !started && broker.has_nodes() {
+            started = true;
+            inputs.ready.set(true);
+        }
         for effect in broker.effects() {
             match effect {
                 Effect::Command(command) => {
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,11 +1,13 @@
 //! The one place where configuration is read, checked and given defaults. Keys that are not known are
 //! skipped; a missing or wrong one is an error that names it.
 
-use crate::broker::{Member, News};
+use crate::broker::{Contracts, Member, News, Team};
 use crate::interface::*;
+use crate::xds::Names;
 use rustc_hash::FxHashMap;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// A JSON value with the path that led to it, for messages.
@@ -200,16 +202,16 @@
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
-    /// Where clients connect.
-    pub listen: SocketAddr,
+    /// Where the platform's clients connect, if that front is on.
+    pub listen: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Most memory, in bytes.
     pub memory: usize,
     /// Most descriptors.
     pub sockets: usize,
-    /// Where the coordinator listens.
-    pub coordinator: SocketAddr,
+    /// Where the coordinator listens, if there is one.
+    pub coordinator: Option<SocketAddr>,
     /// The coordinator's events so far, and the number of the last.
     pub known: (u64, Vec<News>),
     /// What the director is set up with.
@@ -222,12 +224,64 @@
     pub keepalive: f64,
     /// Most requests on one connection to a cache node.
     pub streams: usize,
+    /// The second front, if it is on.
+    pub signed: Option<Signed>,
+    /// Discovery in xDS form, if it is used.
+    pub xds: Option<Xds>,
+    /// What teams may ask for; nobody is limited where it is empty.
+    pub contracts: Contracts,
+    /// Names of zones and kinds, in the settings' order.
+    pub names: Names,
+}
+
+/// The second front.
+#[derive(Debug)]
+pub struct Signed {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Scheme and authority that links are signed with.
+    pub base: String,
+    /// Whom a token's `aud` must name.
+    pub audience: Option<String>,
+    /// Clocks may differ by so much (seconds).
+    pub leeway: f64,
+    /// The file of the signers' keys.
+    pub keys: PathBuf,
+    /// It is reread this often (seconds).
+    pub reread: f64,
+    /// A replaced key verifies for so long (seconds).
+    pub overlap: f64,
+}
+
+/// Discovery in xDS form.
+#[derive(Debug)]
+pub struct Xds {
+    /// Where the discovery server listens.
+    pub server: SocketAddr,
+    /// It is asked this often (seconds).
+    pub refresh: f64,
 }
 
-/// Reads the platform's JSON.
-pub fn platform(text: &[u8]) -> Result<Config, String> {
-    let value: Value = serde_json::from_slice(text).map_err(|e| format!("config is not JSON: {e}"))?;
-    let top = At { value: &value, what: "config", path: String::new() };
+/// Reads the platform's JSON and the operator's TOML, either of which may be missing. The operator's tables
+/// stand beside the platform's; where both have a key, the operator's counts.
+pub fn read(platform: Option<&[u8]>, operator: Option<&str>) -> Result<Config, String> {
+    let mut tree = match platform {
+        None => Value::Object(Map::new()),
+        Some(text) => serde_json::from_slice(text).map_err(|e| format!("config is not JSON: {e}"))?,
+    };
+    let own: Map<String, Value> = match operator {
+        None => Map::new(),
+        Some(text) => {
+            toml::from_str(text).map_err(|e| format!("operator's file is not TOML: {}", e.message()))?
+        }
+    };
+    let top = tree.as_object_mut().ok_or("config is no JSON object")?;
+    top.extend(own);
+    config(&tree)
+}
+
+fn config(value: &Value) -> Result<Config, String> {
+    let top = At { value, what: "config", path: String::new() };
     let inner = top.get("settings")?;
     let settings = read_settings(inner.value)?;
     let inner = At { path: String::new(), what: "settings", ..inner };
@@ -235,22 +289,103 @@
     let or = |at: &At, key: &str, default: f64| at.opt(key).map_or(Ok(default), |v| v.above_zero());
     let names = |key: &str| inner.get(key)?.list(|v| v.text().map(str::to_owned));
     let limits = top.get("limits")?;
-    let seed = top.get("seed")?;
-    let seed = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("hexadecimal digits"))?;
+    let seed = match top.opt("seed") {
+        Some(seed) => u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("hexadecimal digits"))?,
+        None => fastrand::u64(..),
+    };
     let classes = inner.get("profiles")?.list(|c| c.get("name")?.text().map(str::to_owned))?;
+    let classes = Classes::new(classes);
+    let names = Names { zones: names("localities")?, kinds: names("kinds")? };
+    let signed = top.opt("signed").map(|s| signed(&s)).transpose()?;
+    let xds = top.opt("xds").map(|x| xds(&x)).transpose()?;
+    let contracts = top
+        .opt("teams")
+        .map_or(Ok(Contracts::default()), |t| t.list(|t| team(t, &classes)).map(Contracts))?;
+    if signed.is_some() && contracts.none() {
+        return Err("config: 'teams' is missing: the signed front serves what contracts cover".into());
+    }
+    // The platform tells a first list and where its changes come from; xDS stands in for both.
+    let feed = xds.is_none();
+    let needed = |key: &str, off: bool| if off { Ok(top.opt(key)) } else { top.get(key).map(Some) };
+    let known = match needed("known", !feed)? {
+        Some(at) => known(&at, &names.zones, &names.kinds)?,
+        None => (0, Vec::new()),
+    };
     Ok(Config {
         name: top.get("name")?.text()?.to_owned(),
-        listen: top.get("listen")?.address()?,
+        listen: needed("listen", signed.is_some())?.map(|v| v.address()).transpose()?,
         seed,
         memory: (limits.get("memory_mb")?.above_zero()? * 1e6) as usize,
         sockets: limits.get("sockets")?.above_zero()? as usize,
-        coordinator: top.get("coordinator")?.address()?,
-        known: known(&top.get("known")?, &names("localities")?, &names("kinds")?)?,
+        coordinator: needed("coordinator", !feed)?.filter(|_| feed).map(|v| v.address()).transpose()?,
+        known,
         settings,
-        classes: Classes::new(classes),
+        classes,
         connect_within: or(&caps, "connect-timeout", 0.4)?,
         keepalive: or(&caps, "keepalive", 15.0)?,
         streams: or(&caps, "max-streams", 100.0)? as usize,
+        signed,
+        xds,
+        contracts,
+        names,
+    })
+}
+
+fn signed(at: &At) -> Result<Signed, String> {
+    let or = |key: &str, default: f64| at.opt(key).map_or(Ok(default), |v| v.number());
+    let base = at.get("base")?;
+    let text = base.text()?;
+    if !(text.starts_with("http://") || text.starts_with("https://")) || text.ends_with('/') {
+        return Err(base.wrong("a scheme and an authority without a path"));
+    }
+    let leeway = or("leeway_s", 0.0)?;
+    let overlap = or("overlap_s", 300.0)?;
+    if leeway < 0.0 || overlap < 0.0 {
+        return Err(at.wrong("a table whose times are 0 or more"));
+    }
+    Ok(Signed {
+        listen: at.get("listen")?.address()?,
+        base: text.to_owned(),
+        audience: at.opt("audience").map(|v| v.text().map(str::to_owned)).transpose()?,
+        leeway,
+        keys: at.get("keys")?.text()?.into(),
+        reread: at.opt("reread_s").map_or(Ok(5.0), |v| v.above_zero())?,
+        overlap,
+    })
+}
+
+fn xds(at: &At) -> Result<Xds, String> {
+    let refresh = at.opt("refresh_s").map_or(Ok(0.5), |v| v.above_zero())?;
+    Ok(Xds { server: at.get("server")?.address()?, refresh })
+}
+
+fn team(at: &At, classes: &Classes) -> Result<Team, String> {
+    let class = |v: &At| {
+        let found = classes.get(v.text()?.as_bytes());
+        found.ok_or_else(|| v.wrong("a class of the settings"))
+    };
+    let allowed = at.get("classes")?.list(class)?;
+    let prefixes = at.get("prefixes")?.list(|p| {
+        let path = p.get("path")?;
+        let text = path.text()?;
+        if !text.starts_with('/') {
+            return Err(path.wrong("a path from the root"));
+        }
+        let of = p.get("class")?;
+        let class = class(&of)?;
+        if !allowed.contains(&class) {
+            return Err(of.wrong("one of the team's classes"));
+        }
+        Ok((text.to_owned(), class))
+    })?;
+    Ok(Team {
+        name: at.get("name")?.text()?.to_owned(),
+        issuer: at.get("issuer")?.text()?.to_owned(),
+        classes: allowed,
+        prefixes,
+        requests_per_s: at.get("requests_per_s")?.above_zero()?,
+        in_flight: at.get("in_flight")?.above_zero()? as usize,
+        bytes_per_s: at.get("bytes_per_s")?.above_zero()?,
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod interface;
 pub mod log;
 pub mod net;
+pub mod signed;
+pub mod xds;
 
 pub use brain::Director;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,12 @@
 //! One real front: reads its configuration, listens, wires the tasks together, and ends when it is told to.
 #![forbid(unsafe_code)]
 
-use onyxyoke::broker::{self, Broker, Inputs, News, Setup};
+use onyxyoke::broker::{self, Broker, Contracts, Inputs, News, Setup};
 use onyxyoke::config::{self, Config};
 use onyxyoke::net::{clients, coordinator, pool};
-use onyxyoke::{clock, log};
-use std::cell::Cell;
+use onyxyoke::signed::keys::{KeyFile, Keys};
+use onyxyoke::{clock, log, signed, xds};
+use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -24,6 +25,8 @@
 const HELD: (usize, usize) = (8, 4);
 /// Requests that wait for the broker's turn; beyond, connections are not read from.
 const ASKS: usize = 256;
+/// Share of the descriptors for clients, and the same for cache nodes.
+const SHARE: usize = 3;
 
 fn main() -> ExitCode {
     let config = match read() {
@@ -43,14 +46,22 @@
     }
 }
 
+/// Reads the files that `NODE_CONFIG` (the platform's) and `ONYXYOKE_OPERATOR` (the operator's) name.
 fn read() -> Result<Config, String> {
-    let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
-    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: cannot read '{path}': {e}"))?;
-    config::platform(&text)
+    let file = |name: &str| match std::env::var(name) {
+        Err(_) => Ok(None),
+        Ok(path) => std::fs::read(&path).map(Some).map_err(|e| format!("{name}: cannot read '{path}': {e}")),
+    };
+    let (platform, operator) = (file("NODE_CONFIG")?, file("ONYXYOKE_OPERATOR")?);
+    if platform.is_none() && operator.is_none() {
+        return Err("neither NODE_CONFIG nor ONYXYOKE_OPERATOR is set".into());
+    }
+    let operator = operator.map(String::from_utf8).transpose();
+    let operator = operator.map_err(|_| "ONYXYOKE_OPERATOR: the file is no text".to_owned())?;
+    config::read(platform.as_deref(), operator.as_deref())
 }
 
 async fn run(config: Config) -> std::io::Result<()> {
-    let listener = TcpListener::bind(config.listen).await?;
     let (mut terminate, mut usr1) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
     let (news_in, news) = unbounded_channel();
     let (reports_in, reports) = unbounded_channel();
@@ -58,21 +69,56 @@
     let (asks_in, asks) = channel(ASKS);
     let (print, close) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let ready = Rc::new(Cell::new(false));
-    let max_wait = config.settings.max_wait;
+    let (numbers, unsent) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let contracts: Rc<Contracts> = Rc::new(config.contracts);
     let classes = Rc::new(config.classes);
+    let wait = config.settings.max_wait;
+    let unsent_most = config.memory / HELD.1;
+    let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
+    let connections = config.sockets / SHARE / fronts.max(1);
 
-    let unsent = Rc::new(Cell::new(0));
-    let front = Rc::new(clients::Front {
-        asks: asks_in,
-        classes: classes.clone(),
-        ready: ready.clone(),
-        connections: config.sockets / 3,
-        numbers: Rc::default(),
-        unsent: unsent.clone(),
-        unsent_most: config.memory / HELD.1,
-        wait: max_wait,
-    });
-    spawn_local(clients::accept(listener, front));
+    if let Some(listen) = config.listen {
+        let listener = TcpListener::bind(listen).await?;
+        let front = clients::Front {
+            asks: asks_in.clone(),
+            classes: classes.clone(),
+            contracts: contracts.clone(),
+            ready: ready.clone(),
+            connections,
+            numbers: numbers.clone(),
+            unsent: unsent.clone(),
+            unsent_most,
+            wait,
+        };
+        log!("{} serves on {}", config.name, listener.local_addr()?);
+        spawn_local(clients::accept(listener, Rc::new(front)));
+    }
+    if let Some(signed) = config.signed {
+        let listener = TcpListener::bind(signed.listen).await?;
+        let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
+        let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
+        let mut keys = Keys::default();
+        keys.replace(clock::now(), 0.0, KeyFile::parse(&text).map_err(wrong)?);
+        let keys = Rc::new(RefCell::new(keys));
+        spawn_local(signed::watch_keys(signed.keys, text, keys.clone(), signed.reread, signed.overlap));
+        let front = signed::Front {
+            asks: asks_in.clone(),
+            contracts: contracts.clone(),
+            classes: config.settings.classes.clone(),
+            base: signed.base,
+            audience: signed.audience,
+            leeway: signed.leeway,
+            keys,
+            connections,
+            numbers,
+            unsent: unsent.clone(),
+            unsent_most,
+            wait,
+        };
+        log!("{} serves signed links on {}", config.name, listener.local_addr()?);
+        spawn_local(signed::accept(listener, Rc::new(front)));
+    }
+    drop(asks_in);
     spawn_local(pool::run(
         commands,
         reports_in,
@@ -80,7 +126,7 @@
             connect_within: config.connect_within,
             idle: config.keepalive / 2.0,
             streams: config.streams,
-            connections: config.sockets / 3,
+            connections: config.sockets / SHARE,
         },
     ));
 
@@ -88,6 +134,7 @@
         seed: config.seed,
         settings: config.settings,
         class_names: classes.names.clone(),
+        contracts,
         held_most: config.memory / HELD.0,
     });
     let (last, events) = config.known;
@@ -97,11 +144,14 @@
         first &= !cached;
         broker.news(clock::now(), event, cached);
     }
-    spawn_local(coordinator::follow(config.coordinator, last, news_in));
-    let inputs = Inputs { news, reports, asks, print: print.clone(), close: close.clone() };
+    if let Some(xds) = config.xds {
+        spawn_local(xds::follow(xds.server, config.name, config.names, xds.refresh, news_in));
+    } else if let Some(address) = config.coordinator {
+        spawn_local(coordinator::follow(address, last, news_in));
+    }
+    let inputs =
+        Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: close.clone() };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
-    ready.set(true);
-    log!("{} serves on {}", config.name, config.listen);
 
     loop {
         tokio::select! {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::resp::{self, Command};
 use super::{Buffer, Unreadable, amount, number};
-use crate::broker::{Answer, Ask, Caller, Input};
+use crate::broker::{Answer, Ask, Caller, Contracts, Input};
 use crate::config::Classes;
 use crate::interface::*;
 use crate::{clock, log};
@@ -34,6 +34,8 @@
     pub asks: Sender<Input>,
     /// The classes by name.
     pub classes: Rc<Classes>,
+    /// The teams, if any are configured; requests then name theirs in `org`.
+    pub contracts: Rc<Contracts>,
     /// Whether health checks are answered with yes.
     pub ready: Rc<Cell<bool>>,
     /// Most connections.
@@ -166,8 +168,10 @@
                 resp::answer(&mut self.output, tag, "ok", "current=1", b"");
             }
             Answer::Served(content) => resp::answer(&mut self.output, tag, "ok", "", &content.body),
-            Answer::Refused(wait) => self.refuse(tag, *wait),
-            Answer::Failed | Answer::Late => resp::answer(&mut self.output, tag, "fault", "", b""),
+            Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, *wait),
+            Answer::Failed | Answer::Late | Answer::Forbidden => {
+                resp::answer(&mut self.output, tag, "fault", "", b"")
+            }
         }
     }
 
@@ -202,8 +206,9 @@
                         // Two answers under one tag could not be told apart.
                         return Err(io::Error::new(io::ErrorKind::InvalidData, "a tag that is in use"));
                     }
-                    let ask =
-                        self.front.classes.get(class).and_then(|c| parse(clock::now(), c, fields, body));
+                    let front = &self.front;
+                    let class = front.classes.get(class);
+                    let ask = class.and_then(|c| parse(clock::now(), c, &front.contracts, fields, body));
                     match ask {
                         None => {
                             resp::answer(&mut self.output, tag, "fault", "", b"");
@@ -244,7 +249,7 @@
 
 /// Reads a request's fields; `None` if one that is needed is missing or cannot be used. Unknown ones are
 /// passed over.
-fn parse(now: f64, class: ClassId, fields: &[u8], body: &[u8]) -> Option<Ask> {
+fn parse(now: f64, class: ClassId, contracts: &Contracts, fields: &[u8], body: &[u8]) -> Option<Ask> {
     let mut ask = Ask { class, body: body.to_vec(), ..Ask::default() };
     let mut ttl = None;
     for field in fields.split(|&b| b == b',') {
@@ -263,6 +268,7 @@
             b"slice" => ask.part = u32::try_from(number(value)?).ok()?,
             b"set" => ask.group = GroupId(u32::try_from(number(value)?).ok()?),
             b"heap" => ask.kb = amount(value)?,
+            b"org" => ask.team = contracts.named(value),
             b"seen" => ask.have = Some(token(value, 128)?),
             _ => {}
         }
--- /dev/null
+++ b/src/signed/mod.rs
@@ -0,0 +1,414 @@
+//! The second front: HTTP/1.1 with signed links (URI Signing, RFC 9246), on the same core and under the same
+//! rules as the first. Off unless an operator's file turns it on.
+
+pub mod http;
+pub mod keys;
+pub mod token;
+pub mod uri;
+
+use crate::broker::{Answer, Ask, Caller, Contracts, Input};
+use crate::interface::*;
+use crate::net::Buffer;
+use crate::{clock, log};
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use http::Unusable;
+use keys::{KeyFile, Keys};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use token::Refusal;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, sleep_until};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Most bytes of a body; what the caches' wire takes.
+const BODY: usize = 48_000;
+/// A head, or a body, must be whole this long after its first byte (seconds).
+const WHOLE: f64 = 10.0;
+/// A connection between requests, or one that takes nothing of its answer, is closed after this (seconds).
+const IDLE: f64 = 20.0;
+/// The answer is to be out this long before the class's deadline (seconds).
+const MARGIN: f64 = 0.02;
+/// Bytes read ahead of the request that is being served.
+const AHEAD: usize = 64 * 1024;
+
+/// Bytes in base64url without padding.
+fn base64url(text: &str) -> Option<Vec<u8>> {
+    URL_SAFE_NO_PAD.decode(text).ok()
+}
+
+/// What all connections of this front share.
+pub struct Front {
+    /// To the broker.
+    pub asks: Sender<Input>,
+    /// Whose paths are whose.
+    pub contracts: Rc<Contracts>,
+    /// The classes, for their deadlines and effects.
+    pub classes: Vec<Class>,
+    /// Scheme and authority that links are signed with.
+    pub base: String,
+    /// Whom a token's `aud` must name.
+    pub audience: Option<String>,
+    /// Clocks may differ by so much (seconds).
+    pub leeway: f64,
+    /// The signers' keys.
+    pub keys: Rc<RefCell<Keys>>,
+    /// Most connections.
+    pub connections: usize,
+    /// Numbers for connections, shared by all fronts.
+    pub numbers: Rc<Cell<u64>>,
+    /// Bytes of answers that connections hold, shared by all fronts, and the most of them.
+    pub unsent: Rc<Cell<usize>>,
+    /// Over this many of them, new requests are refused.
+    pub unsent_most: usize,
+    /// What a refusal of this front's own says (seconds).
+    pub wait: f64,
+}
+
+/// Rereads the key file, of which `text` was read before, for ever. One that cannot be used changes nothing
+/// and is told of once.
+pub async fn watch_keys(path: PathBuf, text: String, keys: Rc<RefCell<Keys>>, every: f64, overlap: f64) {
+    let mut last = Some(text);
+    loop {
+        sleep_until(clock::instant(clock::now() + every)).await;
+        // A small local file; reading it does not hold up the thread.
+        let text = std::fs::read_to_string(&path);
+        let same = match (&text, &last) {
+            (Ok(text), Some(last)) => text == last,
+            (Err(_), None) => true,
+            _ => false,
+        };
+        if same {
+            continue;
+        }
+        let file = text.as_ref().map_err(ToString::to_string).and_then(|t| KeyFile::parse(t));
+        match file {
+            Ok(file) => {
+                let now = clock::now();
+                keys.borrow_mut().replace(now, now + overlap, file);
+                log!("keys: {} in force; replaced ones verify for {overlap} s", keys.borrow().len());
+            }
+            Err(e) => log!("keys: {e}; the old set stays"),
+        }
+        last = text.ok();
+    }
+}
+
+/// Accepts until the program ends.
+pub async fn accept(listener: TcpListener, front: Rc<Front>) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            Ok(_) if open.get() >= front.connections => log!("an HTTP client is turned away: too many"),
+            Ok((stream, peer)) => {
+                let (front, open) = (front.clone(), open.clone());
+                open.set(open.get() + 1);
+                tokio::task::spawn_local(async move {
+                    if let Err(e) = Connection::new(front).serve(&stream).await {
+                        log!("HTTP client {peer}: {e}");
+                    }
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(e) => {
+                log!("cannot accept an HTTP client: {e}");
+                sleep_until(clock::instant(clock::now() + 0.01)).await;
+            }
+        }
+    }
+}
+
+/// A request as the core takes it, or the status that it is answered with at once.
+type Admitted = Result<Ask, Denied>;
+
+/// Turned away before the core hears of it.
+#[derive(Debug, PartialEq)]
+struct Denied {
+    status: u16,
+    why: &'static str,
+}
+
+impl Front {
+    /// Checks a request whose head arrived at `now`: its method, its target, its link. From here on it is
+    /// authorised; neither an expiry nor a change of keys cuts what it asked for.
+    fn admit(&self, now: f64, request: &http::Request) -> Admitted {
+        let denied = |status, why| Err(Denied { status, why });
+        let Some(target) = uri::target(&request.target) else { return denied(400, "malformed target") };
+        let Some((team, class)) = self.contracts.route(&target.path) else {
+            return denied(403, "no contract covers the path");
+        };
+        let Some(rules) = self.classes.get(usize::from(class.0)) else { return denied(403, "no class") };
+        let cookie = request.field("cookie").and_then(uri::cookie).map(str::to_owned);
+        let checked = target.token.or(cookie).ok_or(Refusal::Missing).and_then(|token| {
+            let uri = format!("{}{}", self.base, target.uri);
+            let issuer = &self.contracts.0[usize::from(team)].issuer;
+            let (audience, leeway) = (self.audience.as_deref(), self.leeway);
+            let want = token::Check { uri: &uri, issuer, audience, leeway, now };
+            token::check(&token, &self.keys.borrow(), &want)
+        });
+        match checked {
+            Ok(()) => {}
+            Err(Refusal::Missing) => return denied(401, "a signed link is needed"),
+            Err(refusal) => return denied(403, why(refusal)),
+        }
+        let method_fits = match &*request.method {
+            "GET" | "HEAD" => !rules.never_kept,
+            "POST" => rules.never_kept,
+            _ => false,
+        };
+        if !method_fits {
+            return denied(405, "the method does not fit the path's class");
+        }
+        let key = request.field("idempotency-key").map(|k| k.trim_matches('"'));
+        let plain = |k: &&str| {
+            !k.is_empty()
+                && k.len() <= 128
+                && k.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+        };
+        if key.is_some_and(|k| !plain(&k)) || key.is_none() && matches!(rules.effect, Effect::Keyed(_)) {
+            return denied(400, "an Idempotency-Key is needed, of letters, digits, '-', '_' and '.'");
+        }
+        let etag = request.field("if-none-match").map(|t| t.strip_prefix("W/").unwrap_or(t));
+        let etag = etag.and_then(|t| t.strip_prefix('"')?.strip_suffix('"'));
+        // One object is one copy, whatever token it is asked for with.
+        let object = xxh3_64(target.path.as_bytes());
+        Ok(Ask {
+            class,
+            object: ObjectId(object),
+            deadline: now + rules.deadline - MARGIN,
+            team: Some(team),
+            call: format!("{:016x}", fastrand::u64(..)).into(),
+            asset: format!("{object:016x}").into(),
+            key: key.map(Into::into),
+            have: etag.filter(plain).map(Into::into),
+            path: Some(target.path.into()),
+            ..Ask::default()
+        })
+    }
+}
+
+/// What a refused client is told; the token itself is never repeated.
+fn why(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::Missing => "a signed link is needed",
+        Refusal::Malformed => "the token cannot be read",
+        Refusal::Signature => "the signature does not verify",
+        Refusal::Expired => "the link has expired",
+        Refusal::Early => "the link is not yet valid",
+        Refusal::Issuer => "the issuer may not sign for this path",
+        Refusal::Audience => "the link is for another audience",
+        Refusal::Uri => "the link is for another URI",
+        Refusal::Claim => "the token has a claim that cannot be honoured, or lacks one that is needed",
+    }
+}
+
+struct Connection {
+    front: Rc<Front>,
+    number: u64,
+    tag: u64,
+    reply: UnboundedSender<(u64, Answer)>,
+    answers: UnboundedReceiver<(u64, Answer)>,
+    input: Buffer,
+    output: Buffer,
+    counted: usize,
+}
+
+impl Connection {
+    fn new(front: Rc<Front>) -> Self {
+        let (reply, answers) = unbounded_channel();
+        let number = front.numbers.get() + 1;
+        front.numbers.set(number);
+        let (input, output) = (Buffer::default(), Buffer::default());
+        Connection { front, number, tag: 0, reply, answers, input, output, counted: 0 }
+    }
+
+    async fn serve(mut self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let ended = self.requests(stream).await;
+        self.front.unsent.set(self.front.unsent.get() - self.counted);
+        match ended {
+            Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
+                Ok(())
+            }
+            other => other,
+        }
+    }
+
+    /// Serves one request after the other.
+    async fn requests(&mut self, stream: &TcpStream) -> io::Result<()> {
+        loop {
+            let request = match self.head(stream).await? {
+                Some(Ok(request)) => request,
+                Some(Err(Unusable(status))) => {
+                    // Where it ends is unknown, so that nothing after it can be read.
+                    self.say(status, &[("Connection", "close")], "the message cannot be taken", false);
+                    return self.flush(stream).await;
+                }
+                None => return Ok(()),
+            };
+            let arrived = clock::now();
+            let bare = request.method == "HEAD";
+            let admitted = self.front.admit(arrived, &request);
+            let keep = request.keep && (admitted.is_ok() || request.length == 0);
+            let end = if keep { ("Connection", "keep-alive") } else { ("Connection", "close") };
+            match admitted {
+                Err(Denied { status, why }) => {
+                    let challenge = [end, ("WWW-Authenticate", "URISigningPackage")];
+                    let fields = if status == 401 { &challenge[..] } else { &challenge[..1] };
+                    self.say(status, fields, why, bare);
+                }
+                Ok(mut ask) => {
+                    if request.expects {
+                        self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        self.flush(stream).await?;
+                    }
+                    let by = clock::instant(arrived + WHOLE);
+                    while self.input.len() < request.length {
+                        if !self.fill(stream, by).await? {
+                            return Ok(());
+                        }
+                    }
+                    ask.body = self.input.bytes()[..request.length].to_vec();
+                    self.input.consume(request.length);
+                    let deadline = ask.deadline;
+                    let Some(mut answer) = self.ask(stream, ask).await? else { return Ok(()) };
+                    // What the core gave up on since its time was over is told as that.
+                    if matches!(answer, Answer::Refused(_) | Answer::Failed) && clock::now() >= deadline {
+                        answer = Answer::Late;
+                    }
+                    self.answer(&answer, end, bare);
+                }
+            }
+            self.flush(stream).await?;
+            if !keep {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads until a head is whole; `None` if the client has gone, or never began.
+    async fn head(&mut self, stream: &TcpStream) -> io::Result<Option<Result<http::Request, Unusable>>> {
+        let mut by = clock::instant(clock::now() + IDLE);
+        let mut begun = false;
+        loop {
+            match http::request(self.input.bytes(), BODY) {
+                Ok(Some((request, used))) => {
+                    self.input.consume(used);
+                    return Ok(Some(Ok(request)));
+                }
+                Ok(None) => {}
+                Err(e) => return Ok(Some(Err(e))),
+            }
+            if !begun && !self.input.is_empty() {
+                (begun, by) = (true, clock::instant(clock::now() + WHOLE));
+            }
+            if !self.fill(stream, by).await? {
+                let late = begun && Instant::now() >= by;
+                return Ok(late.then_some(Err(Unusable(408))));
+            }
+        }
+    }
+
+    /// Reads once; `false` at the end of the stream or of the time.
+    async fn fill(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
+        loop {
+            tokio::select! {
+                biased;
+                ready = stream.readable() => ready?,
+                () = sleep_until(by) => return Ok(false),
+            }
+            match self.input.read_from(stream) {
+                Ok(n) => return Ok(n > 0),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Hands the request to the core and waits for its answer; `None` if the client left before.
+    async fn ask(&mut self, stream: &TcpStream, ask: Ask) -> io::Result<Option<Answer>> {
+        if self.front.unsent.get() > self.front.unsent_most {
+            return Ok(Some(Answer::Refused(self.front.wait)));
+        }
+        self.tag += 1;
+        let caller = Caller { connection: self.number, tag: self.tag };
+        let ended = |_| io::Error::other("the broker has ended");
+        let input = Input::Ask { caller, ask, reply: self.reply.clone() };
+        self.front.asks.send(input).await.map_err(ended)?;
+        loop {
+            tokio::select! {
+                biased;
+                Some((tag, answer)) = self.answers.recv() => {
+                    if tag == self.tag {
+                        return Ok(Some(answer));
+                    }
+                }
+                ready = stream.readable(), if self.input.len() < AHEAD => {
+                    let left = match ready.and_then(|()| self.input.read_from(stream)) {
+                        Ok(n) => n == 0,
+                        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+                    };
+                    if left {
+                        self.front.asks.send(Input::Abort(caller)).await.map_err(ended)?;
+                        return Ok(None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, answer: &Answer, end: (&str, &str), bare: bool) {
+        let seconds = |wait: f64| format!("{}", wait.max(1.0).ceil());
+        match answer {
+            Answer::Served(content) => {
+                let etag = format!("\"{}\"", content.etag);
+                // Only the holder of a valid link may have it; no cache between may keep it for others.
+                let fields = [end, ("Cache-Control", "private"), ("ETag", &*etag)];
+                let fields = if content.etag.is_empty() { &fields[..2] } else { &fields[..] };
+                let status = if content.current { 304 } else { 200 };
+                http::respond(&mut self.output, status, fields, &content.body, bare);
+            }
+            Answer::Refused(wait) => {
+                self.say(503, &[end, ("Retry-After", &seconds(*wait))], "busy; try again", bare);
+            }
+            Answer::OverBudget(wait) => {
+                self.say(429, &[end, ("Retry-After", &seconds(*wait))], "the team's budget is spent", bare);
+            }
+            Answer::Forbidden => self.say(403, &[end], "no contract covers the request", bare),
+            Answer::Failed => self.say(502, &[end], "the caches failed", bare),
+            Answer::Late => self.say(504, &[end], "no answer in time", bare),
+        }
+    }
+
+    /// An answer of a line of text.
+    fn say(&mut self, status: u16, fields: &[(&str, &str)], text: &str, bare: bool) {
+        let mut all = vec![("Content-Type", "text/plain"), ("Cache-Control", "no-store")];
+        all.extend(fields);
+        http::respond(&mut self.output, status, &all, format!("{text}\n").as_bytes(), bare);
+    }
+
+    /// Writes all that is to be written; a client that takes nothing for long is dropped.
+    async fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
+        let mut by = clock::instant(clock::now() + IDLE);
+        loop {
+            if self.output.write_to(stream)? > 0 {
+                by = clock::instant(clock::now() + IDLE);
+            }
+            let unsent = &self.front.unsent;
+            unsent.set(unsent.get() + self.output.len() - self.counted);
+            self.counted = self.output.len();
+            if self.output.is_empty() {
+                return Ok(());
+            }
+            tokio::select! {
+                biased;
+                ready = stream.ready(Interest::WRITABLE) => { ready?; }
+                () = sleep_until(by) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+        }
+    }
+}
