--- a/src/signed/token.rs
+++ b/src/signed/token.rs
@@ -106,8 +106,7 @@
     let foreign = critical.iter().any(|c| !KNOWN.contains(c));
     let version = claims.get("cdniv").is_none_or(|v| v.as_u64() == Some(1));
     // `cdnistt` of 0 says that no further token is wanted, which is what is done here.
-    let refused =
-        |name: &&str| claims.get(*name).is_some_and(|v| *name != "cdnistt" || v.as_u64() != Some(0));
+    let refused = |name: &str| claims.get(name).is_some_and(|v| name != "cdnistt" || v.as_u64() != Some(0));
     match foreign || !version || NOT_HONOURED.into_iter().any(refused) {
         true => Err(Refusal::Claim),
         false => Ok(()),
