Check the core and the connections against state models with random steps

Added: src/broker/model.rs (the core with the real director: one answer a request, at its deadline at the latest, never two attempts out, nothing new or waiting for a node that drains, nothing waiting with an age limit from before a purge, no refusal of what may have run) and src/net/model.rs (a cache connection's orders, cut answers, crossed cancels; the feed's numbers; any bytes into every parser). The client connection's state is apart from its socket now (Session in src/net/clients.rs).

Checked that they can fail: taking the recall out of the core, the withdrawn names out of the exchange, Moot for Cancelled, the deadline's confirmation, and the feed's repeat check each fail a test.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -2,6 +2,8 @@
 //! cache connections and the coordinator reach it by queue and hear of it by queue.
 
 mod counters;
+#[cfg(test)]
+mod model;
 mod run;
 mod tenants;
 mod timers;
--- /dev/null
+++ b/src/broker/model.rs
@@ -0,0 +1,296 @@
+//! A model of what the core owes and has out, against which random steps are checked, with the real
+//! director. Fixed seed, no sockets, no clock but the test's.
+
+use super::*;
+use crate::interface::{Effect as Allowed, Outcome};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+const OUTCOMES: [Outcome; 7] = [
+    Outcome::Ok,
+    Outcome::Miss,
+    Outcome::Full,
+    Outcome::Error,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Moot,
+];
+/// Edges 0 to 3, a parent, the origin.
+const NODES: u64 = 6;
+
+fn member(id: u64, state: NodeState) -> Member {
+    let (kind, zone) = if id < 4 { (0, 1) } else { (id as u16 - 3, 0) };
+    let node = Node { id: NodeId(id), state, kind, zone: ZoneId(zone), weight: 8.0, ..Node::default() };
+    Member { node, address: SocketAddr::from(([127, 0, 0, 1], 4100 + id as u16)) }
+}
+
+fn broker(contracts: Contracts) -> Broker {
+    let class = |effect| Class { aim: 1.0, deadline: 2.0, worth: 1.0, effect, ..Class::default() };
+    let settings = Settings {
+        directors: 1,
+        own_zone: ZoneId(1),
+        directors_by_zone: vec![0, 1],
+        hub_of_zone: vec![ZoneId(0), ZoneId(0)],
+        zone_link: vec![0.0, 50_000.0],
+        flow: 1000.0,
+        classes: vec![class(Allowed::Safe), class(Allowed::Unsafe)],
+        parent_kind: Some(1),
+        origin_kind: 2,
+        sources: SiblingScope::Zone,
+        cancel: true,
+        most_tries: 8,
+        max_wait: 0.5,
+        purge_settles: 6.0,
+        ..Settings::default()
+    };
+    let (class_names, contracts) = (vec!["safe".into(), "unsafe".into()], Rc::new(contracts));
+    let mut broker = Broker::new(Setup { seed: 7, settings, class_names, contracts, held_most: 100 });
+    let members = (0..NODES).map(|id| member(id, NodeState::Ready)).collect();
+    broker.news(1000.0, News::Roster { full: true, members }, true);
+    broker
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask { class: u8, object: u8, tenths: u8 },
+    Abort(u8),
+    Written(u8),
+    End { which: u8, how: u8 },
+    Node { id: u8, state: u8 },
+    Purge { object: u8, group: bool },
+    Pass(u8),
+}
+
+struct Out {
+    order: Order,
+    written: bool,
+    cancelled: bool,
+}
+
+/// What the world outside the core knows.
+#[derive(Default)]
+struct World {
+    now: f64,
+    /// Callers whose answer is owed, with their deadlines and classes.
+    owed: BTreeMap<u64, (f64, u16)>,
+    out: BTreeMap<(u32, u16), Out>,
+    /// Of requests of the unsafe class: callers of which an attempt may have run.
+    ran: BTreeSet<u64>,
+    states: Vec<NodeState>,
+    /// Bytes that a cache node has just given, the only ones that may be served.
+    given: Option<Vec<u8>>,
+}
+
+impl World {
+    /// Checks and books what the core wants done; connections confirm a cancel at once.
+    fn watch(&mut self, broker: &mut Broker) -> Result<(), TestCaseError> {
+        loop {
+            let effects: Vec<Effect> = broker.effects().collect();
+            if effects.is_empty() {
+                return Ok(());
+            }
+            for effect in effects {
+                match effect {
+                    Effect::Command(Command::Send(order)) => {
+                        let key = (order.ticket.request.0, order.ticket.attempt);
+                        prop_assert!(self.out.keys().all(|k| k.0 != key.0), "two attempts out for {:?}", key);
+                        let ready = |id: NodeId| self.states[id.0 as usize] == NodeState::Ready;
+                        prop_assert!(ready(order.node), "sent to a node that is not ready");
+                        prop_assert!(order.source.is_none_or(ready), "filled from a node that is not ready");
+                        let caller: u64 = order.ask.call.parse().unwrap();
+                        let owed = self.owed.get(&caller);
+                        prop_assert!(owed.is_some_and(|o| order.due <= o.0 && order.due > self.now));
+                        prop_assert!(!self.ran.contains(&caller), "an unsafe request sent twice");
+                        self.out.insert(key, Out { order, written: false, cancelled: false });
+                    }
+                    Effect::Command(Command::Cancel { ticket, node }) => {
+                        let key = (ticket.request.0, ticket.attempt);
+                        let Some(out) = self.out.get_mut(&key) else { continue };
+                        prop_assert_eq!(out.order.node, node);
+                        prop_assert!(!std::mem::replace(&mut out.cancelled, true), "cancelled twice");
+                        self.end(
+                            broker,
+                            key,
+                            if self.out[&key].written { Outcome::Cancelled } else { Outcome::Moot },
+                        );
+                    }
+                    Effect::Command(Command::Roster { .. }) => {}
+                    Effect::Answer { caller, answer } => {
+                        let owed = self.owed.remove(&caller.tag);
+                        prop_assert!(owed.is_some(), "an answer that is not owed: {:?}", answer);
+                        match answer {
+                            Answer::Served(content) => prop_assert_eq!(Some(content.body), self.given.take()),
+                            Answer::Refused(wait) => {
+                                prop_assert!(wait > 0.0, "a refusal says when to come back");
+                                prop_assert!(!self.ran.contains(&caller.tag), "refused, and may have run");
+                            }
+                            Answer::Failed | Answer::Late => {}
+                            other => prop_assert!(false, "{:?} without contracts", other),
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, broker: &mut Broker, key: (u32, u16), outcome: Outcome) {
+        let Some(out) = self.out.remove(&key) else { return };
+        if out.order.class.as_ref() == "unsafe" && !outcome.never_ran() {
+            self.ran.insert(out.order.ask.call.parse().unwrap());
+        }
+        let body = format!("{key:?}").into_bytes();
+        let content = (outcome == Outcome::Ok).then(|| Content { body: body.clone(), ..Content::default() });
+        self.given = content.is_some().then_some(body);
+        let note = if outcome == Outcome::Ok { Note::Hit } else { Note::None };
+        let ticket = out.order.ticket;
+        broker.report(self.now, Report::Ended { ticket, outcome, note, source_wait: 0.0, content });
+    }
+}
+
+fn play(steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let mut broker = broker(Contracts::default());
+    let states = vec![NodeState::Ready; NODES as usize];
+    let mut w = World { now: 1000.0, states, ..World::default() };
+    w.watch(&mut broker)?;
+    let mut next = 0;
+    for step in steps {
+        let pick = |which: u8, keys: Vec<(u32, u16)>| {
+            (!keys.is_empty()).then(|| keys[usize::from(which) % keys.len()])
+        };
+        match step {
+            Step::Ask { class, object, tenths } => {
+                next += 1;
+                let deadline = w.now + f64::from(tenths) / 10.0;
+                let call = next.to_string().into();
+                let (class, object) = (ClassId(class.into()), ObjectId(object.into()));
+                let ask = Ask { class, object, group: GroupId(3), deadline, call, ..Ask::default() };
+                w.owed.insert(next, (deadline, class.0));
+                broker.ask(w.now, Caller { connection: 1, tag: next }, ask);
+            }
+            Step::Abort(which) => {
+                let owed: Vec<u64> = w.owed.keys().copied().collect();
+                if !owed.is_empty() {
+                    let tag = owed[usize::from(which) % owed.len()];
+                    w.owed.remove(&tag);
+                    broker.abort(w.now, Caller { connection: 1, tag });
+                }
+            }
+            Step::Written(which) => {
+                let waiting = w.out.iter().filter(|o| !o.1.written).map(|o| *o.0).collect();
+                if let Some(key) = pick(which, waiting) {
+                    let out = w.out.get_mut(&key).unwrap();
+                    out.written = true;
+                    broker.report(w.now, Report::Written(out.order.ticket));
+                }
+            }
+            Step::End { which, how } => {
+                if let Some(key) = pick(which, w.out.keys().copied().collect()) {
+                    let outcome = OUTCOMES[usize::from(how) % OUTCOMES.len()];
+                    w.end(&mut broker, key, outcome);
+                }
+            }
+            Step::Node { id, state } => {
+                let id = u64::from(id) % NODES;
+                let state = [NodeState::Ready, NodeState::Draining, NodeState::Gone][usize::from(state) % 3];
+                w.states[id as usize] = state;
+                let before: Vec<_> = w.out.iter().filter(|o| !o.1.written).map(|o| *o.0).collect();
+                broker.news(w.now, News::Roster { full: false, members: vec![member(id, state)] }, false);
+                w.watch(&mut broker)?;
+                // What waits for a connection may not leave for a node that drains, nor name it as a source.
+                for out in before.iter().filter_map(|k| w.out.get(k)) {
+                    let bears = out.order.node.0 == id || out.order.source == Some(NodeId(id));
+                    prop_assert!(!bears || state == NodeState::Ready, "left waiting for {:?}", id);
+                }
+            }
+            Step::Purge { object, group } => {
+                let object = (!group).then_some(ObjectId(object.into()));
+                let before: Vec<_> = w.out.iter().filter(|o| !o.1.written).map(|o| *o.0).collect();
+                broker.news(w.now, News::Purge { object, group: GroupId(3), at: w.now }, false);
+                w.watch(&mut broker)?;
+                for out in before.iter().filter_map(|k| w.out.get(k)) {
+                    let bears = object.is_none_or(|o| o == out.order.ask.object);
+                    prop_assert!(!bears, "left waiting with an age limit from before a purge");
+                }
+            }
+            Step::Pass(tenths) => {
+                w.now += f64::from(tenths) / 10.0;
+                broker.tick(w.now);
+            }
+        }
+        w.watch(&mut broker)?;
+        let late: Vec<_> = w.owed.iter().filter(|o| o.1.0 < w.now - 2e-6).collect();
+        if matches!(step, Step::Pass(_)) {
+            prop_assert!(late.is_empty(), "unanswered at the deadline: {:?}", late);
+        }
+        prop_assert_eq!(broker.pending(), w.owed.len());
+    }
+    w.now += 10.0;
+    broker.tick(w.now);
+    w.watch(&mut broker)?;
+    prop_assert!(w.owed.is_empty() && w.out.is_empty());
+    prop_assert!(broker.open.is_empty() && broker.held == 0, "something is kept of what is over");
+    Ok(())
+}
+
+#[test]
+fn the_core_keeps_the_rules_that_can_be_seen_from_outside() {
+    let step = prop_oneof![
+        8 => (0u8..2, 0u8..5, 0u8..25).prop_map(|(class, object, tenths)| Step::Ask { class, object, tenths }),
+        2 => any::<u8>().prop_map(Step::Abort),
+        6 => any::<u8>().prop_map(Step::Written),
+        8 => (any::<u8>(), any::<u8>()).prop_map(|(which, how)| Step::End { which, how }),
+        3 => (any::<u8>(), any::<u8>()).prop_map(|(id, state)| Step::Node { id, state }),
+        2 => (0u8..5, any::<bool>()).prop_map(|(object, group)| Step::Purge { object, group }),
+        3 => (0u8..8).prop_map(Step::Pass),
+    ];
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+    runner.run(&vec(step, 1..150), play).unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn ask(deadline: f64) -> Ask {
+    Ask { deadline, call: "1".into(), object: ObjectId(5), ..Ask::default() }
+}
+
+/// Guards against a connection that never confirms a withdrawal: the request is answered all the same.
+#[test]
+fn a_withdrawal_that_is_not_confirmed_does_not_hold_the_answer_back() {
+    let mut b = broker(Contracts::default());
+    let caller = Caller { connection: 1, tag: 1 };
+    b.ask(1000.0, caller, ask(1001.0));
+    b.tick(1001.0);
+    assert!(b.effects().any(|e| matches!(e, Effect::Command(Command::Cancel { .. }))));
+    b.tick(1001.0 + CONFIRM);
+    let answers: Vec<Effect> = b.effects().collect();
+    assert!(matches!(answers[..], [Effect::Answer { answer: Answer::Late, .. }]), "{answers:?}");
+}
+
+/// Budgets and contracts hold for whatever front asks, before the director hears of it.
+#[test]
+fn teams_are_held_to_their_contracts_and_budgets() {
+    let team = Team {
+        classes: vec![ClassId(0)],
+        requests_per_s: 1.0,
+        in_flight: 5,
+        bytes_per_s: 1e6,
+        ..Team::default()
+    };
+    let mut b = broker(Contracts(vec![team]));
+    let answer = |b: &mut Broker, tag, ask| {
+        b.effects().for_each(drop);
+        b.ask(1000.0, Caller { connection: 1, tag }, ask);
+        b.effects().find_map(|e| if let Effect::Answer { answer, .. } = e { Some(answer) } else { None })
+    };
+    let ours = Ask { team: Some(0), ..ask(1001.0) };
+    assert_eq!(answer(&mut b, 1, ask(1001.0)), Some(Answer::Forbidden), "no team");
+    assert_eq!(answer(&mut b, 2, Ask { class: ClassId(1), ..ours.clone() }), Some(Answer::Forbidden));
+    assert_eq!(answer(&mut b, 3, ours.clone()), None, "out");
+    assert_eq!(answer(&mut b, 4, ours.clone()), Some(Answer::OverBudget(1.0)));
+    assert_eq!(
+        answer(&mut b, 5, Ask { body: vec![0; 101], ..ours }),
+        Some(Answer::Refused(0.5)),
+        "held bytes"
+    );
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -74,35 +74,118 @@
     }
 }
 
-struct Client {
+/// One connection's requests and answers, without the socket.
+struct Session {
     front: Rc<Front>,
     number: u64,
     open: FxHashSet<u64>,
     reply: UnboundedSender<(u64, Answer)>,
-    answers: UnboundedReceiver<(u64, Answer)>,
     output: Buffer,
-    /// Bytes of `output` that are counted in the front's sum.
+}
+
+impl Session {
+    fn new(front: Rc<Front>, reply: UnboundedSender<(u64, Answer)>) -> Self {
+        let number = front.numbers.get() + 1;
+        front.numbers.set(number);
+        Session { front, number, open: FxHashSet::default(), reply, output: Buffer::default() }
+    }
+
+    fn caller(&self, tag: u64) -> Caller {
+        Caller { connection: self.number, tag }
+    }
+
+    /// Takes one whole frame off the buffer: `None` if there is none, else what the broker is to hear of it.
+    fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, Unreadable> {
+        let Some((command, used)) = resp::parse(input.bytes())? else { return Ok(None) };
+        let mut say = |tag, word| resp::answer(&mut self.output, tag, word, "", b"");
+        let heard = match command {
+            Command::Health { tag } => {
+                say(tag, if self.front.ready.get() { "yes" } else { "no" });
+                None
+            }
+            Command::Abort { tag } => self.open.remove(&tag).then(|| Input::Abort(self.caller(tag))),
+            Command::Unusable { tag } => {
+                say(tag, "fault");
+                None
+            }
+            // Two answers under one tag could not be told apart.
+            Command::Request { tag, .. } if self.open.contains(&tag) => {
+                return Err(Unreadable("a tag that is in use"));
+            }
+            Command::Request { tag, class, fields, body } => {
+                let front = &self.front;
+                let class = front.classes.get(class);
+                let ask = class.and_then(|c| parse(now, c, &front.contracts, fields, body));
+                let crowded = self.open.len() >= OPEN_MOST || front.unsent.get() > front.unsent_most;
+                match ask {
+                    None => {
+                        say(tag, "fault");
+                        None
+                    }
+                    Some(_) if crowded => {
+                        self.refuse(tag, self.front.wait);
+                        None
+                    }
+                    Some(ask) => {
+                        self.open.insert(tag);
+                        Some(Input::Ask { caller: self.caller(tag), ask, reply: self.reply.clone() })
+                    }
+                }
+            }
+        };
+        input.consume(used);
+        Ok(Some(heard))
+    }
+
+    fn answer(&mut self, tag: u64, answer: &Answer) {
+        // After an abort none is owed, and one that crossed it is dropped.
+        if !self.open.remove(&tag) {
+            return;
+        }
+        match answer {
+            Answer::Served(content) if content.current => {
+                resp::answer(&mut self.output, tag, "ok", "current=1", b"");
+            }
+            Answer::Served(content) => resp::answer(&mut self.output, tag, "ok", "", &content.body),
+            Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, *wait),
+            Answer::Failed | Answer::Late | Answer::Forbidden => {
+                resp::answer(&mut self.output, tag, "fault", "", b"");
+            }
+        }
+    }
+
+    fn refuse(&mut self, tag: u64, wait: f64) {
+        let fields = match wait > 0.0 {
+            true => format!("pushback={}", (wait * 1000.0).ceil()),
+            false => String::new(),
+        };
+        resp::answer(&mut self.output, tag, "full", &fields, b"");
+    }
+}
+
+struct Client {
+    session: Session,
+    answers: UnboundedReceiver<(u64, Answer)>,
+    /// Bytes of the output that are counted in the front's sum.
     counted: usize,
 }
 
 impl Client {
     fn new(front: Rc<Front>) -> Self {
         let (reply, answers) = unbounded_channel();
-        let number = front.numbers.get() + 1;
-        front.numbers.set(number);
-        let (open, output) = (FxHashSet::default(), Buffer::default());
-        Client { front, number, open, reply, answers, output, counted: 0 }
+        Client { session: Session::new(front, reply), answers, counted: 0 }
     }
 
     async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let ended = self.exchange(&stream).await;
         // A connection that ends takes its requests with it: no answer is owed where none can be given.
-        for tag in self.open.drain() {
-            let caller = Caller { connection: self.number, tag };
-            let _ = self.front.asks.send(Input::Abort(caller)).await;
+        let Session { front, open, number, .. } = self.session;
+        for tag in open {
+            let caller = Caller { connection: number, tag };
+            let _ = front.asks.send(Input::Abort(caller)).await;
         }
-        self.front.unsent.set(self.front.unsent.get() - self.counted);
+        front.unsent.set(front.unsent.get() - self.counted);
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
                 Ok(())
@@ -116,22 +199,25 @@
         let mut idle_at = clock::now() + IDLE;
         loop {
             while let Ok((tag, answer)) = self.answers.try_recv() {
-                self.answer(tag, &answer);
+                self.session.answer(tag, &answer);
             }
-            if self.output.write_to(stream)? > 0 {
+            let output = &mut self.session.output;
+            if output.write_to(stream)? > 0 {
                 idle_at = clock::now() + IDLE;
             }
-            self.count();
-            let full = self.output.len() > UNSENT;
-            let interest = match (full, self.output.is_empty()) {
+            let unsent = &self.session.front.unsent;
+            unsent.set(unsent.get() + output.len() - self.counted);
+            self.counted = output.len();
+            let full = output.len() > UNSENT;
+            let interest = match (full, output.is_empty()) {
                 (true, _) => Interest::WRITABLE,
                 (false, false) => Interest::READABLE | Interest::WRITABLE,
                 (false, true) => Interest::READABLE,
             };
-            let waits = !self.open.is_empty() && self.output.is_empty();
+            let waits = !self.session.open.is_empty() && output.is_empty();
             tokio::select! {
                 biased;
-                Some((tag, answer)) = self.answers.recv() => self.answer(tag, &answer),
+                Some((tag, answer)) = self.answers.recv() => self.session.answer(tag, &answer),
                 ready = stream.ready(interest) => {
                     if !ready?.is_readable() || full {
                         continue;
@@ -151,89 +237,13 @@
         }
     }
 
-    /// Keeps the front's sum of unsent bytes.
-    fn count(&mut self) {
-        let unsent = &self.front.unsent;
-        unsent.set(unsent.get() + self.output.len() - self.counted);
-        self.counted = self.output.len();
-    }
-
-    fn answer(&mut self, tag: u64, answer: &Answer) {
-        // After an abort none is owed, and one that crossed it is dropped.
-        if !self.open.remove(&tag) {
-            return;
-        }
-        match answer {
-            Answer::Served(content) if content.current => {
-                resp::answer(&mut self.output, tag, "ok", "current=1", b"");
-            }
-            Answer::Served(content) => resp::answer(&mut self.output, tag, "ok", "", &content.body),
-            Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, *wait),
-            Answer::Failed | Answer::Late | Answer::Forbidden => {
-                resp::answer(&mut self.output, tag, "fault", "", b"")
-            }
-        }
-    }
-
-    fn refuse(&mut self, tag: u64, wait: f64) {
-        let fields = match wait > 0.0 {
-            true => format!("pushback={}", (wait * 1000.0).ceil()),
-            false => String::new(),
-        };
-        resp::answer(&mut self.output, tag, "full", &fields, b"");
-    }
-
-    /// Takes whole frames off the buffer.
+    /// Takes the whole frames off the buffer.
     async fn read(&mut self, input: &mut Buffer) -> io::Result<()> {
         let unreadable = |e: Unreadable| io::Error::new(io::ErrorKind::InvalidData, e.0);
-        while let Some((command, used)) = resp::parse(input.bytes()).map_err(unreadable)? {
-            let send = match command {
-                Command::Health { tag } => {
-                    let word = if self.front.ready.get() { "yes" } else { "no" };
-                    resp::answer(&mut self.output, tag, word, "", b"");
-                    None
-                }
-                Command::Abort { tag } => {
-                    let caller = Caller { connection: self.number, tag };
-                    self.open.remove(&tag).then_some(Input::Abort(caller))
-                }
-                Command::Unusable { tag } => {
-                    resp::answer(&mut self.output, tag, "fault", "", b"");
-                    None
-                }
-                Command::Request { tag, class, fields, body } => {
-                    if self.open.contains(&tag) {
-                        // Two answers under one tag could not be told apart.
-                        return Err(io::Error::new(io::ErrorKind::InvalidData, "a tag that is in use"));
-                    }
-                    let front = &self.front;
-                    let class = front.classes.get(class);
-                    let ask = class.and_then(|c| parse(clock::now(), c, &front.contracts, fields, body));
-                    match ask {
-                        None => {
-                            resp::answer(&mut self.output, tag, "fault", "", b"");
-                            None
-                        }
-                        Some(_) if self.open.len() >= OPEN_MOST => {
-                            self.refuse(tag, self.front.wait);
-                            None
-                        }
-                        Some(_) if self.front.unsent.get() > self.front.unsent_most => {
-                            self.refuse(tag, self.front.wait);
-                            None
-                        }
-                        Some(ask) => {
-                            self.open.insert(tag);
-                            let caller = Caller { connection: self.number, tag };
-                            Some(Input::Ask { caller, ask, reply: self.reply.clone() })
-                        }
-                    }
-                }
-            };
-            input.consume(used);
-            if let Some(send) = send {
+        while let Some(heard) = self.session.take(clock::now(), input).map_err(unreadable)? {
+            if let Some(heard) = heard {
                 let ended = |_| io::Error::other("the broker has ended");
-                self.front.asks.send(send).await.map_err(ended)?;
+                self.session.front.asks.send(heard).await.map_err(ended)?;
             }
         }
         Ok(())
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,8 @@
 mod exchange;
 pub mod frames;
 pub mod lines;
+#[cfg(test)]
+mod model;
 pub mod pool;
 pub mod resp;
 
--- /dev/null
+++ b/src/net/model.rs
@@ -0,0 +1,317 @@
+//! Models of the connections' states, against which random steps are checked. Fixed seed, no sockets, no
+//! clock but the test's.
+
+use super::exchange::Exchange;
+use super::frames::{self, Frame};
+use super::{Buffer, coordinator, lines, resp};
+use crate::broker::{Ask, News, Order, Report, Ticket};
+use crate::interface::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+
+fn check<S: Strategy>(cases: u32, strategy: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+    runner.run(&strategy, test).unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn order(request: u32, call: u8, due: f64) -> Order {
+    let ask = Ask { call: format!("{call:016x}").into(), asset: "00000000000000aa".into(), ..Ask::default() };
+    Order {
+        ticket: Ticket { request: RequestId(request), attempt: 0 },
+        ask: ask.into(),
+        class: "media".into(),
+        node: NodeId(1),
+        source: Some(NodeId(2)),
+        rank: 1,
+        age: 0.25,
+        options: FillOptions { renew: true, ..FillOptions::default() },
+        due,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Queue { call: u8, life: u8 },
+    Recall(u8),
+    Encode,
+    Answer { which: u8, word: u8, cut: u8 },
+    Crossed(u8),
+    Pass(u8),
+}
+
+/// Where an attempt is, as the model sees it.
+#[derive(Debug, Clone, PartialEq)]
+enum State {
+    Waiting,
+    Out,
+    Ended,
+}
+
+const WORDS: [(&str, Outcome); 6] = [
+    ("HIT", Outcome::Ok),
+    ("VALID", Outcome::Ok),
+    ("NONE", Outcome::Miss),
+    ("SHED", Outcome::Full),
+    ("FAULT", Outcome::Error),
+    ("LATE", Outcome::Moot),
+];
+
+/// Every attempt ends once; only a whole answer under its own name is `Ok`; what never left is told as
+/// that, what left as perhaps run; two of one name are never out together, nor one while another's answer
+/// may still come.
+fn exchange(steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let (mut x, mut now, mut next) = (Exchange::default(), 1000.0, 0u32);
+    let (mut out, mut input, mut wire) = (Buffer::default(), Buffer::default(), String::new());
+    let mut model: BTreeMap<u32, (u8, State)> = BTreeMap::new();
+    let mut withdrawn: Vec<u8> = Vec::new();
+    for step in steps {
+        let mut reports = Vec::new();
+        // What each attempt that ends in this step must end with.
+        let mut expect: BTreeMap<u32, Outcome> = BTreeMap::new();
+        let at = |which: u8, state: State, model: &BTreeMap<u32, (u8, State)>| {
+            let all: Vec<u32> = model.iter().filter(|(_, m)| m.1 == state).map(|(id, _)| *id).collect();
+            (!all.is_empty()).then(|| all[usize::from(which) % all.len()])
+        };
+        match step {
+            Step::Queue { call, life } => {
+                let name = format!("{call:016x}");
+                let clash =
+                    model.values().any(|m| m.0 == call && m.1 != State::Ended) || withdrawn.contains(&call);
+                prop_assert!(!(clash && x.takes(&name)), "a name that could be mistaken");
+                if x.takes(&name) {
+                    next += 1;
+                    x.queue(order(next, call, now + f64::from(life) / 10.0));
+                    model.insert(next, (call, State::Waiting));
+                }
+            }
+            Step::Recall(which) => {
+                let state = if which % 2 == 0 { State::Waiting } else { State::Out };
+                if let Some(id) = at(which / 2, state.clone(), &model) {
+                    reports.extend(x.recall(now, Ticket { request: RequestId(id), attempt: 0 }));
+                    let moot = state == State::Waiting;
+                    expect.insert(id, if moot { Outcome::Moot } else { Outcome::Cancelled });
+                    if !moot {
+                        withdrawn.push(model[&id].0);
+                    }
+                }
+                let again = x.recall(now, Ticket { request: RequestId(next + 1), attempt: 0 });
+                prop_assert!(again.is_none(), "an attempt that is not here");
+            }
+            Step::Encode => {
+                x.encode(now, &mut out, |r| reports.push(r));
+                let text = String::from_utf8(out.bytes().to_vec()).unwrap();
+                out.consume(text.len());
+                wire = text;
+                for id in model.iter().filter(|(_, m)| m.1 == State::Waiting).map(|(id, _)| *id) {
+                    let name = format!("{:016x}", model[&id].0);
+                    if !wire.contains(&format!("serve {name} ")) {
+                        expect.insert(id, Outcome::Moot);
+                    }
+                }
+                for r in &reports {
+                    if let Report::Written(t) = r {
+                        model.get_mut(&t.request.0).unwrap().1 = State::Out;
+                    }
+                }
+            }
+            Step::Answer { which, word, cut } => {
+                if let Some(id) = at(which, State::Out, &model) {
+                    let (word, outcome) = WORDS[usize::from(word) % WORDS.len()];
+                    let body = if word == "HIT" { "the bytes" } else { "" };
+                    let call = model[&id].0;
+                    let line = format!("{call:016x} {word} n=TCP_HIT,etag=e {}\r\n{body}\r\n", body.len());
+                    // Cut anywhere, nothing is told until the rest has come.
+                    let (first, rest) = line.as_bytes().split_at(usize::from(cut) % line.len());
+                    input.push(first);
+                    x.decode(now, &mut input, |r| reports.push(r)).unwrap();
+                    prop_assert!(reports.is_empty(), "half an answer is none");
+                    input.push(rest);
+                    x.decode(now, &mut input, |r| reports.push(r)).unwrap();
+                    expect.insert(id, outcome);
+                    for r in &reports {
+                        if let Report::Ended { content, .. } = r {
+                            let whole = content.as_ref().map(|c| (c.body.as_slice(), c.current));
+                            let wanted =
+                                (outcome == Outcome::Ok).then_some((body.as_bytes(), word == "VALID"));
+                            prop_assert_eq!(whole, wanted);
+                        }
+                    }
+                }
+            }
+            Step::Crossed(which) => {
+                if !withdrawn.is_empty() {
+                    // Only a cancel that was written can be crossed by an answer; either way it is nobody's.
+                    let call = withdrawn.swap_remove(usize::from(which) % withdrawn.len());
+                    input.push(format!("{call:016x} HIT - 2\r\nhi\r\n").as_bytes());
+                    x.decode(now, &mut input, |r| reports.push(r)).unwrap();
+                }
+            }
+            Step::Pass(tenths) => now += f64::from(tenths) / 10.0,
+        }
+        for r in reports {
+            if let Report::Ended { ticket, outcome, .. } = r {
+                let id = ticket.request.0;
+                prop_assert_eq!(expect.remove(&id), Some(outcome), "{:?} of {:?}", id, &model);
+                let was = std::mem::replace(&mut model.get_mut(&id).unwrap().1, State::Ended);
+                prop_assert_ne!(was, State::Ended, "an attempt ends once");
+            }
+        }
+        prop_assert!(expect.is_empty(), "{:?} had no end; wire {:?}", expect, wire);
+        let under_way = model.values().filter(|m| m.1 != State::Ended).count();
+        prop_assert_eq!(x.load(), under_way);
+    }
+    let mut reset = 0;
+    let waiting = x.broken(|r| {
+        assert!(matches!(r, Report::Ended { outcome: Outcome::Reset, .. }));
+        reset += 1;
+    });
+    let count = |state| model.values().filter(|m| m.1 == state).count();
+    prop_assert_eq!((waiting.len(), reset), (count(State::Waiting), count(State::Out)));
+    Ok(())
+}
+
+#[test]
+fn a_connection_to_a_cache_node_keeps_to_its_states() {
+    let step = prop_oneof![
+        6 => (0u8..6, 0u8..40).prop_map(|(call, life)| Step::Queue { call, life }),
+        4 => any::<u8>().prop_map(Step::Recall),
+        6 => Just(Step::Encode),
+        6 => (any::<u8>(), any::<u8>(), any::<u8>()).prop_map(|(which, word, cut)| Step::Answer { which, word, cut }),
+        2 => any::<u8>().prop_map(Step::Crossed),
+        3 => (0u8..9).prop_map(Step::Pass),
+    ];
+    check(400, vec(step, 1..120), exchange);
+}
+
+/// Guards against a machine that has vanished: its connection takes everything and says nothing.
+#[test]
+fn a_silent_connection_is_not_chosen_until_it_speaks() {
+    let (mut x, mut out, mut input) = (Exchange::default(), Buffer::default(), Buffer::default());
+    x.queue(order(1, 1, 1010.0));
+    x.encode(1000.0, &mut out, |_| {});
+    let ended = x.recall(1002.0, Ticket { request: RequestId(1), attempt: 0 });
+    assert!(matches!(ended, Some(Report::Ended { outcome: Outcome::Cancelled, .. })));
+    assert!(x.worn() && !x.takes("other"));
+    input.push(b"0000000000000009 NONE - 0\r\n\r\n");
+    x.decode(1003.0, &mut input, |_| {}).unwrap();
+    assert!(x.takes("other") && !x.takes("0000000000000001"), "the old name may still be answered");
+}
+
+/// The byte form of an order, which cache nodes check word by word.
+#[test]
+fn an_order_is_written_as_the_protocol_says() {
+    let mut out = Buffer::default();
+    let mut o = order(1, 7, 1001.2);
+    lines::serve(&mut out, &o, 1200);
+    let line = "serve 0000000000000007 sort=media,asset=00000000000000aa,slice=0,patience=1200,\
+        src=s-00000002,keep=1,maxage=250,flags=revalidate 0\r\n\r\n";
+    assert_eq!(std::str::from_utf8(out.bytes()), Ok(line));
+    out.consume(line.len());
+    o.options = FillOptions { join: true, held_only: true, ..FillOptions::default() };
+    (o.source, o.rank, o.age, o.class) = (None, 0, 0.0, "holds".into());
+    let (body, key, have) = (b"a\r\nb".to_vec(), Some("k1".into()), Some("e1".into()));
+    o.ask = Ask { body, key, have, ..(*o.ask).clone() }.into();
+    lines::serve(&mut out, &o, 5);
+    let line = "serve 0000000000000007 sort=holds,asset=00000000000000aa,slice=0,patience=5,op=k1,\
+        flags=merge+local,have=e1 4\r\na\r\nb\r\n";
+    assert_eq!(std::str::from_utf8(out.bytes()), Ok(line));
+}
+
+/// Whatever bytes come, parsers neither panic nor take more than there is, and a cut frame is no frame.
+#[test]
+fn parsers_bear_any_bytes() {
+    let bytes = prop_oneof![
+        vec(any::<u8>(), 0..200),
+        "\\*[0-9]{1,3}\r\n(\\$[0-9]{1,2}\r\n[A-Z0-9 =,]{0,9}\r\n){0,5}".prop_map(String::into_bytes),
+        "[0-9a-f]{1,4} (HIT|NONE|X) (-|n=TCP_HIT) [0-9]{1,7}\r\n.{0,9}".prop_map(String::into_bytes),
+        (0u8..40, 0u8..6, vec(any::<u8>(), 0..60)).prop_map(|(n, kind, mut rest)| {
+            rest.insert(0, kind);
+            [&[0, 0, 0, n, 0, 0, 0, 0, 0, 0, 0, 1], &rest[..]].concat()
+        }),
+    ];
+    check(2000, bytes, |bytes| {
+        for used in [
+            resp::parse(&bytes).ok().flatten().map(|f| f.1),
+            lines::parse(&bytes).ok().flatten().map(|f| f.1),
+            frames::parse(&bytes).ok().flatten().map(|f| f.2),
+            crate::signed::http::request(&bytes, 100).ok().flatten().map(|f| f.1),
+        ] {
+            prop_assert!(used.is_none_or(|n| n > 0 && n <= bytes.len()));
+        }
+        Ok(())
+    });
+    let whole = b"*4\r\n$3\r\nREQ\r\n$1\r\n7\r\n$5\r\nmedia\r\n$0\r\n\r\n";
+    for cut in 0..whole.len() {
+        assert_eq!(resp::parse(&whole[..cut]), Ok(None));
+    }
+    assert_eq!(resp::parse(whole).unwrap().unwrap().1, whole.len());
+    assert!(resp::parse(b"*4\r\n$3\r\nREQ\r\n$99999\r\n").is_err(), "an oversized word");
+    assert!(frames::parse(&[1, 0, 0, 0]).is_err(), "an oversized frame");
+    assert!(lines::parse(&[b'x'; 5000]).is_err(), "an overlong line");
+    assert!(lines::parse(b"7 HIT - 999999999\r\n").is_err(), "an oversized body");
+}
+
+#[test]
+fn frames_are_read_as_the_protocol_says() {
+    let mut bytes = vec![0, 0, 0, 36, 0, 0, 0, 0, 0, 0, 0, 9, 2];
+    bytes.extend([0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x10, 0x04, 1, 3, 2, 0, 5]);
+    bytes.extend(4500u32.to_be_bytes());
+    bytes.extend(1_764_576_000_123u64.to_be_bytes());
+    let (number, frame, used) = frames::parse(&bytes).unwrap().unwrap();
+    assert_eq!((number, used), (9, bytes.len()));
+    let Frame::News(News::Roster { full: false, members }) = frame else { panic!("{frame:?}") };
+    let (n, address) = (members[0].node, members[0].address);
+    assert_eq!(address, "10.1.0.9:4100".parse().unwrap());
+    assert_eq!(
+        (n.id, n.state, n.zone, n.kind, n.cell),
+        (NodeId(0xc41f7a), NodeState::Draining, ZoneId(3), 2, 5)
+    );
+    assert_eq!((n.weight, n.ready_at), (4.5, 1_764_576_000.123));
+    let purge = [&[0, 0, 0, 19, 0, 0, 0, 0, 0, 0, 0, 10, 4, 0, 17][..], &1500u64.to_be_bytes()].concat();
+    let wanted = News::Purge { object: None, group: GroupId(17), at: 1.5 };
+    assert_eq!(frames::parse(&purge), Ok(Some((10, Frame::News(wanted), purge.len()))));
+}
+
+/// Guards against a purge or a drain that is never heard of, or heard twice: whatever the connections do,
+/// each event is handed on once and in order, and only what the coordinator has forgotten is passed over.
+#[test]
+fn the_feed_hands_on_each_event_once() {
+    let news = || News::Purge { object: None, group: GroupId(0), at: 0.0 };
+    check(400, vec((0u8..4, 1u64..6), 1..80), |steps| {
+        let (mut feed, mut sent) = (coordinator::Feed::new(0), 0u64);
+        let mut taken = Vec::new();
+        for (kind, size) in steps {
+            let (number, frame) = match kind {
+                0 => (sent, Frame::Idle),
+                1 => (sent.saturating_sub(size), Frame::News(news())),
+                2 => (sent + 1 + size, Frame::News(news())),
+                _ => (sent + 1, Frame::News(news())),
+            };
+            match feed.judge(number, frame) {
+                coordinator::Step::Take(_) => taken.push(number),
+                coordinator::Step::Skip => prop_assert!(number <= feed.last),
+                // A lost frame: the next session begins after the last one had, and brings it.
+                coordinator::Step::Resume => {
+                    prop_assert!(feed.last == sent && number > sent, "a repeat is no gap");
+                    prop_assert_eq!(
+                        feed.judge(sent + 1, Frame::News(news())),
+                        coordinator::Step::Take(news())
+                    );
+                    taken.push(sent + 1);
+                }
+            }
+            sent = feed.last;
+        }
+        prop_assert!(taken.windows(2).all(|w| w[0] + 1 == w[1]), "{:?}", taken);
+        Ok(())
+    });
+    // A gap that stays will not close: what is there is taken.
+    let mut feed = coordinator::Feed::new(4);
+    assert_eq!(feed.judge(7, Frame::News(news())), coordinator::Step::Resume);
+    assert_eq!(feed.judge(7, Frame::News(news())), coordinator::Step::Take(news()));
+    assert_eq!(feed.last, 7);
+    assert_eq!(feed.judge(9, Frame::Idle), coordinator::Step::Resume, "the coordinator is further on");
+}
