Test the platform's front as a process; bound unread answers; retire connections to a moved node

Changed: src/net/pool.rs leaves answers with the cache nodes while clients read too little, retires old connections and sends what waited anew; src/net/clients.rs closes a connection that takes nothing for 5 s.

Checked: protocol, feed across gaps, repeats and broken frames, SIGTERM, counters, a silent cache, bad configuration.

--- a/src/main.rs
+++ b/src/main.rs
@@ -25,7 +25,7 @@
 const HELD: (usize, usize) = (8, 4);
 /// Requests that wait for the broker's turn; beyond, connections are not read from.
 const ASKS: usize = 256;
-/// Share of the descriptors for clients, and the same for cache nodes.
+/// Share of the descriptors for cache nodes.
 const SHARE: usize = 3;
 
 fn main() -> ExitCode {
@@ -75,7 +75,8 @@
     let wait = config.settings.max_wait;
     let unsent_most = config.memory / HELD.1;
     let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
-    let connections = config.sockets / SHARE / fronts.max(1);
+    // Clients hold a third at most; what they have just closed may not be gone here yet.
+    let connections = config.sockets * 2 / 5 / fronts.max(1);
 
     if let Some(listen) = config.listen {
         let listener = TcpListener::bind(listen).await?;
@@ -127,7 +128,9 @@
             idle: config.keepalive / 2.0,
             streams: config.streams,
             connections: config.sockets / SHARE,
+            unsent_most,
         },
+        unsent.clone(),
     ));
 
     let mut broker = Broker::new(Setup {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,9 +19,11 @@
 const OPEN_MOST: usize = 32;
 /// With so many bytes of answers unsent, a connection is not read from.
 const UNSENT: usize = 512 * 1024;
-/// A connection that is idle, or takes nothing of what it is sent, for so long is closed (seconds). Clients
-/// close theirs after 4 s.
+/// An idle connection is closed after this (seconds). Clients close theirs after 4 s.
 const IDLE: f64 = 20.0;
+/// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
+/// and its bytes are counted against everybody's.
+const STALLED: f64 = 5.0;
 /// The answer is to be out this long before the client gives up: its `ttl` counts from its own send, which
 /// lies before our read (seconds).
 const MARGIN: f64 = 0.03;
@@ -196,14 +198,14 @@
 
     async fn exchange(&mut self, stream: &TcpStream) -> io::Result<()> {
         let mut input = Buffer::default();
-        let mut idle_at = clock::now() + IDLE;
+        let (mut idle_at, mut stalled_at) = (clock::now() + IDLE, clock::now() + STALLED);
         loop {
             while let Ok((tag, answer)) = self.answers.try_recv() {
                 self.session.answer(tag, &answer);
             }
             let output = &mut self.session.output;
-            if output.write_to(stream)? > 0 {
-                idle_at = clock::now() + IDLE;
+            if output.write_to(stream)? > 0 || output.is_empty() {
+                stalled_at = clock::now() + STALLED;
             }
             let unsent = &self.session.front.unsent;
             unsent.set(unsent.get() + output.len() - self.counted);
@@ -214,10 +216,16 @@
                 (false, false) => Interest::READABLE | Interest::WRITABLE,
                 (false, true) => Interest::READABLE,
             };
-            let waits = !self.session.open.is_empty() && output.is_empty();
+            let until = match output.is_empty() {
+                false => Some(stalled_at),
+                true => self.session.open.is_empty().then_some(idle_at),
+            };
             tokio::select! {
                 biased;
-                Some((tag, answer)) = self.answers.recv() => self.session.answer(tag, &answer),
+                Some((tag, answer)) = self.answers.recv() => {
+                    idle_at = clock::now() + IDLE;
+                    self.session.answer(tag, &answer);
+                }
                 ready = stream.ready(interest) => {
                     if !ready?.is_readable() || full {
                         continue;
@@ -232,7 +240,7 @@
                         Err(e) => return Err(e),
                     }
                 }
-                () = sleep_until(clock::instant(idle_at)), if !waits => return Ok(()),
+                () = sleep_until(clock::instant(until.unwrap_or(idle_at))), if until.is_some() => return Ok(()),
             }
         }
     }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -118,10 +118,15 @@
         Ok(())
     }
 
+    /// Gives up what was never sent.
+    pub fn hand_back(&mut self) -> VecDeque<Order> {
+        std::mem::take(&mut self.waiting)
+    }
+
     /// The connection has ended: what was out may have run, what waited was never sent and is handed back.
     pub fn broken(&mut self, mut report: impl FnMut(Report)) -> VecDeque<Order> {
         self.out.drain().for_each(|(_, s)| report(ended(s.ticket, Outcome::Reset)));
-        std::mem::take(&mut self.waiting)
+        self.hand_back()
     }
 }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -7,7 +7,7 @@
 use crate::interface::{NodeId, NodeState, Outcome};
 use crate::{clock, log};
 use rustc_hash::FxHashMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +18,8 @@
 
 /// A further connection to a node is opened once each has so many requests.
 const CROWD: usize = 8;
+/// While clients read too little, it is looked again after this (seconds).
+const RELIEF: f64 = 0.005;
 /// Most connections to one node.
 const PER_NODE: usize = 6;
 
@@ -32,12 +34,16 @@
     pub streams: usize,
     /// Most connections in all.
     pub connections: usize,
+    /// While clients have left more bytes than this unread, answers are left unread too.
+    pub unsent_most: usize,
 }
 
 /// To a connection's task.
 enum Job {
     Write(Order),
     Recall(Ticket),
+    /// Its node has moved: finish what is under way, and end.
+    Retire,
 }
 
 /// A connection as the pool sees it.
@@ -45,7 +51,7 @@
     jobs: UnboundedSender<Job>,
     state: Rc<RefCell<Exchange>>,
     /// Orders handed over that its task has not queued yet.
-    pending: Rc<std::cell::Cell<usize>>,
+    pending: Rc<Cell<usize>>,
 }
 
 impl Link {
@@ -58,6 +64,9 @@
 struct Peer {
     address: Option<SocketAddr>,
     links: Vec<Link>,
+    /// Connections to where the node was before. They get no new orders, but what is out on them can still
+    /// be cancelled.
+    retired: Vec<Link>,
 }
 
 struct Pool {
@@ -65,12 +74,18 @@
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
     limits: Limits,
+    unsent: Rc<Cell<usize>>,
 }
 
-/// Runs the pool until the broker has ended.
-pub async fn run(mut commands: UnboundedReceiver<Command>, reports: UnboundedSender<Report>, limits: Limits) {
+/// Runs the pool until the broker has ended. `unsent` counts the bytes that clients have left unread.
+pub async fn run(
+    mut commands: UnboundedReceiver<Command>,
+    reports: UnboundedSender<Report>,
+    limits: Limits,
+    unsent: Rc<Cell<usize>>,
+) {
     let (returned, mut back) = unbounded_channel();
-    let mut pool = Pool { peers: FxHashMap::default(), reports, returned, limits };
+    let mut pool = Pool { peers: FxHashMap::default(), reports, returned, limits, unsent };
     loop {
         tokio::select! {
             biased;
@@ -94,7 +109,7 @@
         match command {
             Command::Send(order) => self.send(order),
             Command::Cancel { ticket, node } => {
-                for link in self.peers.get(&node).into_iter().flat_map(|p| &p.links) {
+                for link in self.peers.get(&node).into_iter().flat_map(|p| p.links.iter().chain(&p.retired)) {
                     let _ = link.jobs.send(Job::Recall(ticket));
                 }
             }
@@ -113,16 +128,20 @@
             let peer = self.peers.entry(m.node.id).or_default();
             let address = Some(m.address).filter(|_| m.node.state != NodeState::Gone);
             if peer.address != address {
-                // The old connections lead elsewhere: dropping the senders lets their tasks finish.
                 peer.address = address;
                 if address.is_some() {
-                    peer.links.clear();
+                    // The old connections lead elsewhere.
+                    for link in peer.links.drain(..) {
+                        let _ = link.jobs.send(Job::Retire);
+                        peer.retired.push(link);
+                    }
                 }
             }
         }
         self.peers.retain(|_, p| {
             p.links.retain(|l| !l.jobs.is_closed());
-            p.address.is_some() || !p.links.is_empty()
+            p.retired.retain(|l| !l.jobs.is_closed());
+            p.address.is_some() || !p.links.is_empty() || !p.retired.is_empty()
         });
     }
 
@@ -141,7 +160,8 @@
             Some(link) if link.load() < CROWD || !room => link,
             _ if room => {
                 let Some(address) = peer.address else { return };
-                peer.links.push(open(address, self.limits, self.reports.clone(), self.returned.clone()));
+                let (reports, returned) = (self.reports.clone(), self.returned.clone());
+                peer.links.push(open(address, self.limits, reports, returned, self.unsent.clone()));
                 &peer.links[peer.links.len() - 1]
             }
             _ => {
@@ -163,12 +183,14 @@
     limits: Limits,
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
+    unsent: Rc<Cell<usize>>,
 ) -> Link {
     let (jobs, queue) = unbounded_channel();
     let state = Rc::new(RefCell::new(Exchange::default()));
-    let pending = Rc::new(std::cell::Cell::new(0));
+    let pending = Rc::new(Cell::new(0));
     let link = Link { jobs, state: state.clone(), pending: pending.clone() };
-    let connection = Connection { address, limits, queue, state, pending, reports, returned };
+    let connection =
+        Connection { address, limits, queue, state, pending, reports, returned, unsent, retired: false };
     tokio::task::spawn_local(connection.run());
     link
 }
@@ -178,9 +200,11 @@
     limits: Limits,
     queue: UnboundedReceiver<Job>,
     state: Rc<RefCell<Exchange>>,
-    pending: Rc<std::cell::Cell<usize>>,
+    pending: Rc<Cell<usize>>,
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
+    unsent: Rc<Cell<usize>>,
+    retired: bool,
 }
 
 impl Connection {
@@ -188,7 +212,7 @@
         let _ = self.reports.send(report);
     }
 
-    fn take(&self, job: Job) {
+    fn take(&mut self, job: Job) {
         let mut state = self.state.borrow_mut();
         match job {
             Job::Write(order) => {
@@ -197,7 +221,14 @@
             }
             Job::Recall(ticket) => {
                 if let Some(report) = state.recall(clock::now(), ticket) {
-                    self.report(report);
+                    let _ = self.reports.send(report);
+                }
+            }
+            Job::Retire => {
+                // What waits must not leave for the old address, which may be another node's by now.
+                self.retired = true;
+                for order in state.hand_back() {
+                    let _ = self.returned.send(order);
                 }
             }
         }
@@ -250,7 +281,6 @@
     async fn serve(&mut self, stream: TcpStream) -> io::Result<()> {
         let (mut input, mut output) = (Buffer::default(), Buffer::default());
         let mut idle_at = clock::now() + self.limits.idle;
-        let mut orphan = false;
         loop {
             while let Ok(job) = self.queue.try_recv() {
                 self.take(job);
@@ -260,20 +290,21 @@
             let (load, worn) = (self.state.borrow().load(), self.state.borrow().worn());
             if load > 0 {
                 idle_at = clock::now() + self.limits.idle;
-            } else if (worn || orphan) && output.is_empty() {
+            } else if (worn || self.retired) && output.is_empty() {
                 return Ok(());
             }
+            let paused = self.unsent.get() > self.limits.unsent_most;
             let interest = match output.is_empty() {
                 true => Interest::READABLE,
                 false => Interest::READABLE | Interest::WRITABLE,
             };
             tokio::select! {
                 biased;
-                job = self.queue.recv(), if !orphan => match job {
-                    Some(job) => self.take(job),
-                    None => orphan = true,
-                },
-                ready = stream.ready(interest) => {
+                Some(job) = self.queue.recv() => self.take(job),
+                // Guards the memory limit against clients that do not read: what they leave unread here stays
+                // with the cache nodes; deadlines go on.
+                () = sleep_until(clock::instant(clock::now() + RELIEF)), if paused => {}
+                ready = stream.ready(interest), if !paused => {
                     if ready?.is_readable() {
                         match input.read_from(&stream) {
                             Ok(0) if load == 0 => return Ok(()),
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,351 @@
+//! The platform's front as a process, against stand-ins for the coordinator, cache nodes and clients.
+
+mod stand_ins;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+
+const EDGE: u32 = 7;
+const OTHER: u32 = 8;
+const ORIGIN: u32 = 9;
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+/// The settings of the operator's example, which have the platform's form.
+fn settings() -> Value {
+    let operator: Value = toml::from_str(include_str!("../deploy/operator.toml")).unwrap();
+    operator["settings"].clone()
+}
+
+fn member(id: u32, kind: &str, address: SocketAddr) -> Value {
+    json!({"id": format!("s-{id:08x}"), "host_port": address, "cell": 0, "phase": "active", "size": 8,
+        "locality": if kind == "origin" { "hub" } else { "branch" }, "flavor": kind, "up_since_ms": 0})
+}
+
+struct Node {
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+    folder: std::path::PathBuf,
+    /// The coordinator: each connection of the front, with the number it asked from.
+    feeds: Receiver<(u64, TcpStream)>,
+}
+
+impl Node {
+    fn start(name: &str, members: Vec<Value>, change: impl Fn(&mut Value)) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let coordinator = listener.local_addr().unwrap();
+        let (sender, feeds) = channel();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut last = [0; 8];
+                if stream.read_exact(&mut last).is_err()
+                    || sender.send((u64::from_be_bytes(last), stream)).is_err()
+                {
+                    return;
+                }
+            }
+        });
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "coordinator": coordinator,
+            "known": {"index": 3, "updates": [{"index": 3, "endpoints":
+                {"revision": 1, "complete": true, "members": members}}]}, "settings": settings()});
+        change(&mut config);
+        let folder = std::env::temp_dir().join(format!("onyxyoke-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_onyxyoke"))
+            .env("NODE_CONFIG", folder.join("config.json"))
+            .env_remove("ONYXYOKE_OPERATOR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        let first = log.recv_timeout(PATIENCE).unwrap();
+        let address =
+            first.rsplit(' ').next().unwrap().parse().unwrap_or_else(|_| SocketAddr::from(([0; 4], 0)));
+        if address.port() == 0 {
+            panic!("{first}");
+        }
+        Node { child, address, log, folder, feeds }
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
+    /// Reads the log until a line has this in it.
+    fn logged(&self, what: &str) -> String {
+        loop {
+            let line =
+                self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("'{what}' was never logged"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    fn connect(&self) -> Client {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Client {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn send(&mut self, words: &[&str]) {
+        let mut out = format!("*{}\r\n", words.len());
+        words.iter().for_each(|w| out += &format!("${}\r\n{w}\r\n", w.len()));
+        self.stream.write_all(out.as_bytes()).unwrap();
+    }
+
+    fn ask(&mut self, tag: &str, call: u64, more: &str) {
+        let fields = format!("call={call:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,novel=1{more}");
+        self.send(&["REQ", tag, "media", &fields, ""]);
+    }
+
+    fn number(&mut self, mark: char) -> usize {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        line.strip_prefix(mark).unwrap_or_else(|| panic!("{line:?}")).trim_end().parse().unwrap()
+    }
+
+    /// An answer's words.
+    fn answer(&mut self) -> Vec<String> {
+        let count = self.number('*');
+        let word = |c: &mut Self| {
+            let mut bytes = vec![0; c.number('$') + 2];
+            c.reader.read_exact(&mut bytes).unwrap();
+            bytes.truncate(bytes.len() - 2);
+            String::from_utf8(bytes).unwrap()
+        };
+        (0..count).map(|_| word(self)).collect()
+    }
+
+    fn closed(&mut self) -> bool {
+        self.reader.read(&mut [0]).map_or(true, |n| n == 0)
+    }
+}
+
+fn one_cache(name: &str) -> (Node, Receiver<Served>) {
+    let (cache, served) = cache_node();
+    (
+        Node::start(name, vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)], |_| ()),
+        served,
+    )
+}
+
+fn next(served: &Receiver<Served>) -> Served {
+    served.recv_timeout(PATIENCE).expect("a command at the cache node")
+}
+
+fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let length = (9 + payload.len()) as u32;
+    [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
+}
+
+#[test]
+fn requests_aborts_and_bad_input_go_as_the_protocol_says() {
+    let (node, served) = one_cache("protocol");
+    let mut c = node.connect();
+    c.send(&["HEALTH", "8", ""]);
+    assert_eq!(c.answer()[..2], ["8", "yes"]);
+    c.ask("1", 0xa1, ",seen=e9");
+    let mut asked = next(&served);
+    assert_eq!(
+        (&*asked.id, asked.field("asset"), asked.field("have")),
+        ("00000000000000a1", Some(OBJECT), Some("e9"))
+    );
+    let patience: f64 = asked.field("patience").unwrap().parse().unwrap();
+    assert!(patience > 0.0 && patience < 3000.0, "a margin before the client gives up: {patience}");
+    asked.answer("VALID", "n=TCP_HIT,etag=e9", b"");
+    assert_eq!(c.answer(), ["1", "ok", "current=1", ""]);
+    // Answers come in any order, whole and unchanged.
+    c.ask("2", 0xa2, "");
+    c.ask("3", 0xa3, "");
+    let (mut second, mut third) = (next(&served), next(&served));
+    third.hit(b"three\r\n");
+    assert_eq!(c.answer(), ["3", "ok", "", "three\r\n"]);
+    second.hit(b"two");
+    assert_eq!(c.answer(), ["2", "ok", "", "two"]);
+    // After an abort none is owed, and the cache node hears of it.
+    c.ask("4", 0xa4, "");
+    let asked = next(&served);
+    c.send(&["ABORT", "4"]);
+    let cancel = next(&served);
+    assert_eq!((&*cancel.verb, &cancel.id), ("cancel", &asked.id));
+    // Unusable, but its tag can be read.
+    c.send(&["REQ", "5", "media", "ttl=100", ""]);
+    assert_eq!(c.answer()[..2], ["5", "fault"]);
+    c.send(&["REQ", "6", "novels", "ttl=100", ""]);
+    assert_eq!(c.answer()[..2], ["6", "fault"]);
+    c.send(&["DANCE", "7"]);
+    assert_eq!(c.answer()[..2], ["7", "fault"]);
+    // More than 32 open: refused at once, with the time to keep away.
+    (0..33).for_each(|i| c.ask(&(100 + i).to_string(), 0xb00 + i, ""));
+    assert_eq!(c.answer(), ["132", "full", "pushback=500", ""]);
+    // Unreadable: this connection is closed and that is logged; another is not touched.
+    let mut bad = node.connect();
+    bad.stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    assert!(bad.closed());
+    node.logged("no array of bulk strings");
+    let mut large = node.connect();
+    large.stream.write_all(b"*5\r\n$99999999\r\n").unwrap();
+    assert!(large.closed());
+    node.logged("an oversized frame");
+    c.send(&["HEALTH", "9", ""]);
+    assert_eq!(c.answer()[..2], ["9", "yes"]);
+}
+
+/// Guards against news that come too late for a request: what is decided after a drain or a purge heeds it,
+/// whatever the connection to the coordinator went through.
+#[test]
+fn the_feed_is_followed_across_connections() {
+    let ((cache, served), (twin, other)) = (cache_node(), cache_node());
+    let members = vec![
+        member(EDGE, "standard", cache),
+        member(OTHER, "standard", twin),
+        member(ORIGIN, "origin", cache),
+    ];
+    let node = Node::start("feed", members, |_| ());
+    let (last, mut feed) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 3, "from the last number that is known");
+    let purge = |at: f64| [&17u16.to_be_bytes()[..], &((at * 1000.0) as u64).to_be_bytes()].concat();
+    feed.write_all(&frame(4, 4, &purge(unix()))).unwrap();
+    // A gap: the front asks again from the last number that it had.
+    feed.write_all(&frame(9, 4, &purge(unix()))).unwrap();
+    let (last, mut feed) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 4);
+    // One comes twice, then one of the two caches drains.
+    let mut record = EDGE.to_be_bytes().to_vec();
+    record.extend([127, 0, 0, 1]);
+    record.extend(cache.port().to_be_bytes());
+    record.extend([1, 1, 0, 0, 0]);
+    record.extend(8000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    let news = [frame(4, 4, &purge(unix())), frame(5, 2, &record), vec![0, 0, 0, 1]].concat();
+    feed.write_all(&news).unwrap();
+    // A broken frame closes the connection; the next begins after the drain, which so has been heard.
+    let (last, _feed) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 5);
+    let mut c = node.connect();
+    for i in 0..8 {
+        c.ask(&(1 + i).to_string(), i, "");
+        let mut asked = next(&other);
+        let age: u64 = asked.field("maxage").expect("an age limit after the purge").parse().unwrap();
+        assert!(age < PATIENCE.as_millis() as u64);
+        asked.hit(b"x");
+        assert_eq!(c.answer()[1], "ok");
+    }
+    assert!(served.try_recv().is_err(), "something new for a cache that drains");
+}
+
+/// A planned restart: whoever comes while it closes is served, what was taken is finished, and it exits with 0.
+#[test]
+fn sigterm_finishes_what_was_taken() {
+    let (mut node, served) = one_cache("sigterm");
+    let (mut before, mut after) = (node.connect(), node.connect());
+    before.ask("1", 0xa1, "");
+    let mut held = next(&served);
+    node.signal("-TERM");
+    eventually("the closing", || {
+        after.send(&["HEALTH", "1", ""]);
+        after.answer()[1] == "no"
+    });
+    let mut late = node.connect();
+    late.ask("1", 0xa2, "");
+    next(&served).hit(b"late");
+    assert_eq!(late.answer()[1], "ok");
+    held.hit(b"held");
+    assert_eq!(before.answer()[3], "held");
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    assert!(node.logged("at exit: counters").contains("requests=2 served=2"));
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let (node, served) = one_cache("counters");
+    let mut c = node.connect();
+    c.ask("1", 1, "");
+    next(&served).hit(b"12345");
+    c.answer();
+    node.signal("-USR1");
+    let line = node.logged("counters");
+    assert!(
+        line.contains("requests=1 served=1") && line.contains("hits=1") && line.contains("bytes=5"),
+        "{line}"
+    );
+}
+
+/// A machine that has vanished takes connections and says nothing: the request moves on in time.
+#[test]
+fn a_silent_cache_does_not_hold_its_requests() {
+    let ((one, silent), (two, speaks)) = (cache_node(), cache_node());
+    let members =
+        vec![member(EDGE, "standard", one), member(OTHER, "standard", two), member(ORIGIN, "origin", two)];
+    let node = Node::start("silent", members, |_| ());
+    let mut c = node.connect();
+    // Objects spread by hash: those of the silent cache move on to the other once it is seen that this answers.
+    let mut tags = Vec::new();
+    for i in 0..12u64 {
+        let fields = format!("call={i:016x},ttl=5000,row={:016x},slice=0,set=1,heap=10", i * 7919);
+        c.send(&["REQ", &(i + 1).to_string(), "media", &fields, ""]);
+        tags.push(i + 1);
+    }
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let running = stop.clone();
+    let worker = thread::spawn(move || {
+        while !running.load(std::sync::atomic::Ordering::Relaxed) {
+            if let Ok(mut s) = speaks.recv_timeout(std::time::Duration::from_millis(20))
+                && s.verb == "serve"
+            {
+                s.hit(b"x");
+            }
+        }
+    });
+    let answers: Vec<Vec<String>> = tags.iter().map(|_| c.answer()).collect();
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    worker.join().unwrap();
+    // Served by the other, or refused where the module holds that it would come too late; none hangs on.
+    assert!(answers.iter().all(|a| a[1] == "ok" || a[1] == "full"), "{answers:?}");
+    let heard: Vec<String> = silent.try_iter().map(|s| s.verb).collect();
+    let count = |verb: &str| heard.iter().filter(|v| *v == verb).count();
+    assert!(count("serve") > 0 && count("serve") == count("cancel"), "withdrawn on the wire: {heard:?}");
+}
+
+#[test]
+fn a_bad_configuration_is_told_by_its_key() {
+    let refused = |name: &str, change: &dyn Fn(&mut Value), key: &str| {
+        let started = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            Node::start(name, Vec::new(), change);
+        }));
+        let message = *started.unwrap_err().downcast::<String>().unwrap();
+        assert!(message.contains(key), "{message}");
+    };
+    refused("bad1", &|c| c["limits"]["sockets"] = json!("many"), "'limits.sockets' is not a number above 0");
+    refused("bad2", &|c| drop(c.as_object_mut().unwrap().remove("coordinator")), "'coordinator' is missing");
+    refused("bad3", &|c| c["settings"]["caps"]["cancel"] = json!(1), "'caps.cancel' is not true or false");
+    refused(
+        "bad4",
+        &|c| c["known"]["updates"][0]["endpoints"]["members"] = json!([{"id": 7}]),
+        "members.0.id'",
+    );
+}
