--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,8 @@
 //! object is wrong, and picks the edge cache and the source of a fill by least expected cost. The policy
 //! is one module, [`Director`]; the types it speaks are in [`interface`]. It opens no sockets and reads no
 //! clock: the host hands in events with the time they happened and carries out the actions. Around it stand
-//! the [`broker`], a core that knows no wire, and the platform's wires in [`net`].
+//! the [`broker`], a core that knows no wire, the platform's wires in [`net`], the front for signed links in
+//! [`signed`], and discovery in [`xds`] form.
 //!
 //! ```
 //! use onyxyoke::interface::*;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,9 +3,9 @@
 use super::resp::{self, Command};
 use super::{Buffer, Unreadable, amount, number};
 use crate::broker::{Answer, Ask, Caller, Contracts, Input};
+use crate::clock;
 use crate::config::Classes;
 use crate::interface::*;
-use crate::{clock, log};
 use rustc_hash::FxHashSet;
 use std::cell::Cell;
 use std::io;
@@ -52,28 +52,9 @@
     pub wait: f64,
 }
 
-/// Accepts until the program ends.
+/// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    let open = Rc::new(Cell::new(0usize));
-    loop {
-        match listener.accept().await {
-            Ok(_) if open.get() >= front.connections => log!("a client is turned away: too many connections"),
-            Ok((stream, peer)) => {
-                let (front, open) = (front.clone(), open.clone());
-                open.set(open.get() + 1);
-                tokio::task::spawn_local(async move {
-                    if let Err(e) = Client::new(front).serve(stream).await {
-                        log!("client {peer}: {e}");
-                    }
-                    open.set(open.get() - 1);
-                });
-            }
-            Err(e) => {
-                log!("cannot accept a client: {e}");
-                sleep_until(clock::instant(clock::now() + 0.01)).await;
-            }
-        }
-    }
+    super::accept(listener, front.connections, |stream| Client::new(front.clone()).serve(stream)).await;
 }
 
 /// One connection's requests and answers, without the socket.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,16 @@
 
 pub use buffer::Buffer;
 
+use crate::{clock, log};
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep_until;
+
+/// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
+const ACCEPT_PAUSE: f64 = 0.01;
+
 /// Why input cannot be read; the connection that it came on is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Unreadable(pub &'static str);
@@ -32,3 +42,38 @@
     let value: f64 = std::str::from_utf8(text).ok().filter(|_| plain)?.parse().ok()?;
     value.is_finite().then_some(value)
 }
+
+/// Accepts until the program ends: a task for each connection, and at most so many of them.
+pub async fn accept<F>(listener: TcpListener, most: usize, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            Ok((_, peer)) if open.get() >= most => log!("client {peer} is turned away: {most} are connected"),
+            Ok((stream, peer)) => {
+                let (open, served) = (open.clone(), serve(stream));
+                open.set(open.get() + 1);
+                tokio::task::spawn_local(async move {
+                    match served.await {
+                        Err(e)
+                            if !matches!(
+                                e.kind(),
+                                io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe
+                            ) =>
+                        {
+                            log!("client {peer}: {e}");
+                        }
+                        _ => {}
+                    }
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(e) => {
+                log!("cannot accept a client: {e}");
+                sleep_until(clock::instant(clock::now() + ACCEPT_PAUSE)).await;
+            }
+        }
+    }
+}
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -98,28 +98,10 @@
     }
 }
 
-/// Accepts until the program ends.
+/// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    let open = Rc::new(Cell::new(0usize));
-    loop {
-        match listener.accept().await {
-            Ok(_) if open.get() >= front.connections => log!("an HTTP client is turned away: too many"),
-            Ok((stream, peer)) => {
-                let (front, open) = (front.clone(), open.clone());
-                open.set(open.get() + 1);
-                tokio::task::spawn_local(async move {
-                    if let Err(e) = Connection::new(front).serve(&stream).await {
-                        log!("HTTP client {peer}: {e}");
-                    }
-                    open.set(open.get() - 1);
-                });
-            }
-            Err(e) => {
-                log!("cannot accept an HTTP client: {e}");
-                sleep_until(clock::instant(clock::now() + 0.01)).await;
-            }
-        }
-    }
+    crate::net::accept(listener, front.connections, |stream| Connection::new(front.clone()).serve(stream))
+        .await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
@@ -226,9 +208,9 @@
         Connection { front, number, tag: 0, reply, answers, input, output, counted: 0 }
     }
 
-    async fn serve(mut self, stream: &TcpStream) -> io::Result<()> {
+    async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let ended = self.requests(stream).await;
+        let ended = self.requests(&stream).await;
         self.front.unsent.set(self.front.unsent.get() - self.counted);
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 use stand_ins::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 
@@ -57,26 +57,18 @@
         let folder = std::env::temp_dir().join(format!("onyxyoke-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_onyxyoke"))
-            .env("NODE_CONFIG", folder.join("config.json"))
-            .env_remove("ONYXYOKE_OPERATOR")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (sender, log) = channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
-        let first = log.recv_timeout(PATIENCE).unwrap();
-        let address =
-            first.rsplit(' ').next().unwrap().parse().unwrap_or_else(|_| SocketAddr::from(([0; 4], 0)));
-        if address.port() == 0 {
-            panic!("{first}");
-        }
+        let (child, address, log) = start("NODE_CONFIG", &folder.join("config.json"));
         Node { child, address, log, folder, feeds }
     }
 
     fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+        assert!(
+            Command::new("sh")
+                .args(["-c", &format!("kill {name} {}", self.child.id())])
+                .status()
+                .unwrap()
+                .success()
+        );
     }
 
     /// Reads the log until a line has this in it.
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
@@ -187,6 +187,25 @@
     }
 }
 
+/// Starts the program with this file alone; where it listens, and what else it logs.
+pub fn start(variable: &str, file: &Path) -> (Child, SocketAddr, Receiver<String>) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_onyxyoke"))
+        .env_remove("NODE_CONFIG")
+        .env_remove("ONYXYOKE_OPERATOR")
+        .env(variable, file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (sender, log) = channel();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
+    let first: String = log.recv_timeout(PATIENCE).unwrap();
+    match first.rsplit(' ').next().and_then(|a| a.parse().ok()) {
+        Some(address) => (child, address, log),
+        None => panic!("{first}"),
+    }
+}
+
 /// The program, started with the operator's example file on ports of the test's.
 pub struct Front {
     pub child: Child,
@@ -214,17 +233,7 @@
             .replace("reread_s = 5", "reread_s = 0.02")
             .replace("refresh_s = 0.5", "refresh_s = 0.05");
         std::fs::write(&operator, change(text)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_onyxyoke"))
-            .env_remove("NODE_CONFIG")
-            .env("ONYXYOKE_OPERATOR", &operator)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (sender, log) = channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
-        let first = log.recv_timeout(PATIENCE).unwrap();
-        let address = first.rsplit(' ').next().unwrap().parse().expect(&first);
+        let (child, address, log) = start("ONYXYOKE_OPERATOR", &operator);
         Front { child, address, keys: key_file, log, folder }
     }
 
