Serve byte ranges on the second front; give the core's send the action as it is

Why: links are for video talks, whose players ask for ranges and would else be sent the whole each time. One range is honoured (206, 416, If-Range); several are answered with the whole, as RFC 9110 allows. HEAD and a closed connection are seen on the wire in the same test.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -598,10 +598,7 @@
 
     fn carry_out(&mut self, now: f64, action: Action) {
         match action {
-            Action::Fetch { request, node, within, source, rank, age, options } => {
-                let source = Some(source).filter(|s| *s != node);
-                self.send(now, request, node, within, source, rank, age, options);
-            }
+            Action::Fetch { .. } => self.send(now, action),
             Action::Refuse { request, wait } => self.answer(now, request, Answer::Refused(wait)),
             Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Cancel { request, attempt } => {
@@ -618,18 +615,10 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        now: f64,
-        request: RequestId,
-        node: NodeId,
-        within: f64,
-        source: Option<NodeId>,
-        rank: u8,
-        age: f64,
-        options: FillOptions,
-    ) {
+    /// Orders the attempt that a fetch asks for, or ends it at once where it may not go out.
+    fn send(&mut self, now: f64, fetch: Action) {
+        let Action::Fetch { request, node, within, source, rank, age, options } = fetch else { return };
+        let source = Some(source).filter(|s| *s != node);
         let Some(open) = self.open.get_mut(&request) else { return };
         let ticket = Ticket { request, attempt: open.attempts.len() as u16 };
         let due = if within > 0.0 { (now + within).min(open.ask.deadline) } else { open.ask.deadline };
--- a/src/signed/http.rs
+++ b/src/signed/http.rs
@@ -44,9 +44,11 @@
     if all.next().is_some() { Err(MALFORMED) } else { Ok(first) }
 }
 
-/// Splits a head off `bytes`: its first line, its fields, its length. `None` while it is not whole.
-#[allow(clippy::type_complexity)]
-fn head(bytes: &[u8]) -> Result<Option<(&str, Vec<(String, String)>, usize)>, Unusable> {
+/// A head's first line, its fields, and how long it was.
+type Head<'a> = (&'a str, Vec<(String, String)>, usize);
+
+/// Splits a head off `bytes`; `None` while it is not whole.
+fn head(bytes: &[u8]) -> Result<Option<Head<'_>>, Unusable> {
     let Some(end) = bytes.windows(4).take(HEAD).position(|w| w == b"\r\n\r\n") else {
         return if bytes.len() >= HEAD { Err(Unusable(431)) } else { Ok(None) };
     };
@@ -159,6 +161,25 @@
     }
 }
 
+/// The bytes that a `Range` header asks for (RFC 9110, 14): `None` where the whole is the answer (another
+/// unit, several ranges, or none that can be read), an error where there are no such bytes.
+pub fn range(header: &str, length: usize) -> Option<Result<std::ops::Range<usize>, ()>> {
+    let (first, last) = header.strip_prefix("bytes=")?.split_once('-')?;
+    let digits = |text: &str| crate::net::number(text.as_bytes()).and_then(|n| usize::try_from(n).ok());
+    let range = match (digits(first), digits(last)) {
+        (Some(first), Some(last)) if first <= last => first..last.saturating_add(1).min(length),
+        (Some(first), None) if last.is_empty() => first..length,
+        (None, Some(most)) if first.is_empty() => {
+            if most == 0 {
+                return Some(Err(()));
+            }
+            length.saturating_sub(most)..length
+        }
+        _ => return None,
+    };
+    Some(if range.start < range.end { Ok(range) } else { Err(()) })
+}
+
 /// Writes a response's head and, unless only the head was asked for, its body.
 pub fn respond(out: &mut crate::net::Buffer, status: u16, fields: &[(&str, &str)], body: &[u8], bare: bool) {
     let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
@@ -178,6 +199,7 @@
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        206 => "Partial Content",
         304 => "Not Modified",
         400 => "Bad Request",
         401 => "Unauthorized",
@@ -186,6 +208,7 @@
         408 => "Request Timeout",
         411 => "Length Required",
         413 => "Content Too Large",
+        416 => "Range Not Satisfiable",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
@@ -234,6 +257,27 @@
         assert_eq!(status("GET  /a HTTP/1.1\r\nHost: h\r\n\r\n"), 400);
     }
 
+    #[test]
+    fn ranges_are_cut_to_what_there_is() {
+        let cases = [
+            ("bytes=0-3", Some(Ok(0..4))),
+            ("bytes=8-99", Some(Ok(8..10))),
+            ("bytes=4-", Some(Ok(4..10))),
+            ("bytes=-3", Some(Ok(7..10))),
+            ("bytes=-99", Some(Ok(0..10))),
+            ("bytes=10-", Some(Err(()))),
+            ("bytes=-0", Some(Err(()))),
+            ("bytes=3-2", None),
+            ("bytes=0-1,4-5", None),
+            ("bytes=-", None),
+            ("lines=0-1", None),
+            ("bytes=0-18446744073709551615", None),
+        ];
+        for (header, wanted) in cases {
+            assert_eq!(range(header, 10), wanted, "{header}");
+        }
+    }
+
     #[test]
     fn a_response_is_read_in_its_three_forms() {
         let read = |text: &str, closed| response(text.as_bytes(), closed, 100);
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -6,7 +6,7 @@
 pub mod token;
 pub mod uri;
 
-use crate::broker::{Answer, Ask, Caller, Contracts, Input};
+use crate::broker::{Answer, Ask, Caller, Content, Contracts, Input};
 use crate::interface::*;
 use crate::net::Buffer;
 use crate::{clock, log};
@@ -262,7 +262,7 @@
                     if matches!(answer, Answer::Refused(_) | Answer::Failed) && clock::now() >= deadline {
                         answer = Answer::Late;
                     }
-                    self.answer(&answer, end, bare);
+                    self.answer(&answer, &request, end);
                 }
             }
             self.flush(stream).await?;
@@ -343,17 +343,11 @@
         }
     }
 
-    fn answer(&mut self, answer: &Answer, end: (&str, &str), bare: bool) {
+    fn answer(&mut self, answer: &Answer, request: &http::Request, end: (&str, &str)) {
+        let bare = request.method == "HEAD";
         let seconds = |wait: f64| format!("{}", wait.max(1.0).ceil());
         match answer {
-            Answer::Served(content) => {
-                let etag = format!("\"{}\"", content.etag);
-                // Only the holder of a valid link may have it; no cache between may keep it for others.
-                let fields = [end, ("Cache-Control", "private"), ("ETag", &*etag)];
-                let fields = if content.etag.is_empty() { &fields[..2] } else { &fields[..] };
-                let status = if content.current { 304 } else { 200 };
-                http::respond(&mut self.output, status, fields, &content.body, bare);
-            }
+            Answer::Served(content) => self.served(content, request, end),
             Answer::Refused(wait) => {
                 self.say(503, &[end, ("Retry-After", &seconds(*wait))], "busy; try again", bare);
             }
@@ -366,6 +360,30 @@
         }
     }
 
+    /// The object, or the part of its bytes that was asked for.
+    fn served(&mut self, content: &Content, request: &http::Request, end: (&str, &str)) {
+        let etag = format!("\"{}\"", content.etag);
+        // Only the holder of a valid link may have it; no cache between may keep it for others.
+        let mut fields = vec![end, ("Cache-Control", "private"), ("Accept-Ranges", "bytes")];
+        if !content.etag.is_empty() {
+            fields.push(("ETag", &etag));
+        }
+        let (body, length) = (&content.body[..], content.body.len());
+        // A range of another version than the client's is of no use to it: the whole is sent.
+        let same = request.field("if-range").is_none_or(|tag| tag == etag);
+        let asked = request.field("range").filter(|_| request.method == "GET" && same);
+        let (status, body, place) = match asked.and_then(|r| http::range(r, length)) {
+            _ if content.current => (304, body, None),
+            None => (200, body, None),
+            Some(Ok(r)) => (206, &body[r.clone()], Some(format!("bytes {}-{}/{length}", r.start, r.end - 1))),
+            Some(Err(())) => (416, &body[..0], Some(format!("bytes */{length}"))),
+        };
+        if let Some(place) = &place {
+            fields.push(("Content-Range", place));
+        }
+        http::respond(&mut self.output, status, &fields, body, request.method == "HEAD");
+    }
+
     /// An answer of a line of text.
     fn say(&mut self, status: u16, fields: &[(&str, &str)], text: &str, bare: bool) {
         let mut all = vec![("Content-Type", "text/plain"), ("Cache-Control", "no-store")];
--- a/tests/signed.rs
+++ b/tests/signed.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use stand_ins::*;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 
@@ -230,6 +231,28 @@
     asked.answer("VALID", "n=TCP_HIT,etag=e1", b"");
     let (code, head, _) = status(read_message(&mut stream));
     assert!(code == 304 && head.contains("ETag: \"e1\""), "{head}");
+    // A part of a video; and what is asked for with HEAD has a head only.
+    let part = |more: &str, method: &str| {
+        let text = get(&link).replacen("GET", method, 1).replace("Host: h", &format!("Host: h\r\n{more}"));
+        let stream = front.send(&text);
+        next(&served).hit(b"0123456789");
+        stream
+    };
+    for (more, code, bytes, place) in [
+        ("Range: bytes=2-4", 206, "234", "Content-Range: bytes 2-4/10"),
+        ("Range: bytes=10-", 416, "", "Content-Range: bytes */10"),
+        ("Range: bytes=2-4\r\nIf-Range: \"e0\"", 200, "0123456789", "Accept-Ranges: bytes"),
+    ] {
+        let (got, head, body) = status(read_message(&mut part(more, "GET")));
+        assert!(got == code && body == bytes.as_bytes() && head.contains(place), "{head}");
+    }
+    let mut head = String::new();
+    part("Connection: close", "HEAD").read_to_string(&mut head).unwrap();
+    assert!(
+        head.starts_with("HTTP/1.1 200")
+            && head.contains("Content-Length: 10\r\n")
+            && head.ends_with("\r\n\r\n")
+    );
     // Silence: answered at the deadline, and the cache node is told that nobody waits.
     let sent = unix();
     let mut stream = front.send(&get(&link));
