--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,8 @@
 const STRIKES: u32 = 3;
 /// Parents drawn until one is fit, two at least.
 const DRAWS: u64 = 8;
+/// So many of the first draws are among the parents of the own hub: each hub on the way costs time and bytes.
+const NEAR_DRAWS: u64 = 2;
 /// Points of each parent on the ring from which they are drawn.
 const RING: u64 = 16;
 /// So many times what the origin answers may be asked of it; more only while it answers.
@@ -199,8 +201,9 @@
     rng: fastrand::Rng,
     nodes: BTreeMap<NodeId, Known>,
     edges: Vec<NodeId>,
-    /// Points of the parents on a ring of hashes.
+    /// Points of the parents on a ring of hashes, and of those at the zone's own hub on one of their own.
     ring: Vec<(u64, NodeId)>,
+    near: Vec<(u64, NodeId)>,
     origin: Option<NodeId>,
     open: FxHashMap<RequestId, Open>,
     /// Edge caches seen to hold an object's part, and when; the keys in order of age.
@@ -243,6 +246,7 @@
             nodes: BTreeMap::new(),
             edges: Vec::new(),
             ring: Vec::new(),
+            near: Vec::new(),
             origin: None,
             open: FxHashMap::default(),
             held: FxHashMap::default(),
@@ -351,6 +355,9 @@
         let points = |p: NodeId| (0..RING).map(move |i| (xxh3_64_with_seed(&p.0.to_le_bytes(), i), p));
         self.ring = parents.flat_map(points).collect();
         self.ring.sort_unstable();
+        let hub = self.settings.hub_of_zone.get(usize::from(self.settings.own_zone.0));
+        let at_hub = |p: &&(u64, NodeId)| self.nodes.get(&p.1).map(|k| k.info.zone).as_ref() == hub;
+        self.near = self.ring.iter().filter(at_hub).copied().collect();
         let own = self.settings.own_zone;
         let edge = |n: &Node| Some(n.kind) != parent_kind && n.kind != origin_kind && n.zone == own;
         self.edges = listed().filter(edge).map(|n| n.id).collect();
@@ -542,7 +549,8 @@
                 break;
             }
             let point = xxh3_64_with_seed(&draw.to_le_bytes(), open.request.object.0);
-            let p = self.ring[self.ring.partition_point(|r| r.0 < point) % self.ring.len()].1;
+            let ring = if draw < NEAR_DRAWS && !self.near.is_empty() { &self.near } else { &self.ring };
+            let p = ring[ring.partition_point(|r| r.0 < point) % ring.len()].1;
             let better = best.is_none_or(|b| self.nodes[&p].lag < self.nodes[&b].lag);
             if better && self.fit(now, open, p, work) {
                 best = Some(p);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -598,3 +598,14 @@
     });
     assert!(after.is_some_and(|a| a < 0.5), "{after:?}");
 }
+
+/// Guards the way to the parents: each hub on it costs time and bytes (rough-1 of the site's standard days), so
+/// the own hub's are drawn first, and others only while none of these can be used.
+#[test]
+fn parents_of_the_own_hub_are_drawn_before_others() {
+    let far = Node { zone: ZoneId(1), ..parent(21) };
+    let mut s = Stage::new(settings(), &[edge(10), parent(20), far, origin(30)]);
+    assert!((1..=30).all(|o| s.fetch(o, 10.0).source == 20));
+    s.list(ListKind::Delta, &[Node { state: NodeState::Draining, ..parent(20) }]);
+    assert!((31..=60).all(|o| s.fetch(o, 10.0).source == 21), "the far one while the near one drains");
+}
