--- a/src/config.rs
+++ b/src/config.rs
@@ -232,6 +232,43 @@
     pub contracts: Contracts,
     /// Names of zones and kinds, in the settings' order.
     pub names: Names,
+    /// What the files held, to compare a later reading with.
+    pub told: Told,
+}
+
+/// All that the files hold but the events of the start and the seed.
+#[derive(Debug, Default)]
+pub struct Told(Value);
+
+impl Told {
+    /// Keys in which a later reading differs and that cannot change while the program runs. What was on at
+    /// the start stays on: only where the coordinator or the discovery server is reached may change.
+    pub fn fixed(&self, later: &Told) -> Vec<String> {
+        let mut keys = Vec::new();
+        differing("", &self.0, &later.0, &mut keys);
+        let xds = |told: &Told| told.0.get("xds").is_some();
+        let live: &[&str] = match (xds(self), xds(later)) {
+            (true, true) => &["xds.server", "xds.refresh_s", "coordinator"],
+            (false, false) => &["coordinator"],
+            _ => &[],
+        };
+        keys.retain(|key| !live.contains(&key.as_str()));
+        keys
+    }
+}
+
+/// Names the keys under which two trees differ.
+fn differing(path: &str, old: &Value, new: &Value, keys: &mut Vec<String>) {
+    if let (Value::Object(old), Value::Object(new)) = (old, new) {
+        let dot = if path.is_empty() { "" } else { "." };
+        let missing = new.keys().filter(|key| !old.contains_key(*key));
+        for key in old.keys().chain(missing) {
+            let at = |tree: &Map<String, Value>| tree.get(key).cloned().unwrap_or_default();
+            differing(&format!("{path}{dot}{key}"), &at(old), &at(new), keys);
+        }
+    } else if old != new {
+        keys.push(path.to_owned());
+    }
 }
 
 /// The second front.
@@ -277,7 +314,12 @@
     };
     let top = tree.as_object_mut().ok_or("config is no JSON object")?;
     top.extend(own);
-    config(&tree)
+    let mut config = config(&tree)?;
+    if let Value::Object(top) = &mut tree {
+        top.retain(|key, _| key != "known" && key != "seed");
+    }
+    config.told = Told(tree);
+    Ok(config)
 }
 
 fn config(value: &Value) -> Result<Config, String> {
@@ -328,6 +370,7 @@
         xds,
         contracts,
         names,
+        told: Told::default(),
     })
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,11 +2,12 @@
 #![forbid(unsafe_code)]
 
 use onyxyoke::broker::{self, Broker, Contracts, Inputs, News, Setup};
-use onyxyoke::config::{self, Config};
-use onyxyoke::net::{clients, coordinator, pool};
+use onyxyoke::config::{self, Config, Told};
+use onyxyoke::net::{Live, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
 use onyxyoke::{clock, log, signed, xds};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -61,8 +62,39 @@
     config::read(platform.as_deref(), operator.as_deref())
 }
 
+/// Where news comes from: what a reload may change.
+struct Feed {
+    discovery: Option<Rc<Live<(SocketAddr, f64)>>>,
+    coordinator: Option<Rc<Live<SocketAddr>>>,
+}
+
+impl Feed {
+    /// Reads the files again. An unusable one changes nothing; what cannot change while running is told, and
+    /// always held against what is in force.
+    fn reload(&self, told: &Told) {
+        let later = match read() {
+            Ok(later) => later,
+            Err(message) => return log!("reload: {message}; the old settings stay"),
+        };
+        if let (Some(live), Some(xds)) = (&self.discovery, &later.xds) {
+            live.set((xds.server, xds.refresh));
+        }
+        if let (Some(live), Some(address)) = (&self.coordinator, later.coordinator) {
+            live.set(address);
+        }
+        let fixed = told.fixed(&later.told);
+        match fixed.is_empty() {
+            true => log!("reload: the settings are in force"),
+            false => log!("reload: '{}' cannot change before the next start", fixed.join("', '")),
+        }
+    }
+}
+
 async fn run(config: Config) -> std::io::Result<()> {
+    // All are registered before anything listens: the default of each would end the process.
     let (mut terminate, mut usr1) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
+    let mut hangup = signal(SignalKind::hangup())?;
+    let told = config.told;
     let (news_in, news) = unbounded_channel();
     let (reports_in, reports) = unbounded_channel();
     let (commands_in, commands) = unbounded_channel();
@@ -147,10 +179,14 @@
         first &= !cached;
         broker.news(clock::now(), event, cached);
     }
-    if let Some(xds) = config.xds {
-        spawn_local(xds::follow(xds.server, config.name, config.names, xds.refresh, news_in));
-    } else if let Some(address) = config.coordinator {
-        spawn_local(coordinator::follow(address, last, news_in));
+    let feed = Feed {
+        discovery: config.xds.map(|xds| Live::new((xds.server, xds.refresh))),
+        coordinator: config.coordinator.map(Live::new),
+    };
+    if let Some(server) = &feed.discovery {
+        spawn_local(xds::follow(server.clone(), config.name, config.names, news_in));
+    } else if let Some(address) = &feed.coordinator {
+        spawn_local(coordinator::follow(address.clone(), last, news_in));
     }
     let inputs =
         Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: close.clone() };
@@ -160,6 +196,7 @@
         tokio::select! {
             Some(()) = terminate.recv() => break,
             Some(()) = usr1.recv() => print.notify_one(),
+            Some(()) = hangup.recv() => feed.reload(&told),
             ended = &mut core => return ended.map_err(std::io::Error::other),
         }
     }
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -2,10 +2,11 @@
 //! and connects again after a gap, a broken frame or silence. Events come by no other way.
 
 use super::frames::{self, Frame};
-use super::{Buffer, Unreadable};
+use super::{Buffer, Live, Unreadable};
 use crate::broker::News;
 use crate::{clock, log};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
@@ -44,6 +45,11 @@
         Feed { last, gap: false }
     }
 
+    /// Another coordinator is asked from now on: what the old one had forgotten it may still have.
+    pub fn moved(&mut self) {
+        self.gap = false;
+    }
+
     /// Judges a frame. Guards against a lost frame (a purge or a drain never heard of) and against one that
     /// comes twice after a reconnect. A gap that is still there when asked again from the last number will
     /// not close: the coordinator has forgotten what lay in it, and what it does have is taken.
@@ -63,22 +69,40 @@
     }
 }
 
-/// Follows the coordinator for ever.
-pub async fn follow(address: SocketAddr, last: u64, news: UnboundedSender<News>) {
+/// Follows the coordinator for ever, also to another address: from the last number had, so that no event is
+/// missed or heard twice. A session that the change cuts hands on an event at once or not at all.
+pub async fn follow(address: Rc<Live<SocketAddr>>, last: u64, news: UnboundedSender<News>) {
     let mut feed = Feed::new(last);
     let mut pause = PAUSE.0;
     loop {
-        let before = feed.last;
-        let why = match session(address, &mut feed, &news).await {
-            Ok(why) => why.to_owned(),
-            Err(e) => e.to_string(),
+        let (before, now) = (feed.last, address.get());
+        let why = tokio::select! {
+            biased;
+            () = address.changed() => None,
+            ended = session(now, &mut feed, &news) => Some(match ended {
+                Ok(why) => why.to_owned(),
+                Err(e) => e.to_string(),
+            }),
         };
         if news.is_closed() {
             return;
         }
-        log!("coordinator {address}: {why}; again from {}", feed.last);
+        let Some(why) = why else {
+            feed.moved();
+            pause = PAUSE.0;
+            log!("coordinator {} is followed from {}, no longer {now}", address.get(), feed.last);
+            continue;
+        };
+        log!("coordinator {now}: {why}; again from {}", feed.last);
         pause = if feed.last > before { PAUSE.0 } else { (2.0 * pause).min(PAUSE.1) };
-        sleep_until(clock::instant(clock::now() + pause)).await;
+        tokio::select! {
+            biased;
+            () = address.changed() => {
+                feed.moved();
+                pause = PAUSE.0;
+            }
+            () = sleep_until(clock::instant(clock::now() + pause)) => {}
+        }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use std::io;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep_until;
 
 /// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
@@ -28,6 +29,38 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Unreadable(pub &'static str);
 
+/// A value that a reload may change while a task goes by it.
+pub struct Live<T> {
+    value: Cell<T>,
+    changed: Notify,
+}
+
+impl<T: Copy + PartialEq> Live<T> {
+    /// Starts with this.
+    pub fn new(value: T) -> Rc<Self> {
+        Rc::new(Live { value: Cell::new(value), changed: Notify::new() })
+    }
+
+    /// What it is now.
+    pub fn get(&self) -> T {
+        self.value.get()
+    }
+
+    /// Changes it and wakes its one task; was it another?
+    pub fn set(&self, value: T) -> bool {
+        let changed = self.value.replace(value) != value;
+        if changed {
+            self.changed.notify_one();
+        }
+        changed
+    }
+
+    /// Waits until it has changed; a change that nobody waited for is not missed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
 /// Plain decimal digits.
 pub fn number(digits: &[u8]) -> Option<u64> {
     if digits.is_empty() || digits.len() > 19 {
--- a/src/xds.rs
+++ b/src/xds.rs
@@ -3,13 +3,14 @@
 
 use crate::broker::{Member, News};
 use crate::interface::*;
-use crate::net::Buffer;
+use crate::net::{Buffer, Live};
 use crate::signed::http;
 use crate::{clock, log};
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, timeout_at};
@@ -242,7 +243,12 @@
 }
 
 /// Polls a discovery server for ever.
-pub async fn follow(server: SocketAddr, node: String, names: Names, every: f64, news: UnboundedSender<News>) {
+pub async fn follow(
+    server: Rc<Live<(SocketAddr, f64)>>,
+    node: String,
+    names: Names,
+    news: UnboundedSender<News>,
+) {
     let mut world = World::new(names.clone());
     let new = |kind, target| Subscription {
         kind,
@@ -263,7 +269,7 @@
             if s.kind == ASSIGNMENT && wanted.is_empty() {
                 continue;
             }
-            if let Err(e) = poll(server, &node, s, &mut world, &wanted).await {
+            if let Err(e) = poll(server.get().0, &node, s, &mut world, &wanted).await {
                 log!("xds {}: {e}; the last good list stays", s.target);
             }
         }
@@ -276,7 +282,11 @@
                 return;
             }
         }
-        tokio::time::sleep_until(clock::instant(clock::now() + every)).await;
+        tokio::select! {
+            biased;
+            () = server.changed() => log!("xds: {} is asked from now on", server.get().0),
+            () = tokio::time::sleep_until(clock::instant(clock::now() + server.get().1)) => {}
+        }
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,6 +25,24 @@
         "locality": if kind == "origin" { "hub" } else { "branch" }, "flavor": kind, "up_since_ms": 0})
 }
 
+/// A coordinator: hands each connection of a front to the test, with the number it asked from.
+fn coordinator() -> (SocketAddr, Receiver<(u64, TcpStream)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, feeds) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut last = [0; 8];
+            if stream.read_exact(&mut last).is_err()
+                || sender.send((u64::from_be_bytes(last), stream)).is_err()
+            {
+                return;
+            }
+        }
+    });
+    (address, feeds)
+}
+
 struct Node {
     child: Child,
     address: SocketAddr,
@@ -36,19 +54,7 @@
 
 impl Node {
     fn start(name: &str, members: Vec<Value>, change: impl Fn(&mut Value)) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let coordinator = listener.local_addr().unwrap();
-        let (sender, feeds) = channel();
-        thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let mut last = [0; 8];
-                if stream.read_exact(&mut last).is_err()
-                    || sender.send((u64::from_be_bytes(last), stream)).is_err()
-                {
-                    return;
-                }
-            }
-        });
+        let (coordinator, feeds) = coordinator();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "coordinator": coordinator,
             "known": {"index": 3, "updates": [{"index": 3, "endpoints":
@@ -272,6 +278,50 @@
     assert!(node.logged("at exit: counters").contains("requests=2 served=2"));
 }
 
+/// A reload: SIGHUP must not end the front, and the coordinator that the file then names is followed from the
+/// last number had. A file that cannot be used changes nothing, and its key is named.
+#[test]
+fn sighup_follows_the_coordinator_that_the_file_names() {
+    let (node, served) = one_cache("sighup");
+    let (last, mut old) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 3);
+    let purge = |number| frame(number, 4, &[&17u16.to_be_bytes()[..], &1u64.to_be_bytes()].concat());
+    old.write_all(&purge(4)).unwrap();
+    let file = node.folder.join("config.json");
+    let mut config: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+    let rewrite = |config: &Value| {
+        std::fs::write(&file, config.to_string()).unwrap();
+        node.signal("-HUP");
+    };
+    let address = config["coordinator"].take();
+    config["coordinator"] = json!("nowhere");
+    rewrite(&config);
+    assert!(node.logged("the old settings stay").contains("'coordinator' is not an address and a port"));
+    // What was heard by now shows in the counters.
+    eventually("the first purge", || {
+        node.signal("-USR1");
+        node.logged("counters").contains("purges=1")
+    });
+    let (new, feeds) = coordinator();
+    assert_ne!(json!(new), address);
+    config["coordinator"] = json!(new);
+    config["limits"]["sockets"] = json!(512);
+    rewrite(&config);
+    assert!(node.logged("next start").contains("'limits.sockets'"));
+    let (last, mut feed) = feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 4, "from the last number had");
+    assert!(old.read(&mut [0]).map_or(true, |n| n == 0), "the old one is left");
+    feed.write_all(&[purge(4), purge(5)].concat()).unwrap();
+    eventually("the second purge, once", || {
+        node.signal("-USR1");
+        node.logged("counters").contains("purges=2")
+    });
+    let mut c = node.connect();
+    c.ask("1", 1, "");
+    next(&served).hit(b"x");
+    assert_eq!(c.answer()[1], "ok");
+}
+
 #[test]
 fn counters_are_printed_on_request() {
     let (node, served) = one_cache("counters");
