Let connections that say nothing whole give way, and refuse what is unusable early

At fault: IDLE = 20 s in net/clients.rs also for a connection that never said anything whole, and the plain count in net::accept. Ruled out: CPU (0.05 s in the worst second) and memory (6 of 48 MB).

Changed: a connection that says nothing whole has 2 s, half a frame 2 s, an idle one 5 s. At the limit the newest comer takes the place of the one that is most dispensable: never spoke, then longest without a request; both fronts. A frame over the limits is told by its count alone, failed under its tag, and ends the connection with all owed answers written. Fields are checked before anything leaves: calls and objects of 16 hex digits, groups to 255, figures in range, nothing twice, a key where the class needs one; a wait is cut to the class's own, so that ttl=600000 pins nothing. Frames cost credit by connection: a flood is answered, but not heard faster.

--- a/src/config.rs
+++ b/src/config.rs
@@ -181,14 +181,22 @@
     ids: FxHashMap<Vec<u8>, ClassId>,
     /// The names in the settings' order.
     pub names: Vec<Rc<str>>,
+    /// By class, in the same order: the longest that a client waits (seconds), and whether it needs a key.
+    asks: Vec<(f64, bool)>,
 }
 
 impl Classes {
-    /// Classes of these names.
-    pub fn new(names: Vec<String>) -> Self {
+    /// Classes of these names, with what the settings say of each.
+    pub fn new(names: Vec<String>, classes: &[Class]) -> Self {
         let ids =
             names.iter().enumerate().map(|(i, n)| (n.clone().into_bytes(), ClassId(i as u16))).collect();
-        Classes { ids, names: names.into_iter().map(Into::into).collect() }
+        let asks = classes.iter().map(|c| (c.deadline, matches!(c.effect, Effect::Keyed(_)))).collect();
+        Classes { ids, names: names.into_iter().map(Into::into).collect(), asks }
+    }
+
+    /// The longest that a client of the class waits (seconds), and whether its requests need a key.
+    pub fn asks(&self, class: ClassId) -> (f64, bool) {
+        self.asks.get(usize::from(class.0)).copied().unwrap_or_default()
     }
 
     /// The class of a name.
@@ -336,7 +344,7 @@
         None => fastrand::u64(..),
     };
     let classes = inner.get("profiles")?.list(|c| c.get("name")?.text().map(str::to_owned))?;
-    let classes = Classes::new(classes);
+    let classes = Classes::new(classes, &settings.classes);
     let names = Names { zones: names("localities")?, kinds: names("kinds")? };
     let signed = top.opt("signed").map(|s| signed(&s)).transpose()?;
     let xds = top.opt("xds").map(|x| xds(&x)).transpose()?;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! RESP clients: one task a connection, which reads requests, hands them to the broker and writes answers.
 
-use super::resp::{self, Command};
-use super::{Buffer, Unreadable, amount, number};
+use super::resp::{self, Broken, Command};
+use super::{Buffer, Seat, Unreadable, amount, number};
 use crate::broker::{Answer, Ask, Caller, Contracts, Input};
 use crate::clock;
 use crate::config::Classes;
@@ -10,25 +10,43 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
-use tokio::io::Interest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 /// Open requests that one connection may have.
 const OPEN_MOST: usize = 32;
 /// With so many bytes of answers unsent, a connection is not read from.
 const UNSENT: usize = 512 * 1024;
 /// An idle connection is closed after this (seconds). Clients close theirs after 4 s.
-const IDLE: f64 = 20.0;
+const IDLE: f64 = 5.0;
+/// One that has said nothing whole is closed this long after it was made (seconds).
+const SPEAK: f64 = 2.0;
+/// A frame is to be whole this long after its first byte (seconds).
+const WHOLE: f64 = 2.0;
+/// After what cannot be read, the last answers are written for so long, and what still comes is passed over
+/// up to so many bytes, so that the client gets them before the end (seconds, bytes).
+const PARTING: (f64, usize) = (0.2, 64 * 1024);
+/// Credit for frames: so many a second, and so many at once.
+const CREDIT: (f64, f64) = (1000.0, 500.0);
+/// What a frame costs of it: one that is taken, refused at once, unusable.
+const COSTS: [f64; 3] = [1.0, 2.0, 10.0];
 /// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
 /// and its bytes are counted against everybody's.
 const STALLED: f64 = 5.0;
 /// The answer is to be out this long before the client gives up: its `ttl` counts from its own send, which
 /// lies before our read (seconds).
 const MARGIN: f64 = 0.03;
-/// Longest time that a client may ask for (milliseconds).
+/// Longest time that a client may ask for (milliseconds); it is served as if it waited for its class's time.
 const TTL_MOST: f64 = 600_000.0;
+/// Groups of objects, and parts of one (more would be a mistake).
+const GROUPS: u64 = 256;
+const PARTS: u64 = 1 << 24;
+/// Largest size of a part (KB).
+const KB_MOST: f64 = 1e9;
+/// Digits of a call and of an object.
+const HEX: usize = 16;
 
 /// What all client connections share.
 pub struct Front {
@@ -54,33 +72,59 @@
 
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    super::accept(listener, front.connections, |stream| Client::new(front.clone()).serve(stream)).await;
+    let serve = |stream, seat| Client::new(front.clone(), seat).serve(stream);
+    super::accept(listener, front.connections, serve).await;
 }
 
 /// One connection's requests and answers, without the socket.
-struct Session {
+pub(super) struct Session {
     front: Rc<Front>,
     number: u64,
     open: FxHashSet<u64>,
     reply: UnboundedSender<(u64, Answer)>,
-    output: Buffer,
+    pub(super) output: Buffer,
+    /// It has said something whole that can be used.
+    spoken: bool,
+    /// Credit for frames, and when it was topped up. Below zero, nothing is read.
+    credit: (f64, f64),
 }
 
 impl Session {
-    fn new(front: Rc<Front>, reply: UnboundedSender<(u64, Answer)>) -> Self {
+    pub(super) fn new(front: Rc<Front>, reply: UnboundedSender<(u64, Answer)>) -> Self {
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
-        Session { front, number, open: FxHashSet::default(), reply, output: Buffer::default() }
+        Session {
+            front,
+            number,
+            open: FxHashSet::default(),
+            reply,
+            output: Buffer::default(),
+            spoken: false,
+            credit: (CREDIT.1, 0.0),
+        }
     }
 
     fn caller(&self, tag: u64) -> Caller {
         Caller { connection: self.number, tag }
     }
 
+    /// When the next frame may be taken. Guards against a flood, and against a client that comes again as
+    /// soon as it is turned away: its answers go out at once, but it is not heard faster than others.
+    fn hears_at(&mut self, now: f64) -> f64 {
+        let level = self.credit.0 + (now - self.credit.1).clamp(0.0, 1.0) * CREDIT.0;
+        self.credit = (level.min(CREDIT.1), now);
+        now + (-self.credit.0 / CREDIT.0).max(0.0)
+    }
+
     /// Takes one whole frame off the buffer: `None` if there is none, else what the broker is to hear of it.
-    fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, Unreadable> {
+    pub(super) fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, Broken> {
+        if self.hears_at(now) > now {
+            return Ok(None);
+        }
         let Some((command, used)) = resp::parse(input.bytes())? else { return Ok(None) };
         let mut say = |tag, word| resp::answer(&mut self.output, tag, word, "", b"");
+        let [mut cost, refused, unusable] = COSTS;
+        let mut usable = true;
         let heard = match command {
             Command::Health { tag } => {
                 say(tag, if self.front.ready.get() { "yes" } else { "no" });
@@ -89,24 +133,27 @@
             Command::Abort { tag } => self.open.remove(&tag).then(|| Input::Abort(self.caller(tag))),
             Command::Unusable { tag } => {
                 say(tag, "fault");
+                (cost, usable) = (unusable, false);
                 None
             }
             // Two answers under one tag could not be told apart.
             Command::Request { tag, .. } if self.open.contains(&tag) => {
-                return Err(Unreadable("a tag that is in use"));
+                return Err(Broken { why: Unreadable("a tag that is in use"), tag: None });
             }
             Command::Request { tag, class, fields, body } => {
                 let front = &self.front;
                 let class = front.classes.get(class);
-                let ask = class.and_then(|c| parse(now, c, &front.contracts, fields, body));
+                let ask = class.and_then(|c| parse(now, c, &front.classes, &front.contracts, fields, body));
                 let crowded = self.open.len() >= OPEN_MOST || front.unsent.get() > front.unsent_most;
                 match ask {
                     None => {
                         say(tag, "fault");
+                        (cost, usable) = (unusable, false);
                         None
                     }
                     Some(_) if crowded => {
                         self.refuse(tag, self.front.wait);
+                        cost = refused;
                         None
                     }
                     Some(ask) => {
@@ -117,10 +164,20 @@
             }
         };
         input.consume(used);
+        self.spoken |= usable;
+        self.credit.0 -= cost;
         Ok(Some(heard))
     }
 
-    fn answer(&mut self, tag: u64, answer: &Answer) {
+    /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. The
+    /// tags stay open, so that the broker hears that nobody waits any more.
+    pub(super) fn broken(&mut self, tag: Option<u64>) {
+        for &tag in self.open.iter().chain(tag.filter(|tag| !self.open.contains(tag)).iter()) {
+            resp::answer(&mut self.output, tag, "fault", "", b"");
+        }
+    }
+
+    pub(super) fn answer(&mut self, tag: u64, answer: &Answer) {
         // After an abort none is owed, and one that crossed it is dropped.
         if !self.open.remove(&tag) {
             return;
@@ -147,6 +204,7 @@
 }
 
 struct Client {
+    seat: Seat,
     session: Session,
     answers: UnboundedReceiver<(u64, Answer)>,
     /// Bytes of the output that are counted in the front's sum.
@@ -154,14 +212,22 @@
 }
 
 impl Client {
-    fn new(front: Rc<Front>) -> Self {
+    fn new(front: Rc<Front>, seat: Seat) -> Self {
         let (reply, answers) = unbounded_channel();
-        Client { session: Session::new(front, reply), answers, counted: 0 }
+        Client { seat, session: Session::new(front, reply), answers, counted: 0 }
     }
 
-    async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
+    async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let ended = self.exchange(&stream).await;
+        let ended = match self.exchange(&stream).await {
+            Err(Ended::Unreadable(broken)) => {
+                self.session.broken(broken.tag);
+                self.part(&mut stream).await;
+                Err(io::Error::new(io::ErrorKind::InvalidData, broken.why.0))
+            }
+            Err(Ended::Io(e)) => Err(e),
+            Ok(()) => Ok(()),
+        };
         // A connection that ends takes its requests with it: no answer is owed where none can be given.
         let Session { front, open, number, .. } = self.session;
         for tag in open {
@@ -177,9 +243,12 @@
         }
     }
 
-    async fn exchange(&mut self, stream: &TcpStream) -> io::Result<()> {
+    async fn exchange(&mut self, stream: &TcpStream) -> Result<(), Ended> {
         let mut input = Buffer::default();
-        let (mut idle_at, mut stalled_at) = (clock::now() + IDLE, clock::now() + STALLED);
+        let made = clock::now();
+        let (mut idle_at, mut stalled_at) = (made + IDLE, made + STALLED);
+        // When the frame that has begun is to be whole.
+        let mut whole_by = None;
         loop {
             while let Ok((tag, answer)) = self.answers.try_recv() {
                 self.session.answer(tag, &answer);
@@ -192,50 +261,115 @@
             unsent.set(unsent.get() + output.len() - self.counted);
             self.counted = output.len();
             let full = output.len() > UNSENT;
-            let interest = match (full, output.is_empty()) {
+            let writable = !output.is_empty();
+            let quiet = !writable && self.session.open.is_empty();
+            match quiet {
+                true => self.seat.quiet(self.session.spoken),
+                false => self.seat.busy(),
+            }
+            let now = clock::now();
+            let hears_at = self.session.hears_at(now);
+            let deaf = hears_at > now;
+            let interest = match (full || deaf, writable) {
                 (true, _) => Interest::WRITABLE,
-                (false, false) => Interest::READABLE | Interest::WRITABLE,
-                (false, true) => Interest::READABLE,
-            };
-            let until = match output.is_empty() {
-                false => Some(stalled_at),
-                true => self.session.open.is_empty().then_some(idle_at),
+                (false, true) => Interest::READABLE | Interest::WRITABLE,
+                (false, false) => Interest::READABLE,
             };
+            // Guards the share of clients' connections against those that never say anything whole.
+            let silent = (!self.session.spoken).then_some(made + SPEAK);
+            let idle = if writable { Some(stalled_at) } else { quiet.then_some(idle_at) };
+            let until = [silent, whole_by.filter(|_| !deaf), idle].into_iter().flatten().reduce(f64::min);
             tokio::select! {
                 biased;
                 Some((tag, answer)) = self.answers.recv() => {
                     idle_at = clock::now() + IDLE;
                     self.session.answer(tag, &answer);
                 }
-                ready = stream.ready(interest) => {
-                    if !ready?.is_readable() || full {
+                ready = stream.ready(interest), if writable || !deaf => {
+                    if !ready?.is_readable() || full || deaf {
                         continue;
                     }
                     match input.read_from(stream) {
                         Ok(0) => return Ok(()),
                         Ok(_) => {
                             idle_at = clock::now() + IDLE;
-                            self.read(&mut input).await?;
+                            self.seat.busy();
+                            let whole = self.read(&mut input).await?;
+                            let by = whole_by.filter(|_| !whole).unwrap_or(clock::now() + WHOLE);
+                            whole_by = (!input.is_empty()).then_some(by);
                         }
                         Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                        Err(e) => return Err(e),
+                        Err(e) => return Err(e.into()),
                     }
                 }
-                () = sleep_until(clock::instant(until.unwrap_or(idle_at))), if until.is_some() => return Ok(()),
+                () = sleep_until(clock::instant(hears_at)), if deaf => {
+                    self.read(&mut input).await?;
+                    whole_by = (!input.is_empty()).then_some(clock::now() + WHOLE);
+                }
+                () = self.seat.asked(), if quiet => return Ok(()),
+                () = sleep_until(clock::instant(until.unwrap_or(idle_at))), if until.is_some() => {
+                    return match whole_by.is_some_and(|by| clock::now() >= by) {
+                        true => Err(Broken { why: Unreadable("half a frame and no more"), tag: None }.into()),
+                        false => Ok(()),
+                    };
+                }
             }
         }
     }
 
-    /// Takes the whole frames off the buffer.
-    async fn read(&mut self, input: &mut Buffer) -> io::Result<()> {
-        let unreadable = |e: Unreadable| io::Error::new(io::ErrorKind::InvalidData, e.0);
-        while let Some(heard) = self.session.take(clock::now(), input).map_err(unreadable)? {
+    /// Takes the whole frames off the buffer; was there one?
+    async fn read(&mut self, input: &mut Buffer) -> Result<bool, Ended> {
+        let mut any = false;
+        while let Some(heard) = self.session.take(clock::now(), input)? {
+            any = true;
             if let Some(heard) = heard {
                 let ended = |_| io::Error::other("the broker has ended");
                 self.session.front.asks.send(heard).await.map_err(ended)?;
             }
         }
-        Ok(())
+        Ok(any)
+    }
+
+    /// Writes the last answers and ends the stream in order. Closing with bytes unread would reset it, and
+    /// the client might lose them.
+    async fn part(&mut self, stream: &mut TcpStream) {
+        let by = clock::instant(clock::now() + PARTING.0);
+        let last = std::mem::take(&mut self.session.output);
+        let mut passed = 0;
+        let parting = async {
+            stream.write_all(last.bytes()).await?;
+            stream.shutdown().await?;
+            let mut rest = [0; 4096];
+            while passed < PARTING.1 {
+                match stream.read(&mut rest).await? {
+                    0 => break,
+                    n => passed += n,
+                }
+            }
+            io::Result::Ok(())
+        };
+        // Whether it got them or not, it is closed now.
+        let _ = timeout_at(by, parting).await;
+    }
+}
+
+/// Why a connection is closed.
+enum Ended {
+    /// What it said cannot be read.
+    Unreadable(Broken),
+    /// The connection itself.
+    Io(io::Error),
+}
+
+impl From<Broken> for Ended {
+    fn from(broken: Broken) -> Self {
+        Ended::Unreadable(broken)
+    }
+}
+
+impl From<io::Error> for Ended {
+    fn from(e: io::Error) -> Self {
+        Ended::Io(e)
     }
 }
 
@@ -246,32 +380,53 @@
     std::str::from_utf8(value).ok().filter(|_| fits).map(Into::into)
 }
 
-/// Reads a request's fields; `None` if one that is needed is missing or cannot be used. Unknown ones are
-/// passed over.
-fn parse(now: f64, class: ClassId, contracts: &Contracts, fields: &[u8], body: &[u8]) -> Option<Ask> {
+/// So many hexadecimal digits.
+fn hex(value: &[u8]) -> Option<Box<str>> {
+    token(value, HEX).filter(|v| v.len() == HEX && v.bytes().all(|b| b.is_ascii_hexdigit()))
+}
+
+/// Reads a request's fields; `None` if one that is needed is missing, stands twice or cannot be used. Unknown
+/// ones are passed over. Guards the cache nodes, which end a connection with all that is open on it over what
+/// they cannot read, and the core, which a far deadline would keep busy.
+fn parse(
+    now: f64,
+    class: ClassId,
+    classes: &Classes,
+    contracts: &Contracts,
+    fields: &[u8],
+    body: &[u8],
+) -> Option<Ask> {
+    const NAMES: [&[u8]; 10] =
+        [b"call", b"ttl", b"rep", b"dedupe", b"row", b"slice", b"set", b"heap", b"org", b"seen"];
     let mut ask = Ask { class, body: body.to_vec(), ..Ask::default() };
     let mut ttl = None;
+    let mut had = [false; NAMES.len()];
     for field in fields.split(|&b| b == b',') {
         let Some(at) = field.iter().position(|&b| b == b'=') else { continue };
         let (name, value) = (&field[..at], &field[at + 1..]);
+        let Some(known) = NAMES.iter().position(|n| *n == name) else { continue };
+        if std::mem::replace(&mut had[known], true) {
+            return None;
+        }
         match name {
-            b"call" => ask.call = token(value, 64)?,
-            b"ttl" => ttl = Some(amount(value)?),
-            b"rep" => ask.repeat = value == b"1",
+            b"call" => ask.call = hex(value)?,
+            b"ttl" => ttl = Some(amount(value).filter(|t| (1.0..=TTL_MOST).contains(t))?),
+            b"rep" => ask.repeat = number(value).filter(|&r| r < 2)? == 1,
             b"dedupe" => ask.key = Some(token(value, 128)?),
             b"row" => {
-                ask.asset =
-                    token(value, 16).filter(|v| v.len() == 16 && v.bytes().all(|b| b.is_ascii_hexdigit()))?;
+                ask.asset = hex(value)?;
                 ask.object = ObjectId(u64::from_str_radix(&ask.asset, 16).ok()?);
             }
-            b"slice" => ask.part = u32::try_from(number(value)?).ok()?,
-            b"set" => ask.group = GroupId(u32::try_from(number(value)?).ok()?),
-            b"heap" => ask.kb = amount(value)?,
+            b"slice" => ask.part = number(value).filter(|&p| p < PARTS)? as u32,
+            b"set" => ask.group = GroupId(number(value).filter(|&g| g < GROUPS)? as u32),
+            b"heap" => ask.kb = amount(value).filter(|&kb| kb <= KB_MOST)?,
             b"org" => ask.team = contracts.named(value),
             b"seen" => ask.have = Some(token(value, 128)?),
             _ => {}
         }
     }
-    ask.deadline = now + ttl?.min(TTL_MOST) / 1000.0 - MARGIN;
-    (!ask.call.is_empty() && !ask.asset.is_empty()).then_some(ask)
+    let (longest, keyed) = classes.asks(class);
+    ask.deadline = now + (ttl? / 1000.0).min(longest) - MARGIN;
+    let whole = !ask.call.is_empty() && !ask.asset.is_empty() && (!keyed || ask.key.is_some());
+    whole.then_some(ask)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,7 +15,8 @@
 pub use buffer::Buffer;
 
 use crate::{clock, log};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -76,17 +77,86 @@
     value.is_finite().then_some(value)
 }
 
-/// Accepts until the program ends: a task for each connection, and at most so many of them.
-pub async fn accept<F>(listener: TcpListener, most: usize, serve: impl Fn(TcpStream) -> F)
+/// Connections that wait for their client, in the order in which they are dispensable: those that never said
+/// anything whole, then those without a request, the longest quiet first.
+#[derive(Default)]
+struct Lobby {
+    next: Cell<u64>,
+    waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
+}
+
+/// A client connection's place among the connections of its front.
+pub struct Seat {
+    lobby: Rc<Lobby>,
+    key: Cell<Option<(bool, u64)>>,
+    asked: Rc<Notify>,
+}
+
+impl Seat {
+    fn new(lobby: Rc<Lobby>) -> Self {
+        Seat { lobby, key: Cell::new(None), asked: Rc::default() }
+    }
+
+    /// It waits for its client from now on, which has asked for something before, or has not.
+    pub fn quiet(&self, spoken: bool) {
+        if self.key.get().is_none() {
+            let key = (spoken, self.lobby.next.replace(self.lobby.next.get() + 1));
+            self.key.set(Some(key));
+            self.lobby.waiting.borrow_mut().insert(key, self.asked.clone());
+        }
+    }
+
+    /// It has heard from its client, or owes it something.
+    pub fn busy(&self) {
+        if let Some(key) = self.key.take() {
+            self.lobby.waiting.borrow_mut().remove(&key);
+        }
+    }
+
+    /// Waits until its place is needed for somebody else.
+    pub async fn asked(&self) {
+        self.asked.notified().await;
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.busy();
+    }
+}
+
+impl Lobby {
+    /// Asks the most dispensable connection to leave, if there is one.
+    fn make_place(&self) -> bool {
+        let first = self.waiting.borrow_mut().pop_first();
+        first.is_some_and(|(_, asked)| {
+            asked.notify_one();
+            true
+        })
+    }
+}
+
+/// Accepts until the program ends: a task for each connection, and at most so many of them. Guards against
+/// connections that say nothing, which must not keep out those that would: the newest comer gets the place
+/// of the one that is most dispensable, and is turned away only where all have a request.
+pub async fn accept<F>(listener: TcpListener, most: usize, serve: impl Fn(TcpStream, Seat) -> F)
 where
     F: Future<Output = io::Result<()>> + 'static,
 {
     let open = Rc::new(Cell::new(0usize));
+    let lobby = Rc::new(Lobby::default());
     loop {
         match listener.accept().await {
-            Ok((_, peer)) if open.get() >= most => log!("client {peer} is turned away: {most} are connected"),
             Ok((stream, peer)) => {
-                let (open, served) = (open.clone(), serve(stream));
+                if open.get() >= most {
+                    if !lobby.make_place() {
+                        log!("client {peer} is turned away: {most} are connected");
+                        continue;
+                    }
+                    // Whoever was asked leaves now, before there is another.
+                    tokio::task::yield_now().await;
+                }
+                let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone())));
                 open.set(open.get() + 1);
                 tokio::task::spawn_local(async move {
                     match served.await {
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::broker::{Answer, Ask, Caller, Content, Contracts, Input};
 use crate::interface::*;
-use crate::net::Buffer;
+use crate::net::{Buffer, Seat};
 use crate::{clock, log};
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -30,7 +30,7 @@
 /// A head, or a body, must be whole this long after its first byte (seconds).
 const WHOLE: f64 = 10.0;
 /// A connection between requests, or one that takes nothing of its answer, is closed after this (seconds).
-const IDLE: f64 = 20.0;
+const IDLE: f64 = 5.0;
 /// The answer is to be out this long before the class's deadline (seconds).
 const MARGIN: f64 = 0.02;
 /// Bytes read ahead of the request that is being served.
@@ -100,8 +100,8 @@
 
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    crate::net::accept(listener, front.connections, |stream| Connection::new(front.clone()).serve(stream))
-        .await;
+    let serve = |stream, seat| Connection::new(front.clone(), seat).serve(stream);
+    crate::net::accept(listener, front.connections, serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
@@ -190,6 +190,7 @@
 
 struct Connection {
     front: Rc<Front>,
+    seat: Seat,
     number: u64,
     tag: u64,
     reply: UnboundedSender<(u64, Answer)>,
@@ -200,12 +201,12 @@
 }
 
 impl Connection {
-    fn new(front: Rc<Front>) -> Self {
+    fn new(front: Rc<Front>, seat: Seat) -> Self {
         let (reply, answers) = unbounded_channel();
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
         let (input, output) = (Buffer::default(), Buffer::default());
-        Connection { front, number, tag: 0, reply, answers, input, output, counted: 0 }
+        Connection { front, seat, number, tag: 0, reply, answers, input, output, counted: 0 }
     }
 
     async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
@@ -276,10 +277,12 @@
     async fn head(&mut self, stream: &TcpStream) -> io::Result<Option<Result<http::Request, Unusable>>> {
         let mut by = clock::instant(clock::now() + IDLE);
         let mut begun = false;
+        self.seat.quiet(self.tag > 0);
         loop {
             match http::request(self.input.bytes(), BODY) {
                 Ok(Some((request, used))) => {
                     self.input.consume(used);
+                    self.seat.busy();
                     return Ok(Some(Ok(request)));
                 }
                 Ok(None) => {}
@@ -301,6 +304,7 @@
             tokio::select! {
                 biased;
                 ready = stream.readable() => ready?,
+                () = self.seat.asked() => return Ok(false),
                 () = sleep_until(by) => return Ok(false),
             }
             match self.input.read_from(stream) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -278,6 +278,44 @@
     assert!(node.logged("at exit: counters").contains("requests=2 served=2"));
 }
 
+/// Guards the place of usual clients: what never says anything whole has 3 s, and gives way as soon as somebody
+/// comes who would; what cannot be read is told so as far as its tag could be read.
+#[test]
+fn bad_clients_are_ended_and_do_not_keep_others_out() {
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let node = Node::start("rude", members, |c| c["limits"]["sockets"] = json!(64));
+    let begun = std::time::Instant::now();
+    let mut large = node.connect();
+    large.stream.write_all(b"*5\r\n$3\r\nREQ\r\n$1\r\n1\r\n$5\r\nmedia\r\n$60000000\r\n").unwrap();
+    assert_eq!(large.answer()[..2], ["1", "fault"]);
+    assert!(large.closed());
+    // Two under one number: the open one is failed, since a second answer could not be told from it.
+    let mut twice = node.connect();
+    twice.ask("1", 0xa1, "");
+    next(&served);
+    twice.ask("1", 0xa2, "");
+    assert_eq!(twice.answer()[..2], ["1", "fault"]);
+    assert!(twice.closed());
+    let mut half = node.connect();
+    half.stream.write_all(b"*5\r\n$3\r\nREQ").unwrap();
+    let mut silent: Vec<Client> = (0..60).map(|_| node.connect()).collect();
+    // A request that waits is not given up for whoever comes.
+    let mut c = node.connect();
+    c.ask("1", 0xb1, "");
+    let mut asked = loop {
+        let s = next(&served);
+        if s.verb == "serve" {
+            break s;
+        }
+    };
+    silent.extend((0..60).map(|_| node.connect()));
+    asked.hit(b"x");
+    assert_eq!(c.answer()[1], "ok");
+    assert!(half.closed() && silent.iter_mut().all(Client::closed));
+    assert!(begun.elapsed() < std::time::Duration::from_secs(3), "{:?}", begun.elapsed());
+}
+
 /// A reload: SIGHUP must not end the front, and the coordinator that the file then names is followed from the
 /// last number had. A file that cannot be used changes nothing, and its key is named.
 #[test]
