Take resets as one sign, ask again for lost answers, blame nobody for aborts, forget old nodes

Read and checked in a test: a client's abort ended its attempts as cancelled, which counted a strike, as did a wait of milliseconds; three in a row blame a healthy node. nodes (BTreeMap) kept every node that ever was.

Changed in src/brain.rs: a reset is one strike for all that come within 50 ms and the request goes to the same node again, which refuses if it is down (proof, as before). An attempt over twice what it may take with a miss, whose node has answered what it was asked later, is withdrawn and sent again, keyed ones too within their window; nobody is blamed. What is withdrawn since nobody waits, or timed out before it could end, is no sign.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,8 @@
 
 /// A look at an attempt is taken after this multiple of its expected latency, plus this (seconds).
 const PATIENCE: (f64, f64) = (2.0, 0.3);
+/// Timers are set for the time at which something is due, and may fire this much before it (seconds).
+const EARLY: f64 = 0.001;
 /// A blamed node gets one trial after this time, twice as long after each failure (seconds, least and most).
 const TRIAL: (f64, f64) = (0.4, 3.0);
 /// Failed attempts in a row that blame a node when none of them is proof alone.
@@ -79,6 +81,10 @@
 const RING: u64 = 16;
 /// So many times what the origin answers may be asked of it; more only while it answers.
 const ORIGIN_SPARE: f64 = 2.0;
+/// A node that is not listed is forgotten after this (seconds): longer than a belief or an attempt lasts.
+const FORGET: f64 = 2.0 * BELIEF_AGE;
+/// Resets so close together are one sign: a connection takes with it all that is out on it (seconds).
+const AT_ONCE: f64 = 0.05;
 /// Most attempts for one request.
 const TRIES: usize = 4;
 /// Purges are heeded this long past the time in which caches settle, and copies are to be this much younger:
@@ -153,7 +159,12 @@
     /// beyond hits, by the sending time plus `FILL_BASE`.
     lag: f64,
     last_answer: f64,
+    /// When the newest attempt went that it has answered.
+    answered: f64,
+    /// When it was last listed.
+    seen: f64,
     strikes: u32,
+    struck: f64,
     /// Set while blamed: when the next trial may go out, and the pause after that.
     blamed: Option<(f64, f64)>,
     /// Work that it was sent in the last window of the cold rule, kept while it is cold.
@@ -168,6 +179,7 @@
     then: (f64, f64),
     out: bool,
     cancelled: bool,
+    dropped: bool,
     streaming: bool,
     never_ran: bool,
 }
@@ -195,6 +207,8 @@
     absent: f64,
     cost: f64,
     latency: f64,
+    /// The latency if the node turns out to lack the object.
+    worst: f64,
 }
 
 /// Decides for one front. Same seed, settings and events give the same actions.
@@ -273,10 +287,15 @@
         &self.settings
     }
 
+    /// How many nodes it remembers.
+    pub fn known_nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List { kind, nodes } => self.list(kind, &nodes, actions),
+            Event::List { kind, nodes } => self.list(now, kind, &nodes, actions),
             Event::Request(request) => {
                 if usize::from(request.class.0) >= self.settings.classes.len() {
                     return actions.push(Action::Fail { request: request.id });
@@ -333,7 +352,7 @@
 
     // ---- The list of nodes ----
 
-    fn list(&mut self, kind: ListKind, nodes: &[Node], actions: &mut Vec<Action>) {
+    fn list(&mut self, now: f64, kind: ListKind, nodes: &[Node], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed || (kind == ListKind::Cached && self.settings.list_on_request) {
             actions.push(Action::Watch { on: true });
         }
@@ -350,6 +369,9 @@
             known.info = *info;
             known.listed = info.state == NodeState::Ready;
         }
+        // Nodes that left are forgotten once no belief and no attempt can name them.
+        self.nodes.values_mut().filter(|k| k.listed).for_each(|k| k.seen = now);
+        self.nodes.retain(|_, k| k.listed || k.seen + FORGET > now);
         let (parent_kind, origin_kind) = (self.settings.parent_kind, self.settings.origin_kind);
         let listed = || self.nodes.values().filter(|k| k.listed).map(|k| k.info);
         self.origin = listed().find(|n| n.kind == origin_kind).map(|n| n.id);
@@ -533,6 +555,7 @@
                         absent: rho,
                         cost,
                         latency,
+                        worst: access + penalty,
                     });
                 }
             }
@@ -649,6 +672,8 @@
     fn finish(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             open.done = true;
+            // What is withdrawn since nobody waits any more says nothing of whoever was asked.
+            open.attempts.iter_mut().for_each(|a| a.dropped = a.out);
             if open.attempts.iter().all(|a| !a.out) {
                 self.open.remove(&id);
             }
@@ -767,6 +792,11 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledFromOrigin);
         let Choice { node, source, held_only, believed, .. } = seen.choice;
         let told = self.settings.notes == Notes::All;
+        // Nor does one that was given no time: a client's short wait must not cost a node its health.
+        let early = end.outcome == Outcome::TimedOut && end.took < seen.choice.latency;
+        if early || seen.dropped && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
+            return None;
+        }
         let (likely, note) = (!believed && !held_only, end.note);
         let ok = note == Note::FilledFromOrigin || !told && note == Note::Filled;
         let failed = match end.outcome {
@@ -786,6 +816,7 @@
         for (who, yes) in [(node, answered), (source, filled)] {
             if let Some(k) = self.nodes.get_mut(&who).filter(|_| yes) {
                 (k.last_answer, k.strikes, k.blamed) = (now, 0, None);
+                k.answered = k.answered.max(seen.sent_at);
                 self.last_answer = now;
             }
         }
@@ -798,17 +829,21 @@
             // makes every cache look full, and three refusals without a fill between blame it.
             Outcome::Full if unclear => (source, false),
             Outcome::Full => return Some(node),
-            Outcome::ConnectFailed | Outcome::Reset => (node, true),
+            Outcome::ConnectFailed => (node, true),
+            // A connection that broke is no node that is down: that refuses the next one.
+            Outcome::Reset => (node, false),
             Outcome::Cancelled if seen.cancelled => return None,
             Outcome::Error | Outcome::TimedOut | Outcome::Cancelled => (node, false),
         };
-        if let Some(k) = self.nodes.get_mut(&guilty) {
-            k.strikes += 1;
-            if proof || k.strikes >= STRIKES {
-                k.blame(now);
-            }
+        let reset = end.outcome == Outcome::Reset;
+        let Some(k) = self.nodes.get_mut(&guilty) else { return Some(guilty) };
+        k.strikes += u32::from(!reset || now - k.struck > AT_ONCE);
+        k.struck = if reset { now } else { k.struck };
+        let blamed = proof || k.strikes >= STRIKES;
+        if blamed {
+            k.blame(now);
         }
-        Some(guilty)
+        Some(guilty).filter(|_| blamed || !reset)
     }
 
     /// A look at an attempt that takes longer than expected.
@@ -820,20 +855,30 @@
             return;
         };
         // Silence is held against a node only if others answered meanwhile: a stall of everything is not.
-        let Choice { node, source, believed, .. } = a.choice;
+        let Choice { node, source, believed, worst, .. } = a.choice;
         let others = self.last_answer > a.sent_at;
         let silent = |id| others && self.nodes.get(&id).is_some_and(|k| k.last_answer <= a.sent_at);
         let suspects = [Some(node), Some(source).filter(|_| !believed)];
-        let Some(guilty) = suspects.into_iter().flatten().find(|&id| silent(id)) else {
-            return actions.push(Action::Alarm { token, after: a.choice.latency + PATIENCE.1 });
-        };
-        if let Some(k) = self.nodes.get_mut(&guilty) {
+        let guilty = suspects.into_iter().flatten().find(|&id| silent(id));
+        // Lost is an answer of which nothing came while the node answers what it was asked later: nobody is
+        // to blame, and the request goes again.
+        let due = a.sent_at + PATIENCE.0 * worst + PATIENCE.1;
+        let lost = now + EARLY > due && self.nodes.get(&node).is_some_and(|k| k.answered > a.sent_at);
+        if guilty.is_none() && !lost {
+            let after = if due > now + EARLY { due - now } else { a.choice.latency + PATIENCE.1 };
+            return actions.push(Action::Alarm { token, after });
+        }
+        if let Some(k) = guilty.and_then(|g| self.nodes.get_mut(&g)) {
             k.blame(now);
         }
         // Where only one attempt may be out, the next goes when the withdrawn one has ended.
-        let safe = self.settings.classes[class].effect == Effect::Safe;
-        let Some(open) = self.open.get_mut(&id).filter(|_| safe && self.settings.cancel) else { return };
-        open.avoid.push(guilty);
+        let repeats = match self.settings.classes[class].effect {
+            Effect::Safe => true,
+            Effect::Keyed(scope) => guilty.is_none() && scope == Scope::All,
+            Effect::Unsafe => false,
+        };
+        let Some(open) = self.open.get_mut(&id).filter(|_| repeats && self.settings.cancel) else { return };
+        open.avoid.extend(guilty);
         open.attempts[number].cancelled = true;
         actions.push(Action::Cancel { request: id, attempt: number as u16 });
         if self.settings.duplicate {
@@ -904,7 +949,8 @@
 
 impl Known {
     fn new(info: Node) -> Self {
-        Known { info, lag: BASE, last_answer: f64::MIN, ..Known::default() }
+        let never = f64::MIN;
+        Known { info, lag: BASE, last_answer: never, answered: never, struck: never, ..Known::default() }
     }
 
     fn blame(&mut self, now: f64) {
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -5,8 +5,8 @@
 
 /// Room made before each read.
 const READ: usize = 16 * 1024;
-/// An empty buffer larger than this is given back.
-const KEEP: usize = 32 * 1024;
+/// An empty buffer larger than this is given back: most connections wait most of the time, and are many.
+const KEEP: usize = 4 * 1024;
 
 /// Bytes in order: appended at the tail, taken from the head.
 #[derive(Default)]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -411,6 +411,44 @@
     assert!(count("serve") > 0 && count("serve") == count("cancel"), "withdrawn on the wire: {heard:?}");
 }
 
+/// Guards what else is out on a connection, and the request itself, against an answer that stops short, that
+/// cannot be read, or that brings more than belongs to it.
+#[test]
+fn spoilt_answers_are_asked_for_again_and_extra_ones_passed_over() {
+    let (node, served) = one_cache("spoilt");
+    let mut c = node.connect();
+    let made = (unix() * 1000.0) as u64;
+    let good =
+        |id: &str, body: &str| format!("{id} HIT n=TCP_HIT,etag=e,made={made} {}\r\n{body}\r\n", body.len());
+    let spoilt = [
+        "ID HIT n=TCP_HIT,etag=e,made=1 9\r\nab",
+        "ID HIT n=TCP_HIT,etag=e,made=1 3000000000\r\nab",
+        "ID HIT n=TCP_HIT,etag=e 2\r\nab\r\n",
+        "ID VALID n=TCP_HIT,etag=e,made=1\r\n",
+    ];
+    for (i, spoilt) in spoilt.into_iter().enumerate() {
+        let begun = std::time::Instant::now();
+        c.ask(&(i + 1).to_string(), i as u64, "");
+        let mut first = next(&served);
+        first.raw(&spoilt.replace("ID", &first.id));
+        let mut again = next(&served);
+        assert_eq!((&*again.verb, &again.id), ("serve", &first.id));
+        assert!(begun.elapsed() < std::time::Duration::from_secs(2), "not waited for: {spoilt}");
+        // More than belongs to it: an unknown id before, a second copy behind.
+        let all = [good("00000000000000ff", "no"), good(&again.id, "yes"), good(&again.id, "no")].concat();
+        again.raw(&all);
+        assert_eq!(c.answer()[3], "yes");
+    }
+    assert!(served.try_recv().is_err());
+    // Under the name of an open request nothing else is taken.
+    c.ask("8", 0xa8, "");
+    let mut open = next(&served);
+    c.ask("9", 0xa8, ",seen=e");
+    assert_eq!(c.answer()[..2], ["9", "fault"]);
+    open.hit(b"eight");
+    assert_eq!(c.answer()[3], "eight");
+}
+
 #[test]
 fn a_bad_configuration_is_told_by_its_key() {
     let refused = |name: &str, change: &dyn Fn(&mut Value), key: &str| {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -239,6 +239,73 @@
     }
 }
 
+/// Guards a node's health against what bad clients do: requests taken back at once, and waits too short for
+/// anybody to answer.
+#[test]
+fn requests_taken_back_or_given_no_time_blame_nobody() {
+    let mut s = Stage::new(settings(), &[edge(10), edge(11), parent(20), origin(30)]);
+    let home = s.hit(1, 50.0).node;
+    for object in 0..40 {
+        let sent = s.fetch(object, 50.0);
+        if object % 2 == 0 {
+            s.event(Event::Expired { request: RequestId(sent.id) });
+            s.end(sent, 0, Outcome::Cancelled, Note::None, 0.0);
+        } else {
+            s.end(sent, 0, Outcome::TimedOut, Note::None, 0.001);
+            s.event(Event::Expired { request: RequestId(sent.id) });
+        }
+    }
+    assert_eq!(s.fetch(1, 50.0).node, home);
+}
+
+/// A connection that broke takes several requests with it, which is one sign and no proof: they go again to
+/// the node that holds what they want. Three such signs without an answer between do blame it.
+#[test]
+fn a_reset_is_one_sign_for_all_that_it_took() {
+    let mut s = Stage::new(settings(), &[edge(10), edge(11), parent(20), origin(30)]);
+    let home = s.hit(1, 50.0).node;
+    let out: Vec<Sent> = (0..5).map(|_| s.fetch(1, 50.0)).filter(|x| x.node == home).collect();
+    assert!(out.len() > 2);
+    for x in &out {
+        let again = s.end(*x, 0, Outcome::Reset, Note::None, 0.0);
+        assert_eq!(sent(&again)[0].node, home);
+    }
+    for number in 1..3 {
+        s.now += 0.1;
+        let again = s.end(out[0], number, Outcome::Reset, Note::None, 0.0);
+        assert_eq!(sent(&again)[0].node == home, number < 2, "{again:?}");
+    }
+}
+
+/// An answer that got lost at a node that answers others is not waited for until the client gives up.
+#[test]
+fn an_answer_that_got_lost_is_asked_for_again_and_blames_nobody() {
+    let mut s = Stage::new(settings(), &[edge(10), parent(20), origin(30)]);
+    s.hit(1, 50.0);
+    let lost = s.fetch(1, 50.0);
+    s.now += 0.1;
+    s.hit(2, 50.0);
+    let token = u64::from(lost.id) << 16;
+    let early = s.event(Event::Alarm { token });
+    let [Action::Alarm { after, .. }] = early[..] else { panic!("{early:?}") };
+    s.now += after;
+    let late = s.event(Event::Alarm { token });
+    assert!(matches!(late[0], Action::Cancel { attempt: 0, .. }), "{late:?}");
+    assert_eq!(sent(&late)[0].node, lost.node);
+}
+
+/// Guards the memory of a long day, on which new nodes take the place of old ones without end.
+#[test]
+fn nodes_that_left_are_forgotten() {
+    let mut s = Stage::new(settings(), &fleet());
+    for id in 1000..1500 {
+        s.list(ListKind::Delta, &[edge(id)]);
+        s.now += 1.0;
+        s.list(ListKind::Delta, &[Node { state: NodeState::Gone, ..edge(id) }]);
+    }
+    assert!(s.director.known_nodes() < 100, "{}", s.director.known_nodes());
+}
+
 #[test]
 fn a_stall_of_everything_blames_nobody() {
     let mut s = Stage::new(settings(), &fleet());
