Answer all that was taken before SIGKILL may come; seat clients before their first turn

Seen by reading: SIGTERM waited for every deadline, and media wait up to 5 s, though SIGKILL may come 3.7 s after it; main.rs then had 2 s more for writing. Changed: the core is told at once by when all is to be answered (0.45 s before SIGKILL may come), cuts the deadlines of what is open and what comes to that, and the program is gone 0.15 s before.

Also seen: bad_clients_are_ended_and_do_not_keep_others_out failed once in a dozen runs. The accept loop takes a burst of connections before any of their tasks has a turn, so that the lobby was still empty and the newest comer was turned away.

The test a_core_that_closes_answers_all_before_that fails without the change.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -9,7 +9,7 @@
 mod timers;
 
 pub use counters::Counters;
-pub use run::{Inputs, run};
+pub use run::{Close, Inputs, run};
 pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
@@ -266,6 +266,8 @@
     /// Nodes in their last told state.
     roster: FxHashMap<NodeId, NodeState>,
     timers: Timers,
+    /// All that is taken is answered by then, in Unix seconds, once the program is told to end.
+    closes: f64,
     next_id: u32,
     /// Bytes of request bodies held, which are bounded.
     held: usize,
@@ -305,6 +307,7 @@
             calls: FxHashSet::default(),
             roster: FxHashMap::default(),
             timers: Timers::default(),
+            closes: f64::INFINITY,
             next_id: 0,
             held: 0,
             held_most: setup.held_most,
@@ -315,6 +318,14 @@
         }
     }
 
+    /// The program ends: whatever is open, or still comes, is answered by then, whatever time its client gives.
+    pub fn answer_by(&mut self, by: f64) {
+        self.closes = by;
+        for (&id, _) in self.open.iter().filter(|(_, o)| !o.done && o.ask.deadline > by) {
+            self.timers.set(by, timers::Timer::Deadline(id));
+        }
+    }
+
     /// How many requests have no final answer yet.
     pub fn pending(&self) -> usize {
         self.callers.len()
@@ -393,8 +404,9 @@
     }
 
     /// Takes a request from a front.
-    pub fn ask(&mut self, now: f64, caller: Caller, ask: Ask) {
+    pub fn ask(&mut self, now: f64, caller: Caller, mut ask: Ask) {
         self.counters.requests += 1;
+        ask.deadline = ask.deadline.min(self.closes);
         if ask.deadline <= now {
             return self.turn_away(caller, Answer::Late);
         }
@@ -583,7 +595,7 @@
         }
         if asked {
             self.timers.set(now + CONFIRM, timers::Timer::Deadline(id));
-        } else if now >= open.ask.deadline {
+        } else if now >= open.ask.deadline.min(self.closes) {
             self.feed(now, Event::Expired { request: id });
             self.answer(now, id, Answer::Late);
         }
@@ -636,7 +648,8 @@
         let source = Some(source).filter(|s| *s != node);
         let Some(open) = self.open.get_mut(&request) else { return };
         let ticket = Ticket { request, attempt: open.attempts.len() as u16 };
-        let due = if within > 0.0 { (now + within).min(open.ask.deadline) } else { open.ask.deadline };
+        let last = open.ask.deadline.min(self.closes);
+        let due = if within > 0.0 { (now + within).min(last) } else { last };
         // Never two attempts out for one request, none for one that is over, none to a node that drains.
         let ready = |id: &NodeId| self.roster.get(id) == Some(&NodeState::Ready);
         let may = !open.done
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -69,6 +69,32 @@
     cancelled: bool,
 }
 
+/// Guards what was taken against SIGKILL, which does not wait for a client's deadline.
+#[test]
+fn a_core_that_closes_answers_all_before_that() {
+    let mut broker = broker(Contracts::default());
+    broker.effects().for_each(drop);
+    let ask = |broker: &mut Broker, now, tag| {
+        let (object, call) = (ObjectId(tag), tag.to_string().into());
+        let ask = Ask { object, deadline: now + 60.0, call, ..Ask::default() };
+        broker.ask(now, Caller { connection: 1, tag }, ask);
+    };
+    ask(&mut broker, 1000.0, 1);
+    broker.answer_by(1003.0);
+    ask(&mut broker, 1000.5, 2);
+    let dues: Vec<f64> = broker
+        .effects()
+        .filter_map(|e| if let Effect::Command(Command::Send(o)) = e { Some(o.due) } else { None })
+        .collect();
+    assert!(dues.len() == 2 && dues[1] <= 1003.0, "{dues:?}");
+    broker.tick(1002.9);
+    assert_eq!(broker.pending(), 2);
+    // Nobody confirms the withdrawals: that does not hold up the answers.
+    broker.tick(1003.0);
+    broker.tick(1003.0 + 2.0 * CONFIRM);
+    assert_eq!(broker.pending(), 0);
+}
+
 /// What the world outside the core knows.
 #[derive(Default)]
 struct World {
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -25,8 +25,17 @@
     pub ready: Rc<Cell<bool>>,
     /// Asks for the counters.
     pub print: Rc<Notify>,
-    /// Asks to end once every request taken is answered.
-    pub close: Rc<Notify>,
+    /// Tells of the end.
+    pub close: UnboundedReceiver<Close>,
+}
+
+/// How the program ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Close {
+    /// Whatever is taken from now on, or was before, is to be answered by then (Unix seconds).
+    AnswerBy(f64),
+    /// Nothing more is expected: the core ends once every request taken is answered.
+    WhenAnswered,
 }
 
 /// Runs the core until it was asked to close and nothing is pending.
@@ -79,7 +88,10 @@
             }
             Some(input) = inputs.asks.recv() => take(&mut broker, &mut replies, input),
             () = inputs.print.notified() => log!("{}", broker.counters),
-            () = inputs.close.notified() => closing = true,
+            Some(close) = inputs.close.recv() => match close {
+                Close::AnswerBy(by) => broker.answer_by(by),
+                Close::WhenAnswered => closing = true,
+            },
         }
         // Whatever came, timers that are due fire now: a busy queue does not hold them up.
         broker.tick(clock::now());
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! One real front: reads its configuration, listens, wires the tasks together, and ends when it is told to.
 #![forbid(unsafe_code)]
 
-use onyxyoke::broker::{self, Broker, Contracts, Inputs, News, Setup};
+use onyxyoke::broker::{self, Broker, Close, Contracts, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
 use onyxyoke::net::{Live, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
@@ -20,8 +20,11 @@
 /// After SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more; what comes
 /// up to 0.7 s after it is owed an answer. So long, and a little over, everything is taken (seconds).
 const CLOSING: f64 = 0.9;
-/// The last answers are to be written within this (seconds).
-const FLUSH: f64 = 2.0;
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts at most, and this
+/// (seconds).
+const KILL: (f64, f64) = (3.0, 0.7);
+/// So long before that everything is answered, and everything written (seconds).
+const BEFORE: (f64, f64) = (0.45, 0.15);
 /// Shares of the memory limit for what is held of requests, and of answers that clients are slow to take.
 const HELD: (usize, usize) = (8, 4);
 /// Requests that wait for the broker's turn; beyond, connections are not read from.
@@ -99,12 +102,14 @@
     let (reports_in, reports) = unbounded_channel();
     let (commands_in, commands) = unbounded_channel();
     let (asks_in, asks) = channel(ASKS);
-    let (print, close) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+    let (close, closes) = unbounded_channel();
+    let print = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
     let (numbers, unsent) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
     let contracts: Rc<Contracts> = Rc::new(config.contracts);
     let classes = Rc::new(config.classes);
     let wait = config.settings.max_wait;
+    let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let unsent_most = config.memory / HELD.1;
     let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
     // Clients hold a third at most; what they have just closed may not be gone here yet.
@@ -188,8 +193,7 @@
     } else if let Some(address) = &feed.coordinator {
         spawn_local(coordinator::follow(address.clone(), last, news_in));
     }
-    let inputs =
-        Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: close.clone() };
+    let inputs = Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
 
     loop {
@@ -201,17 +205,18 @@
         }
     }
     // Health says no from here on, but whoever comes is still served until the closing window is over and
-    // all that was taken is answered.
+    // all that was taken is answered; what would take longer is failed before SIGKILL may come.
     ready.set(false);
-    let closes = clock::now() + CLOSING;
-    sleep_until(clock::instant(closes)).await;
-    close.notify_one();
+    let told = clock::now();
+    let killed = told + longest.min(KILL.0) + KILL.1;
+    let _ = close.send(Close::AnswerBy(killed - BEFORE.0));
+    sleep_until(clock::instant(told + CLOSING)).await;
+    let _ = close.send(Close::WhenAnswered);
     core.await.map_err(std::io::Error::other)?;
     // The last answers are with their connections' tasks, which get the time to write them.
-    let last = clock::now() + FLUSH;
     loop {
         sleep_until(clock::instant(clock::now() + 0.05)).await;
-        if unsent.get() == 0 || clock::now() > last {
+        if unsent.get() == 0 || clock::now() > killed - BEFORE.1 {
             return Ok(());
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -94,7 +94,10 @@
 
 impl Seat {
     fn new(lobby: Rc<Lobby>) -> Self {
-        Seat { lobby, key: Cell::new(None), asked: Rc::default() }
+        let seat = Seat { lobby, key: Cell::new(None), asked: Rc::default() };
+        // From the start, for it may be asked before its task has had a turn.
+        seat.quiet(false);
+        seat
     }
 
     /// It waits for its client from now on, which has asked for something before, or has not.
