Bound cache connections by memory, count those that finish, keep the second front's waits

Seen by reading: an answer in part may hold 256 KB on each cache connection, a third of the descriptors: 85 of them are 22 MB of a 32 MB limit, beside unread answers (a quarter) and request bodies (an eighth). Changed: connections for answers that fit a third of the memory, a fifth for unread answers, a tenth for bodies; connections that only finish count too.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 
 use onyxyoke::broker::{self, Broker, Close, Contracts, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
-use onyxyoke::net::{Live, clients, coordinator, pool};
+use onyxyoke::net::{Live, clients, coordinator, lines, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
 use onyxyoke::{clock, log, signed, xds};
 use std::cell::{Cell, RefCell};
@@ -25,8 +25,9 @@
 const KILL: (f64, f64) = (3.0, 0.7);
 /// So long before that everything is answered, and everything written (seconds).
 const BEFORE: (f64, f64) = (0.45, 0.15);
-/// Shares of the memory limit for what is held of requests, and of answers that clients are slow to take.
-const HELD: (usize, usize) = (8, 4);
+/// Shares of the memory limit for what is held of requests, of answers that clients are slow to take, and of
+/// answers that have come in part. Half frames of clients and the program itself have the rest.
+const HELD: (usize, usize, usize) = (10, 5, 3);
 /// Requests that wait for the broker's turn; beyond, connections are not read from.
 const ASKS: usize = 256;
 /// Share of the descriptors for cache nodes.
@@ -164,7 +165,8 @@
             connect_within: config.connect_within,
             idle: config.keepalive / 2.0,
             streams: config.streams,
-            connections: config.sockets / SHARE,
+            // Each may hold one answer of which a part has come.
+            connections: (config.sockets / SHARE).min(config.memory / HELD.2 / lines::LARGEST).max(1),
             unsent_most,
         },
         unsent.clone(),
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -8,7 +8,7 @@
 /// Longest line of an answer.
 const LINE: usize = 4096;
 /// Most bytes of an object (240,000), and a little over.
-const BODY: u64 = 256 * 1024;
+pub const LARGEST: usize = 256 * 1024;
 
 /// A cache node's answer.
 #[derive(Debug, PartialEq)]
@@ -92,7 +92,7 @@
         return Err(Unreadable("a line with too many words"));
     }
     if let Some(length) = length {
-        let length = super::number(length.as_bytes()).filter(|&n| n <= BODY);
+        let length = super::number(length.as_bytes()).filter(|&n| n <= LARGEST as u64);
         let length = length.ok_or(Unreadable("a length that is none, or too large"))? as usize;
         let Some(rest) = bytes.get(used..used + length + 2) else { return Ok(None) };
         body = rest.strip_suffix(b"\r\n").ok_or(Unreadable("bytes that do not end where they should"))?;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -149,25 +149,33 @@
         });
     }
 
-    /// Closes a connection that nothing is on, so that another node can have one.
-    fn make_room(&mut self, node: NodeId) {
-        let others = self.peers.iter_mut().filter(|(id, _)| **id != node);
-        if let Some((_, peer)) = others.max_by_key(|(_, p)| p.links.len())
-            && let Some(at) = peer.links.iter().position(|l| l.load() == 0)
-        {
-            let link = peer.links.swap_remove(at);
-            let _ = link.jobs.send(Job::Retire);
-            peer.retired.push(link);
-        }
+    /// Connections that are open, also those that only finish what is under way.
+    fn total(&mut self) -> usize {
+        let open = |p: &mut Peer| {
+            p.retired.retain(|l| !l.jobs.is_closed());
+            p.links.len() + p.retired.len()
+        };
+        self.peers.values_mut().map(open).sum()
+    }
+
+    /// Ends a connection that nothing is on, so that another node can have one; was there any?
+    fn make_room(&mut self, node: NodeId) -> bool {
+        let idle = |p: &Peer| p.links.iter().position(|l| l.load() == 0);
+        let others = self.peers.iter_mut().filter(|(id, p)| **id != node && idle(p).is_some());
+        let Some((_, peer)) = others.max_by_key(|(_, p)| p.links.len()) else { return false };
+        let Some(at) = idle(peer) else { return false };
+        let link = peer.links.swap_remove(at);
+        let _ = link.jobs.send(Job::Retire);
+        peer.retired.push(link);
+        true
     }
 
     fn send(&mut self, order: Order) {
-        let total: usize = self.peers.values().map(|p| p.links.len()).sum();
-        if total >= self.limits.connections && self.peers.get(&order.node).is_some_and(|p| p.links.is_empty())
-        {
-            self.make_room(order.node);
+        let mut total = self.total();
+        let none = |p: &Peer| p.links.is_empty();
+        if total >= self.limits.connections && self.peers.get(&order.node).is_some_and(none) {
+            total -= usize::from(self.make_room(order.node));
         }
-        let total: usize = self.peers.values().map(|p| p.links.len()).sum();
         let ticket = order.ticket;
         let Some(peer) = self.peers.get_mut(&order.node).filter(|p| p.address.is_some()) else {
             let _ = self.reports.send(ended(ticket, Outcome::Moot));
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -30,7 +30,7 @@
 /// A head, or a body, must be whole this long after its first byte (seconds).
 const WHOLE: f64 = 10.0;
 /// A connection between requests, or one that takes nothing of its answer, is closed after this (seconds).
-const IDLE: f64 = 5.0;
+const IDLE: f64 = 20.0;
 /// The answer is to be out this long before the class's deadline (seconds).
 const MARGIN: f64 = 0.02;
 /// Bytes read ahead of the request that is being served.
