--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Does it wait for its client?
+    pub fn waits(&self) -> bool {
+        self.key.get().is_some()
+    }
+
     /// Waits until its place is needed for somebody else.
     pub async fn asked(&self) {
         self.asked.notified().await;
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -304,7 +304,8 @@
             tokio::select! {
                 biased;
                 ready = stream.readable() => ready?,
-                () = self.seat.asked() => return Ok(false),
+                // One that was asked to leave just as its request came serves that first.
+                () = self.seat.asked(), if self.seat.waits() => return Ok(false),
                 () = sleep_until(by) => return Ok(false),
             }
             match self.input.read_from(stream) {
