Account for memory by purpose: grants, guarantees, caps, pressure and truth as a pure module

Need: a few counters made for the purpose bound a front's memory, each by its own rule; most uses are in no account. Change: src/memory, without I/O or clock. Accounts by purpose with guarantee, cap and reserve; grants that only move and give back on drop; a pressure policy with hysteresis; the unaccounted rest as the program's own account. Not wired yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod config;
 pub mod interface;
 pub mod log;
+pub mod memory;
 pub mod net;
 pub mod signed;
 pub mod xds;
--- /dev/null
+++ b/src/memory/truth.rs
@@ -0,0 +1,91 @@
+//! Accounted bytes against what the system says: the rest is the program's own, shown, and told of when it grows.
+
+use super::{Accounts, Purpose};
+
+/// The rest is told of when it has grown by this share, and by so many bytes, since it was last told.
+const GROWN: (f64, usize) = (0.25, 1_000_000);
+/// Weight of one look in the smoothed rest: memory that was just given back leaves the process a little later.
+const SMOOTH: f64 = 0.2;
+
+/// What a look found that is worth a line in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// Nothing.
+    Usual,
+    /// The unaccounted rest has grown to so many bytes since it was last told of.
+    Grew(usize),
+    /// It is over its cap (bytes, cap).
+    Over(usize, usize),
+}
+
+/// Compares the accounts with what the system says of the process.
+#[derive(Debug, Clone, Default)]
+pub struct Truth {
+    resident: usize,
+    rest: f64,
+    told: usize,
+    over: bool,
+}
+
+impl Truth {
+    /// A look: the process holds so many bytes in memory. What no account knows of becomes the program's.
+    pub fn look(&mut self, accounts: &mut Accounts, resident: usize) -> Finding {
+        let known = accounts.sum() - accounts.used(Purpose::Program);
+        let rest = resident.saturating_sub(known) as f64;
+        // What is seen to grow counts at once, so that others are refused in time; what falls, falls slowly.
+        self.rest = if rest > self.rest || self.resident == 0 {
+            rest
+        } else {
+            self.rest + SMOOTH * (rest - self.rest)
+        };
+        self.resident = resident;
+        let rest = self.rest as usize;
+        accounts.observe(rest);
+        let cap = accounts.sight(Purpose::Program).cap;
+        let was_over = std::mem::replace(&mut self.over, rest > cap);
+        if self.over && !was_over {
+            self.told = rest;
+            return Finding::Over(rest, cap);
+        }
+        let first = self.told == 0;
+        if first || rest > self.told + GROWN.1.max((self.told as f64 * GROWN.0) as usize) {
+            self.told = rest;
+            return if first { Finding::Usual } else { Finding::Grew(rest) };
+        }
+        Finding::Usual
+    }
+
+    /// What the system last said (bytes).
+    pub fn resident(&self) -> usize {
+        self.resident
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::memory::{Holder, Ledger, PURPOSES, Plan, Wish};
+
+    #[test]
+    fn the_rest_is_the_programs_and_its_growth_is_told_once() {
+        let ledger = Ledger::new(Plan::new(64_000_000, &[Wish::default(); PURPOSES], 1.0).unwrap(), 0);
+        let (mut truth, mut look) = (Truth::default(), Vec::new());
+        for resident in [5_000_000, 5_500_000, 7_000_000, 7_100_000, 40_000_000, 41_000_000] {
+            look.push(truth.look(&mut ledger.accounts_mut(), resident));
+        }
+        let cap = ledger.accounts().sight(Purpose::Program).cap;
+        let usual = Finding::Usual;
+        assert_eq!(
+            look,
+            [usual, usual, Finding::Grew(7_000_000), usual, Finding::Over(40_000_000, cap), usual]
+        );
+        // Memory that an account knows of is not the program's; the rest falls slowly.
+        let _held = ledger.ask(Holder::of(Purpose::Clients), 2_000_000).unwrap();
+        for _ in 0..50 {
+            truth.look(&mut ledger.accounts_mut(), 8_000_000);
+        }
+        let rest = ledger.accounts().used(Purpose::Program);
+        assert!((6_000_000..6_100_000).contains(&rest), "{rest}");
+        assert_eq!(ledger.accounts().sum(), rest + 2_000_000);
+    }
+}
