--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,7 @@
 //! entry point, then the ordinary path (beliefs, exclusion probabilities, cost rule), then the guards.
 
 use crate::interface::*;
+use crate::routing::{Beliefs, Purges};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -19,8 +20,6 @@
 const START: [f64; 2] = [0.8, 0.001];
 /// Length of that epoch (seconds).
 const EPOCH: f64 = 5.0;
-/// Most (object, part) entries of the belief table.
-const BELIEFS_MOST: usize = 100_000;
 /// A belief older than this is dropped (seconds).
 const BELIEF_AGE: f64 = 30.0;
 /// Weight of one outcome in smoothed latencies.
@@ -230,12 +229,10 @@
     near: Vec<(u64, NodeId)>,
     origin: Option<NodeId>,
     open: FxHashMap<RequestId, Open>,
-    /// Edge caches seen to hold an object's part, and when; the keys in order of age.
-    held: FxHashMap<(ObjectId, u32), Vec<(NodeId, f64)>>,
-    held_order: VecDeque<((ObjectId, u32), f64)>,
-    /// When an object or group was purged, and when this director heard; the keys in order of age.
-    purges: FxHashMap<Result<ObjectId, GroupId>, (f64, f64)>,
-    purge_order: VecDeque<(f64, Result<ObjectId, GroupId>)>,
+    /// Edge caches seen to hold an object's part, and when.
+    held: Beliefs,
+    /// When an object or group was purged, and when this director heard.
+    purges: Purges,
     /// Mean sending time by class.
     work: Vec<f64>,
     /// Hits by class, where sizes are untold.
@@ -275,10 +272,8 @@
             near: Vec::new(),
             origin: None,
             open: FxHashMap::default(),
-            held: FxHashMap::default(),
-            held_order: VecDeque::new(),
-            purges: FxHashMap::default(),
-            purge_order: VecDeque::new(),
+            held: Beliefs::new(seed, BELIEF_AGE),
+            purges: Purges::default(),
             hits: vec![0.0; work.len()],
             work,
             rho: START.map(|value| [Window { value, asked: 0, absent: 0 }; COUNTS]),
@@ -298,6 +293,18 @@
         &self.settings
     }
 
+    /// Bytes of what was learned but the beliefs, and what these would like to take in all.
+    pub fn footprint(&self) -> (usize, usize) {
+        let points = (self.ring.len() + self.near.len()) * size_of::<(u64, NodeId)>();
+        let nodes = self.nodes.len() * 2 * size_of::<Known>() + points;
+        (nodes + self.purges.footprint(), self.held.wanted())
+    }
+
+    /// Beliefs may take so many bytes from now on; what is over that is forgotten, oldest first.
+    pub fn hold_to(&mut self, bytes: usize) {
+        self.held.hold_to(bytes);
+    }
+
     /// How many nodes it remembers.
     pub fn known_nodes(&self) -> usize {
         self.nodes.len()
@@ -410,27 +417,12 @@
 
     fn purged(&mut self, now: f64, object: Option<ObjectId>, group: GroupId, age: f64) {
         let keep = BELIEF_AGE.max(self.settings.purge_settles + PURGE_MARGIN);
-        let key = object.ok_or(group);
-        let fact = self.purges.entry(key).or_insert((f64::MIN, now));
-        // News may come out of order: the latest purge binds.
-        *fact = (fact.0.max(now - age.max(0.0)), now);
-        self.purge_order.push_back((now + keep, key));
-        while let Some((_, key)) = self.purge_order.pop_front_if(|p| p.0 <= now) {
-            if self.purges.get(&key).is_some_and(|f| f.1 + keep <= now) {
-                self.purges.remove(&key);
-            }
-        }
-    }
-
-    /// Latest purge of the object or its group: when it was, and when it was heard of.
-    fn purge_of(&self, object: ObjectId, group: GroupId) -> Option<(f64, f64)> {
-        let facts = [self.purges.get(&Ok(object)), self.purges.get(&Err(group))];
-        facts.into_iter().flatten().copied().reduce(|a, b| (a.0.max(b.0), a.1.max(b.1)))
+        self.purges.heard(now, object.ok_or(group), now - age.max(0.0), keep);
     }
 
     /// Oldest age allowed by purges, while caches may still hold copies from before.
     fn purge_limit(&self, now: f64, request: &Request) -> Option<f64> {
-        let (at, _) = self.purge_of(request.object, request.group)?;
+        let (at, _) = self.purges.of(request.object, request.group)?;
         let settled = at + self.settings.purge_settles + PURGE_MARGIN;
         (now < settled).then(|| (now - at - PURGE_MARGIN).max(AGE_LEAST))
     }
@@ -439,38 +431,15 @@
 
     /// Believed holders that can take part now.
     fn holders(&self, now: f64, request: &Request) -> Vec<NodeId> {
-        let held = self.held.get(&(request.object, request.part));
-        let heard = self.purge_of(request.object, request.group).map_or(f64::MIN, |f| f.1);
-        let valid = |&&(id, at): &&(NodeId, f64)| {
+        let heard = self.purges.of(request.object, request.group).map_or(f64::MIN, |f| f.1);
+        let mut holders = Vec::new();
+        self.held.each(request.object, request.part, |id, at| {
             let known = self.nodes.get(&id).filter(|k| k.listed);
-            at > heard && at + BELIEF_AGE > now && known.is_some_and(|k| at > k.info.ready_at)
-        };
-        held.into_iter().flatten().filter(valid).map(|b| b.0).collect()
-    }
-
-    fn believe(&mut self, now: f64, request: &Request, node: NodeId, since: f64) {
-        let key = (request.object, request.part);
-        let held = self.held.entry(key).or_default();
-        held.retain(|b| b.0 != node);
-        held.push((node, since));
-        self.held_order.push_back((key, now));
-        // Ageing and bound: what is as old as the oldest entry goes with it.
-        while let Some(&(key, at)) = self.held_order.front()
-            && (at + BELIEF_AGE <= now || self.held_order.len() > BELIEFS_MOST)
-        {
-            self.held_order.pop_front();
-            let Some(held) = self.held.get_mut(&key) else { continue };
-            held.retain(|b| b.1 > at);
-            if held.is_empty() {
-                self.held.remove(&key);
+            if at > heard && at + BELIEF_AGE > now && known.is_some_and(|k| at > k.info.ready_at) {
+                holders.push(id);
             }
-        }
-    }
-
-    fn disbelieve(&mut self, request: &Request, node: NodeId) {
-        if let Some(held) = self.held.get_mut(&(request.object, request.part)) {
-            held.retain(|b| b.0 != node);
-        }
+        });
+        holders
     }
 
     /// Counts an outcome of a belief, or of a try without one; estimates anew when its window is full.
@@ -764,19 +733,19 @@
             self.count(now, believed, n, absent);
         }
         if absent && end.outcome != Outcome::Ok {
-            self.disbelieve(request, node);
+            self.held.disbelieve(request.object, request.part, node);
         }
         if sibling && (lacked || filled) {
             self.count(now, true, n, lacked);
             if lacked {
-                self.disbelieve(request, source);
+                self.held.disbelieve(request.object, request.part, source);
             }
         }
         if end.outcome != Outcome::Ok {
             return;
         }
         self.losses[1] = (self.losses[1].0 * fade(self.losses[1].1, now) + 1.0, now);
-        self.believe(now, request, node, seen.sent_at);
+        self.held.believe(now, request.object, request.part, node, seen.sent_at);
         let jam = self.jam();
         let Some(slow) = self.nodes.get(&node).map(|k| self.stretch(k)) else { return };
         let Some(k) = self.nodes.get_mut(&node) else { return };
--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -43,6 +43,8 @@
     turned_away,
     /// Clients that stopped waiting.
     aborted,
+    /// Requests whose answer came and could not be held.
+    no_memory,
     /// Attempts ordered.
     sent,
     /// Attempts whose write began.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -13,6 +13,7 @@
 pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
+use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
 use crate::{Director, log};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::VecDeque;
@@ -54,8 +55,12 @@
     },
 }
 
+/// What a request takes of the open tables, the queues between tasks and the timers until it is answered, in
+/// whole and rounded up: its entries here and at the director, its attempts, its order and its reports (bytes).
+pub const REQUEST: usize = 2048;
+
 /// What a front asks, whatever its wire.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Ask {
     /// The class.
     pub class: ClassId,
@@ -85,10 +90,25 @@
     pub have: Option<Box<str>>,
     /// What a write carries.
     pub body: Vec<u8>,
+    /// Memory of the request and of its body, until it is over.
+    pub held: [Grant; 2],
+}
+
+impl Ask {
+    /// Takes memory for the request and for a body of so many bytes. `precious` ones may have the reserve.
+    pub fn hold(&mut self, memory: &Ledger, precious: bool, body: usize) -> Result<(), Refused> {
+        let holder = |purpose| Holder { purpose, team: self.team, precious };
+        if !memory.admits(REQUEST + body, precious) {
+            return Err(memory.refuse(Purpose::Waiting));
+        }
+        self.held =
+            [memory.ask(holder(Purpose::Waiting), REQUEST)?, memory.ask(holder(Purpose::Bodies), body)?];
+        Ok(())
+    }
 }
 
 /// The final answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Answer {
     /// Served: a whole answer of a cache node, unchanged.
     Served(Content),
@@ -105,7 +125,7 @@
 }
 
 /// What a cache node made.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 pub struct Content {
     /// The bytes.
     pub body: Vec<u8>,
@@ -113,6 +133,8 @@
     pub etag: Box<str>,
     /// The client's copy is the one; there are no bytes.
     pub current: bool,
+    /// Memory of the bytes, until the client has them.
+    pub grant: Grant,
 }
 
 /// Who asked: a connection of a front, and the tag of the request there.
@@ -217,6 +239,8 @@
         /// What was served.
         content: Option<Content>,
     },
+    /// It was answered, and there is no memory for the answer. That says nothing of the node.
+    NoMemory(Ticket),
 }
 
 /// What the core wants done outside.
@@ -269,9 +293,10 @@
     /// All that is taken is answered by then, in Unix seconds, once the program is told to end.
     closes: f64,
     next_id: u32,
-    /// Bytes of request bodies held, which are bounded.
-    held: usize,
-    held_most: usize,
+    memory: Ledger,
+    /// The tables of what is open, and what the director has learned.
+    tables: Grant,
+    learned: Grant,
     /// Events that follow from carrying out actions.
     queue: VecDeque<Event>,
     actions: Vec<Action>,
@@ -290,8 +315,8 @@
     pub class_names: Vec<Rc<str>>,
     /// What teams may ask for.
     pub contracts: Rc<Contracts>,
-    /// Most bytes of request bodies held at a time.
-    pub held_most: usize,
+    /// What holds requests, tables and learned state.
+    pub memory: Ledger,
 }
 
 impl Broker {
@@ -309,8 +334,9 @@
             timers: Timers::default(),
             closes: f64::INFINITY,
             next_id: 0,
-            held: 0,
-            held_most: setup.held_most,
+            tables: setup.memory.empty(Holder { precious: true, ..Holder::of(Purpose::Waiting) }),
+            learned: setup.memory.empty(Holder::of(Purpose::Learned)),
+            memory: setup.memory,
             queue: VecDeque::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -331,6 +357,11 @@
         self.callers.len()
     }
 
+    /// The accounts that hold its requests.
+    pub fn memory(&self) -> &Ledger {
+        &self.memory
+    }
+
     /// Has it heard of any node?
     pub fn has_nodes(&self) -> bool {
         !self.roster.is_empty()
@@ -413,7 +444,7 @@
         if !self.contracts.covers(&ask) {
             return self.turn_away(caller, Answer::Forbidden);
         }
-        if self.held + ask.body.len() > self.held_most || self.callers.contains_key(&caller) {
+        if !self.has_room() || self.callers.contains_key(&caller) {
             let wait = self.director.settings().max_wait;
             return self.turn_away(caller, Answer::Refused(wait));
         }
@@ -426,7 +457,6 @@
             return self.turn_away(caller, Answer::Failed);
         }
         let id = self.fresh_id();
-        self.held += ask.body.len();
         let request = Request {
             id,
             class: ask.class,
@@ -451,6 +481,34 @@
         self.settle(now);
     }
 
+    /// Is there memory for the tables with one more request? They grow by doubling, and are asked for before.
+    fn has_room(&mut self) -> bool {
+        let [open, callers, calls] = [self.open.capacity(), self.callers.capacity(), self.calls.capacity()];
+        let grown = |capacity: usize, len: usize| if len < capacity { capacity } else { 2 * capacity.max(4) };
+        let table = |slots: usize, entry: usize| slots * 8 / 7 * (entry + 1);
+        let bytes = table(grown(open, self.open.len()), size_of::<(RequestId, Open)>())
+            + table(grown(callers, self.callers.len()), size_of::<(Caller, RequestId)>())
+            + table(grown(calls, self.calls.len()), size_of::<Box<str>>())
+            + self.timers.footprint();
+        bytes == self.tables.bytes() || self.tables.resize(bytes).is_ok()
+    }
+
+    /// Books what the director has learned, and has it forget what is worth least where there is no memory for it.
+    fn book_learned(&mut self) {
+        let (fixed, beliefs) = self.director.footprint();
+        let fixed = fixed + self.roster.capacity() * (size_of::<(NodeId, NodeState)>() + 1);
+        let cap = self.memory.accounts().plan().limits[Purpose::Learned as usize].cap;
+        let wanted = (fixed + beliefs).min(cap);
+        if wanted == self.learned.bytes() {
+            return;
+        }
+        // Beliefs grow only after they were granted what they want. Where that is refused, or what cannot be
+        // forgotten (nodes, purges) needs room, they make do with what is left.
+        let granted = self.learned.resize(wanted).is_ok();
+        let left = if granted { wanted } else { self.learned.bytes() };
+        self.director.hold_to(left.saturating_sub(fixed));
+    }
+
     /// Answers a request that the director never hears of.
     fn turn_away(&mut self, caller: Caller, answer: Answer) {
         self.counters.answered(&answer);
@@ -495,7 +553,6 @@
         if self.open.get(&id).is_some_and(|o| o.done && o.attempts.iter().all(|a| !a.out))
             && let Some(open) = self.open.remove(&id)
         {
-            self.held -= open.ask.body.len();
             self.calls.remove(&open.ask.call);
         }
     }
@@ -524,10 +581,33 @@
             Report::Ended { ticket, outcome, note, source_wait, content } => {
                 self.ended(now, ticket, outcome, note, source_wait, content);
             }
+            Report::NoMemory(ticket) => self.no_memory(now, ticket),
         }
         self.settle(now);
     }
 
+    /// An answer came that could not be held: the client hears at once, refused where its class lets a further try
+    /// be harmless. Another node's answer would find no more room, so that none is asked, and this one is not blamed.
+    fn no_memory(&mut self, now: f64, ticket: Ticket) {
+        let Some(open) = self.open.get(&ticket.request).filter(|o| !o.done) else {
+            return self.ended(now, ticket, Outcome::Moot, Note::None, 0.0, None);
+        };
+        self.counters.no_memory += 1;
+        let settings = self.director.settings();
+        let effect = settings.classes.get(usize::from(open.ask.class.0)).map(|c| c.effect);
+        let answer = match effect {
+            Some(crate::interface::Effect::Safe | crate::interface::Effect::Keyed(Scope::All)) => {
+                Answer::Refused(settings.max_wait)
+            }
+            _ => Answer::Failed,
+        };
+        if let Some(a) = self.attempt(ticket) {
+            a.recalled = true;
+        }
+        self.answer(now, ticket.request, answer);
+        self.ended(now, ticket, Outcome::Moot, Note::None, 0.0, None);
+    }
+
     fn attempt(&mut self, ticket: Ticket) -> Option<&mut Attempt> {
         self.open.get_mut(&ticket.request)?.attempts.get_mut(usize::from(ticket.attempt))
     }
@@ -611,7 +691,7 @@
         self.actions = actions;
     }
 
-    /// Feeds the events that followed from actions.
+    /// Feeds the events that followed from actions, and books what was learned from all.
     fn settle(&mut self, now: f64) {
         while let Some(event) = self.queue.pop_front() {
             if let Event::AttemptEnd { request, .. } = event {
@@ -621,6 +701,7 @@
                 self.feed(now, event);
             }
         }
+        self.book_learned();
     }
 
     fn carry_out(&mut self, now: f64, action: Action) {
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -87,7 +87,10 @@
                 }
             }
             Some(input) = inputs.asks.recv() => take(&mut broker, &mut replies, input),
-            () = inputs.print.notified() => log!("{}", broker.counters),
+            () = inputs.print.notified() => {
+                log!("{}", broker.counters);
+                log!("{}", broker.memory());
+            }
             Some(close) = inputs.close.recv() => match close {
                 Close::AnswerBy(by) => broker.answer_by(by),
                 Close::WhenAnswered => closing = true,
@@ -97,6 +100,7 @@
         broker.tick(clock::now());
     }
     eprintln!("onyxyoke: at exit: {}", broker.counters);
+    eprintln!("onyxyoke: at exit: {}", broker.memory());
 }
 
 fn take(broker: &mut Broker, replies: &mut FxHashMap<Caller, UnboundedSender<(u64, Answer)>>, input: Input) {
--- a/src/broker/timers.rs
+++ b/src/broker/timers.rs
@@ -28,6 +28,11 @@
         self.0.peek().map(|t| t.0.0 as f64 / 1e6)
     }
 
+    /// Bytes that it takes.
+    pub fn footprint(&self) -> usize {
+        self.0.capacity() * size_of::<Reverse<(u64, Timer)>>()
+    }
+
     /// Takes one that is due.
     pub fn due(&mut self, now: f64) -> Option<Timer> {
         self.next().filter(|&at| at <= now)?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::broker::{Contracts, Member, News, Team};
 use crate::interface::*;
+use crate::memory::{PURPOSES, Plan, Purpose, Wish};
 use crate::xds::Names;
 use rustc_hash::FxHashMap;
 use serde_json::{Map, Value};
@@ -10,6 +11,9 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+/// Share of each account that one of several teams may hold.
+const TEAM_SHARE: f64 = 0.5;
+
 /// A JSON value with the path that led to it, for messages.
 struct At<'a> {
     value: &'a Value,
@@ -35,6 +39,14 @@
         let value = self.value.get(key)?;
         Some(At { value, what: self.what, path: format!("{}{key}.", self.path) })
     }
+    fn entries(&self) -> Result<impl Iterator<Item = (&'a str, At<'a>)>, String> {
+        let table = self.value.as_object().ok_or_else(|| self.wrong("a table"))?;
+        let (what, path) = (self.what, self.path.clone());
+        let at = move |(key, value): (&'a String, &'a Value)| {
+            (key.as_str(), At { value, what, path: format!("{path}{key}.") })
+        };
+        Ok(table.iter().map(at))
+    }
     fn wrong(&self, wanted: &str) -> String {
         format!("{}: '{}' is not {wanted}", self.what, self.path.trim_end_matches('.'))
     }
@@ -181,8 +193,9 @@
     ids: FxHashMap<Vec<u8>, ClassId>,
     /// The names in the settings' order.
     pub names: Vec<Rc<str>>,
-    /// By class, in the same order: the longest that a client waits (seconds), and whether it needs a key.
-    asks: Vec<(f64, bool)>,
+    /// By class, in the same order: the longest that a client waits (seconds), whether it needs a key, and whether
+    /// its answers are no copies.
+    asks: Vec<(f64, bool, bool)>,
 }
 
 impl Classes {
@@ -190,13 +203,21 @@
     pub fn new(names: Vec<String>, classes: &[Class]) -> Self {
         let ids =
             names.iter().enumerate().map(|(i, n)| (n.clone().into_bytes(), ClassId(i as u16))).collect();
-        let asks = classes.iter().map(|c| (c.deadline, matches!(c.effect, Effect::Keyed(_)))).collect();
+        let asks = classes
+            .iter()
+            .map(|c| (c.deadline, matches!(c.effect, Effect::Keyed(_)), c.never_kept))
+            .collect();
         Classes { ids, names: names.into_iter().map(Into::into).collect(), asks }
     }
 
     /// The longest that a client of the class waits (seconds), and whether its requests need a key.
     pub fn asks(&self, class: ClassId) -> (f64, bool) {
-        self.asks.get(usize::from(class.0)).copied().unwrap_or_default()
+        self.asks.get(usize::from(class.0)).map_or((0.0, false), |c| (c.0, c.1))
+    }
+
+    /// Is the class never kept, so that the reserve is there for it?
+    pub fn never_kept(&self, class: ClassId) -> bool {
+        self.asks.get(usize::from(class.0)).is_some_and(|c| c.2)
     }
 
     /// The class of a name.
@@ -214,8 +235,8 @@
     pub listen: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
-    /// Most memory, in bytes.
-    pub memory: usize,
+    /// What memory is held to, in all and by purpose.
+    pub memory: Plan,
     /// Most descriptors.
     pub sockets: usize,
     /// Where the coordinator listens, if there is one.
@@ -250,7 +271,8 @@
 
 impl Told {
     /// Keys in which a later reading differs and that cannot change while the program runs. What was on at
-    /// the start stays on: only where the coordinator or the discovery server is reached may change.
+    /// the start stays on: where the coordinator or the discovery server is reached may change, and what memory is
+    /// held to.
     pub fn fixed(&self, later: &Told) -> Vec<String> {
         let mut keys = Vec::new();
         differing("", &self.0, &later.0, &mut keys);
@@ -260,7 +282,8 @@
             (false, false) => &["coordinator"],
             _ => &[],
         };
-        keys.retain(|key| !live.contains(&key.as_str()));
+        let memory = |key: &str| key == "limits.memory_mb" || key == "memory" || key.starts_with("memory.");
+        keys.retain(|key| !live.contains(&key.as_str()) && !memory(key));
         keys
     }
 }
@@ -365,7 +388,7 @@
         name: top.get("name")?.text()?.to_owned(),
         listen: needed("listen", signed.is_some())?.map(|v| v.address()).transpose()?,
         seed,
-        memory: (limits.get("memory_mb")?.above_zero()? * 1e6) as usize,
+        memory: memory(&top, (limits.get("memory_mb")?.above_zero()? * 1e6) as usize, contracts.0.len())?,
         sockets: limits.get("sockets")?.above_zero()? as usize,
         coordinator: needed("coordinator", !feed)?.filter(|_| feed).map(|v| v.address()).transpose()?,
         known,
@@ -382,6 +405,51 @@
     })
 }
 
+/// Reads the table of memory by purpose: sizes in megabytes (`cap_mb`) or shares of the total (`cap`).
+fn memory(top: &At, total: usize, teams: usize) -> Result<Plan, String> {
+    let mut wishes = [Wish::default(); PURPOSES];
+    let mut share = if teams > 1 { TEAM_SHARE } else { 1.0 };
+    let Some(table) = top.opt("memory") else {
+        return Plan::new(total, &wishes, share).map_err(|e| format!("config: {e}"));
+    };
+    for (key, at) in table.entries()? {
+        if key == "team_share" {
+            share = at.above_zero()?;
+            continue;
+        }
+        let Some(purpose) = Purpose::ALL.into_iter().find(|p| p.name() == key) else {
+            let names = Purpose::ALL.map(Purpose::name).join(", ");
+            return Err(at.wrong(&format!("known: there are team_share, {names}")));
+        };
+        let wish = &mut wishes[purpose as usize];
+        for (key, at) in at.entries()? {
+            let (name, size) = match key.strip_suffix("_mb") {
+                Some(name) => (name, at.number()? * 1e6),
+                None => (
+                    key,
+                    at.number()
+                        .and_then(|s| if s <= 1.0 { Ok(s) } else { Err(at.wrong("a share of 1 at most")) })?
+                        * total as f64,
+                ),
+            };
+            let place = match name {
+                "guarantee" => &mut wish.guarantee,
+                "cap" => &mut wish.cap,
+                "reserve" => &mut wish.reserve,
+                _ => {
+                    return Err(
+                        at.wrong("known: there are guarantee, cap and reserve, each with or without _mb")
+                    );
+                }
+            };
+            if size < 0.0 || place.replace(size as usize).is_some() {
+                return Err(at.wrong("a size of 0 or more that stands once"));
+            }
+        }
+    }
+    Plan::new(total, &wishes, share).map_err(|e| format!("config: {e}"))
+}
+
 fn signed(at: &At) -> Result<Signed, String> {
     let or = |key: &str, default: f64| at.opt(key).map_or(Ok(default), |v| v.number());
     let base = at.get("base")?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,7 +33,9 @@
 pub mod log;
 pub mod memory;
 pub mod net;
+pub mod routing;
 pub mod signed;
+pub mod watch;
 pub mod xds;
 
 pub use brain::Director;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,10 @@
 
 use onyxyoke::broker::{self, Broker, Close, Contracts, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
-use onyxyoke::net::{Live, clients, coordinator, lines, pool};
+use onyxyoke::memory::{Holder, Ledger, Purpose};
+use onyxyoke::net::{Live, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
-use onyxyoke::{clock, log, signed, xds};
+use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -25,10 +26,8 @@
 const KILL: (f64, f64) = (3.0, 0.7);
 /// So long before that everything is answered, and everything written (seconds).
 const BEFORE: (f64, f64) = (0.45, 0.15);
-/// Shares of the memory limit for what is held of requests, of answers that clients are slow to take, and of
-/// answers that have come in part. Half frames of clients and the program itself have the rest.
-const HELD: (usize, usize, usize) = (10, 5, 3);
-/// Requests that wait for the broker's turn; beyond, connections are not read from.
+/// Requests that wait for the broker's turn, as far as their account has room for so many; beyond, connections are
+/// not read from.
 const ASKS: usize = 256;
 /// Share of the descriptors for cache nodes.
 const SHARE: usize = 3;
@@ -70,6 +69,7 @@
 struct Feed {
     discovery: Option<Rc<Live<(SocketAddr, f64)>>>,
     coordinator: Option<Rc<Live<SocketAddr>>>,
+    memory: Ledger,
 }
 
 impl Feed {
@@ -86,6 +86,9 @@
         if let (Some(live), Some(address)) = (&self.coordinator, later.coordinator) {
             live.set(address);
         }
+        if *self.memory.accounts().plan() != later.memory {
+            self.memory.accounts_mut().replan(later.memory);
+        }
         let fixed = told.fixed(&later.told);
         match fixed.is_empty() {
             true => log!("reload: the settings are in force"),
@@ -102,16 +105,17 @@
     let (news_in, news) = unbounded_channel();
     let (reports_in, reports) = unbounded_channel();
     let (commands_in, commands) = unbounded_channel();
-    let (asks_in, asks) = channel(ASKS);
+    let waiting = config.memory.limits[Purpose::Waiting as usize].cap;
+    let (asks_in, asks) = channel((waiting / broker::REQUEST).clamp(1, ASKS));
     let (close, closes) = unbounded_channel();
     let print = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
-    let (numbers, unsent) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let (numbers, open) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let memory = Ledger::new(config.memory, config.contracts.0.len());
     let contracts: Rc<Contracts> = Rc::new(config.contracts);
     let classes = Rc::new(config.classes);
     let wait = config.settings.max_wait;
     let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-    let unsent_most = config.memory / HELD.1;
     let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
     // Clients hold a third at most; what they have just closed may not be gone here yet.
     let connections = config.sockets * 2 / 5 / fronts.max(1);
@@ -125,8 +129,8 @@
             ready: ready.clone(),
             connections,
             numbers: numbers.clone(),
-            unsent: unsent.clone(),
-            unsent_most,
+            open: open.clone(),
+            memory: memory.clone(),
             wait,
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
@@ -138,8 +142,11 @@
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
         keys.replace(clock::now(), 0.0, KeyFile::parse(&text).map_err(wrong)?);
+        let held = memory.ask(Holder::of(Purpose::Signed), keys.footprint());
+        let held = held.map_err(|_| wrong("they are larger than 'memory.signed' allows".into()))?;
         let keys = Rc::new(RefCell::new(keys));
-        spawn_local(signed::watch_keys(signed.keys, text, keys.clone(), signed.reread, signed.overlap));
+        let times = (signed.reread, signed.overlap);
+        spawn_local(signed::watch_keys(signed.keys, text, keys.clone(), times, held));
         let front = signed::Front {
             asks: asks_in.clone(),
             contracts: contracts.clone(),
@@ -150,8 +157,8 @@
             keys,
             connections,
             numbers,
-            unsent: unsent.clone(),
-            unsent_most,
+            open: open.clone(),
+            memory: memory.clone(),
             wait,
         };
         log!("{} serves signed links on {}", config.name, listener.local_addr()?);
@@ -165,19 +172,18 @@
             connect_within: config.connect_within,
             idle: config.keepalive / 2.0,
             streams: config.streams,
-            // Each may hold one answer of which a part has come.
-            connections: (config.sockets / SHARE).min(config.memory / HELD.2 / lines::LARGEST).max(1),
-            unsent_most,
+            connections: (config.sockets / SHARE).max(1),
         },
-        unsent.clone(),
+        memory.clone(),
     ));
+    spawn_local(watch::memory(memory.clone()));
 
     let mut broker = Broker::new(Setup {
         seed: config.seed,
         settings: config.settings,
         class_names: classes.names.clone(),
         contracts,
-        held_most: config.memory / HELD.0,
+        memory: memory.clone(),
     });
     let (last, events) = config.known;
     let mut first = true;
@@ -189,11 +195,12 @@
     let feed = Feed {
         discovery: config.xds.map(|xds| Live::new((xds.server, xds.refresh))),
         coordinator: config.coordinator.map(Live::new),
+        memory: memory.clone(),
     };
     if let Some(server) = &feed.discovery {
-        spawn_local(xds::follow(server.clone(), config.name, config.names, news_in));
+        spawn_local(xds::follow(server.clone(), config.name, config.names, news_in, memory.clone()));
     } else if let Some(address) = &feed.coordinator {
-        spawn_local(coordinator::follow(address.clone(), last, news_in));
+        spawn_local(coordinator::follow(address.clone(), last, news_in, memory.clone()));
     }
     let inputs = Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
@@ -218,7 +225,7 @@
     // The last answers are with their connections' tasks, which get the time to write them.
     loop {
         sleep_until(clock::instant(clock::now() + 0.05)).await;
-        if unsent.get() == 0 || clock::now() > killed - BEFORE.1 {
+        if memory.accounts().used(Purpose::Unread) == 0 || clock::now() > killed - BEFORE.1 {
             return Ok(());
         }
     }
--- a/src/memory/accounts.rs
+++ b/src/memory/accounts.rs
@@ -127,8 +127,7 @@
         let room = wanted <= limit.cap && (committed <= self.plan.total || committed <= self.committed);
         let share = self.teams.get(usize::from(team)).map_or(0, |t| t[at].saturating_add(bytes));
         if !room || share > self.plan.team_cap(purpose) {
-            self.accounts[at].refused += 1;
-            return Err(Refused { purpose });
+            return Err(self.refuse(purpose));
         }
         let account = &mut self.accounts[at];
         (account.ordinary, account.precious) = (ordinary, held);
@@ -140,6 +139,12 @@
         Ok(())
     }
 
+    /// Counts a refusal.
+    pub(super) fn refuse(&mut self, purpose: Purpose) -> Refused {
+        self.accounts[purpose as usize].refused += 1;
+        Refused { purpose }
+    }
+
     /// Books bytes back. Only a [`super::Grant`] calls this, with what it was granted.
     pub(super) fn give_back(&mut self, purpose: Purpose, team: u16, precious: bool, bytes: usize) {
         let (at, before) = (purpose as usize, self.commitment(purpose));
--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -2,8 +2,8 @@
 //! its bytes are back.
 
 use super::accounts::NO_TEAM;
-use super::{Accounts, Plan, Purpose, Refused};
-use std::cell::{Ref, RefCell, RefMut};
+use super::{Accounts, Finding, Level, Notice, Plan, Pressure, Purpose, Refused, Truth};
+use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::fmt;
 use std::rc::Rc;
 
@@ -25,14 +25,27 @@
     }
 }
 
+struct Shared {
+    accounts: RefCell<Accounts>,
+    pressure: RefCell<Pressure>,
+    /// The level that held at the last look, at hand for every buffer.
+    level: Cell<Level>,
+    truth: RefCell<Truth>,
+}
+
 /// The front's accounts, shared by its tasks, which all run on one thread.
 #[derive(Clone)]
-pub struct Ledger(Rc<RefCell<Accounts>>);
+pub struct Ledger(Rc<Shared>);
 
 impl Ledger {
     /// Accounts under a plan, with so many teams below each.
     pub fn new(plan: Plan, teams: usize) -> Self {
-        Ledger(Rc::new(RefCell::new(Accounts::new(plan, teams))))
+        Ledger(Rc::new(Shared {
+            accounts: RefCell::new(Accounts::new(plan, teams)),
+            pressure: RefCell::default(),
+            level: Cell::default(),
+            truth: RefCell::default(),
+        }))
     }
 
     /// Accounts that refuse nothing, for what runs outside of a front.
@@ -42,12 +55,47 @@
 
     /// The sums as they stand.
     pub fn accounts(&self) -> Ref<'_, Accounts> {
-        self.0.borrow()
+        self.0.accounts.borrow()
     }
 
     /// For the one task that turns, observes and plans anew.
     pub fn accounts_mut(&self) -> RefMut<'_, Accounts> {
-        self.0.borrow_mut()
+        self.0.accounts.borrow_mut()
+    }
+
+    /// The level that holds now.
+    pub fn level(&self) -> Level {
+        let level = self.0.pressure.borrow_mut().look(&self.accounts());
+        self.0.level.set(level);
+        level
+    }
+
+    /// May a request of so many bytes be taken now?
+    pub fn admits(&self, bytes: usize, precious: bool) -> bool {
+        self.level();
+        self.0.pressure.borrow().admits(&self.accounts(), bytes, precious)
+    }
+
+    /// Is a client that has left so many bytes unread, one of so many, to be read from?
+    pub fn hears(&self, unread: usize, clients: usize) -> bool {
+        unread == 0 || self.0.pressure.borrow().hears(&self.accounts(), unread, clients)
+    }
+
+    /// How many of so many idle connections are to be closed in this turn.
+    pub fn closes(&self, idle: usize) -> usize {
+        self.0.pressure.borrow().closes(idle)
+    }
+
+    /// A turn: the process was seen to hold so many bytes. What is worth a line in the log.
+    pub fn turn(&self, resident: usize) -> (Finding, Vec<Notice>) {
+        let finding = self.0.truth.borrow_mut().look(&mut self.accounts_mut(), resident);
+        self.level();
+        (finding, self.accounts_mut().turn())
+    }
+
+    /// What the system last said of the process (bytes).
+    pub fn resident(&self) -> usize {
+        self.0.truth.borrow().resident()
     }
 
     /// Asks for so many bytes.
@@ -57,6 +105,11 @@
         Ok(grant)
     }
 
+    /// Counts a refusal that the pressure asked for, though the account itself has room.
+    pub fn refuse(&self, purpose: Purpose) -> Refused {
+        self.accounts_mut().refuse(purpose)
+    }
+
     /// A grant of nothing yet, which may grow.
     pub fn empty(&self, holder: Holder) -> Grant {
         let (team, precious) = (holder.team.unwrap_or(NO_TEAM), holder.precious);
@@ -64,6 +117,30 @@
     }
 }
 
+/// As the counters show it: sizes in bytes, by account.
+impl fmt::Display for Ledger {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let accounts = self.accounts();
+        let (free, shared) = accounts.remainder();
+        write!(
+            f,
+            "memory total={} held={} resident={} shared={shared} free={free} level={}",
+            accounts.plan().total,
+            accounts.sum(),
+            self.resident(),
+            self.0.level.get().name()
+        )?;
+        for purpose in Purpose::ALL {
+            let s = accounts.sight(purpose);
+            let name = purpose.name();
+            write!(f, " {name}.now={} {name}.peak={} {name}.cap={}", s.now, s.peak, s.cap)?;
+            write!(f, " {name}.guarantee={} {name}.borrowed={}", s.guarantee, s.borrowed)?;
+            write!(f, " {name}.refused={}", s.refused)?;
+        }
+        Ok(())
+    }
+}
+
 /// Bytes that may be used until this is dropped.
 pub struct Grant {
     ledger: Option<Ledger>,
@@ -86,13 +163,18 @@
         self.bytes
     }
 
+    /// Is memory so scarce that idle buffers are released?
+    pub fn pressed(&self) -> bool {
+        self.ledger.as_ref().is_some_and(|l| l.0.level.get() >= Level::Compact)
+    }
+
     /// Asks for more.
     pub fn grow(&mut self, more: usize) -> Result<(), Refused> {
         match &self.ledger {
             _ if more == 0 => Ok(()),
             None => Err(Refused { purpose: self.purpose }),
             Some(ledger) => {
-                ledger.0.borrow_mut().take(self.purpose, self.team, self.precious, more)?;
+                ledger.accounts_mut().take(self.purpose, self.team, self.precious, more)?;
                 self.bytes += more;
                 Ok(())
             }
@@ -104,7 +186,7 @@
         let less = less.min(self.bytes);
         self.bytes -= less;
         if let Some(ledger) = self.ledger.as_ref().filter(|_| less > 0) {
-            ledger.0.borrow_mut().give_back(self.purpose, self.team, self.precious, less);
+            ledger.accounts_mut().give_back(self.purpose, self.team, self.precious, less);
         }
     }
 
--- a/src/memory/plan.rs
+++ b/src/memory/plan.rs
@@ -47,11 +47,13 @@
         Purpose::Unread => (0.05, 0.30, 0.02),
         Purpose::Waiting => (0.06, 0.20, 0.03),
         Purpose::Learned => (0.06, 0.20, 0.0),
-        Purpose::Signed => (0.02, 0.10, 0.0),
+        Purpose::Signed => (0.04, 0.12, 0.02),
         Purpose::Program => (0.24, 0.40, 0.0),
     }
 }
 
+/// The reserve of the second front is enough for checking one token, as far as a sixteenth of the total is (bytes).
+const SIGNED_LEAST: usize = 640_000;
 /// The program and its allocator take so much whatever the total is (bytes).
 const PROGRAM_LEAST: usize = 8_000_000;
 
@@ -67,11 +69,13 @@
         let mut limits = [Limit::default(); PURPOSES];
         for purpose in Purpose::ALL {
             let (wish, (guarantee, cap, reserve)) = (&wishes[purpose as usize], usual(purpose));
-            let least = if purpose == Purpose::Program { PROGRAM_LEAST.min(total / 2) } else { 0 };
-            let mut limit = Limit {
-                guarantee: of(guarantee).max(least),
-                cap: of(cap).max(2 * least),
-                reserve: of(reserve),
+            let mut limit = match purpose {
+                Purpose::Program => Limit { guarantee: program, cap: of(cap).max(2 * least), reserve: 0 },
+                Purpose::Signed => {
+                    let reserve = of(reserve).max(SIGNED_LEAST.min(total / 16));
+                    Limit { guarantee: of(guarantee).max(reserve), cap: of(cap).max(2 * reserve), reserve }
+                }
+                _ => Limit { guarantee: of(guarantee), cap: of(cap), reserve: of(reserve) },
             };
             // What is set draws along what is not: a cap alone lowers the guarantee, a guarantee lifts the cap.
             if let Some(cap) = wish.cap {
--- a/src/memory/pressure.rs
+++ b/src/memory/pressure.rs
@@ -166,7 +166,9 @@
     /// A full account of unread answers stops the reading of those who caused it, and of no others.
     #[test]
     fn the_slowest_are_held_up_where_their_account_is_full() {
-        let plan = Plan::new(100_000_000, &[Wish::default(); PURPOSES], 1.0).unwrap();
+        let mut wishes = [Wish::default(); PURPOSES];
+        wishes[Purpose::Unread as usize].cap = Some(10_000_000);
+        let plan = Plan::new(100_000_000, &wishes, 1.0).unwrap();
         let ledger = Ledger::new(plan, 0);
         let limit = plan.limits[Purpose::Unread as usize];
         let _full = ledger.ask(Holder::of(Purpose::Unread), limit.cap - limit.reserve).unwrap();
--- a/src/memory/truth.rs
+++ b/src/memory/truth.rs
@@ -40,8 +40,10 @@
         };
         self.resident = resident;
         let rest = self.rest as usize;
-        accounts.observe(rest);
         let cap = accounts.sight(Purpose::Program).cap;
+        // No more than its cap is held against the others: what is beyond is told of, and may be what the system
+        // can take back at any time (mapped files). A front that refused everything over it would be worse off.
+        accounts.observe(rest.min(cap));
         let was_over = std::mem::replace(&mut self.over, rest > cap);
         if self.over && !was_over {
             self.told = rest;
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,22 +1,41 @@
-//! A connection's buffer: grows as it needs, is compacted in place, gives memory back when it is empty.
+//! What a connection holds: bytes that come ([`Buffer`]) and bytes that are to go ([`Output`]). Both take what they
+//! need beyond their connection's own from an account, before they use it.
 
-use std::io;
+use crate::memory::{Grant, Refused};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use std::ops::Range;
 use tokio::net::TcpStream;
 
-/// Room made before each read.
-const READ: usize = 16 * 1024;
-/// An empty buffer larger than this is given back: most connections wait most of the time, and are many.
-const KEEP: usize = 4 * 1024;
+/// Up to here a buffer grows by doubling, beyond in steps (bytes).
+const DOUBLED: usize = 64 * 1024;
+const STEP: usize = 16 * 1024;
 
-/// Bytes in order: appended at the tail, taken from the head.
-#[derive(Default)]
+/// Bytes in order: appended at the tail, taken from the head; one allocation, compacted in place. The first
+/// `keep` bytes are the connection's own, what lies beyond is granted by an account, and given back as soon as
+/// the buffer is empty: most connections wait most of the time, and are many.
 pub struct Buffer {
     data: Vec<u8>,
     head: usize,
     taken: u64,
+    keep: usize,
+    room: Grant,
+    skip: usize,
 }
 
 impl Buffer {
+    /// An empty buffer; `room` is granted nothing yet and grows by what exceeds `keep`.
+    pub fn new(keep: usize, room: Grant) -> Self {
+        Buffer { data: Vec::new(), head: 0, taken: 0, keep, room, skip: 0 }
+    }
+
+    /// Another account, or holder, is asked from now on; not while the one before has granted something.
+    pub fn set_room(&mut self, room: impl FnOnce() -> Grant) {
+        if self.room.bytes() == 0 {
+            self.room = room();
+        }
+    }
+
     /// What is held.
     pub fn bytes(&self) -> &[u8] {
         &self.data[self.head..]
@@ -45,32 +64,84 @@
         if self.is_empty() {
             self.data.clear();
             self.head = 0;
-            if self.data.capacity() > KEEP {
+            if self.data.capacity() > self.keep || self.room.pressed() {
                 self.data = Vec::new();
+                self.room.shrink(usize::MAX);
             }
         }
     }
 
-    /// Appends.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.make_room(bytes.len());
-        self.data.extend_from_slice(bytes);
+    /// Takes `n` bytes from the head, also those that are still to come. None of these costs memory.
+    pub fn skip(&mut self, n: usize) {
+        let here = n.min(self.len());
+        self.consume(here);
+        self.skip += n - here;
+    }
+
+    /// How many bytes that are still to come will be passed over.
+    pub fn skipping(&self) -> usize {
+        self.skip
     }
 
-    /// Moves what is held to the front when that is cheaper than growing.
-    fn make_room(&mut self, wanted: usize) {
-        if self.head > 0 && self.data.capacity() - self.data.len() < wanted && self.head >= self.len() {
+    /// Makes room for `wanted` bytes after those that are held: moves these to the front, and grows.
+    pub fn reserve(&mut self, wanted: usize) -> Result<(), Refused> {
+        if self.data.capacity() - self.data.len() >= wanted {
+            return Ok(());
+        }
+        if self.head > 0 {
             self.data.copy_within(self.head.., 0);
             self.data.truncate(self.data.len() - self.head);
             self.head = 0;
         }
+        let needed = self.data.len() + wanted;
+        if needed > self.data.capacity() {
+            let size = match needed {
+                n if n <= self.keep => self.keep,
+                n if n <= DOUBLED => n.next_power_of_two(),
+                n => n.next_multiple_of(STEP),
+            };
+            self.room.resize(size - self.keep.min(size))?;
+            self.data.reserve_exact(size - self.data.len());
+        }
+        Ok(())
     }
 
-    /// Reads once without waiting; `Ok(0)` is the end of the stream.
+    /// Appends, if there is memory for it; nothing is appended else.
+    #[must_use]
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        let fits = self.reserve(bytes.len()).is_ok();
+        if fits {
+            self.data.extend_from_slice(bytes);
+        }
+        fits
+    }
+
+    /// Reads once without waiting; `Ok(0)` is the end of the stream. Where a full buffer may not grow, the error
+    /// is [`io::ErrorKind::OutOfMemory`] and nothing is read.
     pub fn read_from(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        self.make_room(READ);
-        self.data.reserve(READ);
-        stream.try_read_buf(&mut self.data)
+        if self.data.capacity() == self.data.len() {
+            let more = if self.head > 0 { 1 } else { self.data.len().max(self.keep) };
+            self.reserve(more).map_err(|_| io::ErrorKind::OutOfMemory)?;
+        }
+        let n = stream.try_read_buf(&mut self.data)?;
+        self.pass_over();
+        Ok(n)
+    }
+
+    /// Drops what has come of the bytes that are to be skipped.
+    fn pass_over(&mut self) {
+        let passed = self.skip.min(self.len());
+        self.skip -= passed;
+        self.consume(passed);
+    }
+
+    /// What a read from a socket would bring, piece by piece.
+    #[cfg(test)]
+    pub fn arrive(&mut self, bytes: &[u8]) {
+        for piece in bytes.chunks(100) {
+            assert!(self.push(piece));
+            self.pass_over();
+        }
     }
 
     /// Writes what the socket takes without waiting.
@@ -90,3 +161,188 @@
         Ok(sent)
     }
 }
+
+/// One buffer's length of text beside the bodies: what a connection has room for as its own. It takes in no more
+/// requests while half of it is unsent; the rest is for what its open ones are answered with.
+pub const TEXT: usize = 8 * 1024;
+/// Pieces that are written with one call.
+const PIECES: usize = 16;
+
+struct Part {
+    data: Vec<u8>,
+    left: Range<usize>,
+    /// What a body is held by; text is the connection's own.
+    body: Option<Grant>,
+}
+
+/// Answers on their way to a client: text that is the connection's own, and between it bodies, each with the
+/// grant that it came with, so that none is copied and all is back as it is sent.
+#[derive(Default)]
+pub struct Output {
+    parts: VecDeque<Part>,
+    len: usize,
+    text: usize,
+    spare: Vec<u8>,
+    unread: Grant,
+}
+
+impl Output {
+    /// An empty output; `unread` is the account that unsent text is shown in.
+    pub fn new(unread: Grant) -> Self {
+        Output { unread, ..Output::default() }
+    }
+
+    /// Bytes that are unsent.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Is all sent?
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Is so much text unsent that nothing more is to be taken in?
+    pub fn crowded(&self) -> bool {
+        self.text > TEXT / 2
+    }
+
+    /// Appends text.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.parts.back().is_none_or(|p| p.body.is_some()) {
+            let data = std::mem::take(&mut self.spare);
+            self.parts.push_back(Part { data, left: 0..0, body: None });
+        }
+        if let Some(part) = self.parts.back_mut() {
+            part.data.extend_from_slice(bytes);
+            part.left.end = part.data.len();
+            (self.len, self.text) = (self.len + bytes.len(), self.text + bytes.len());
+        }
+    }
+
+    /// Appends a part of a body, which keeps its grant until it is sent.
+    pub fn push_body(&mut self, data: Vec<u8>, left: Range<usize>, grant: Grant) {
+        if !left.is_empty() {
+            self.len += left.len();
+            self.parts.push_back(Part { data, left, body: Some(grant) });
+        }
+    }
+
+    /// Writes what the socket takes without waiting.
+    pub fn write_to(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        let mut sent = 0;
+        while !self.is_empty() {
+            let mut pieces = [IoSlice::new(&[]); PIECES];
+            let count = self.parts.len().min(PIECES);
+            for (piece, part) in pieces.iter_mut().zip(&self.parts) {
+                *piece = IoSlice::new(&part.data[part.left.clone()]);
+            }
+            match stream.try_write_vectored(&pieces[..count]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.consume(n);
+                    sent += n;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        // Shown, not asked: the connection has paid for it. A refusal leaves the sum as it was.
+        let _ = self.unread.resize(self.text);
+        Ok(sent)
+    }
+
+    /// Takes `n` bytes from the head.
+    pub fn consume(&mut self, mut n: usize) {
+        while n > 0
+            && let Some(part) = self.parts.front_mut()
+        {
+            let here = n.min(part.left.len());
+            part.left.start += here;
+            (n, self.len) = (n - here, self.len - here);
+            if part.body.is_none() {
+                self.text -= here;
+            }
+            if !part.left.is_empty() {
+                return;
+            }
+            if let Some(Part { mut data, body: None, .. }) = self.parts.pop_front()
+                && data.capacity() <= TEXT
+            {
+                data.clear();
+                self.spare = data;
+            }
+        }
+    }
+
+    /// All that is unsent, in one piece.
+    #[cfg(test)]
+    pub fn bytes(&self) -> Vec<u8> {
+        self.parts.iter().flat_map(|p| &p.data[p.left.clone()]).copied().collect()
+    }
+}
+
+#[cfg(test)]
+impl Default for Buffer {
+    /// A buffer outside of a front, which nothing limits.
+    fn default() -> Self {
+        use crate::memory::{Holder, Ledger, Purpose};
+        Buffer::new(4096, Ledger::unlimited().empty(Holder::of(Purpose::Caches)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::memory::{Holder, Ledger, Limit, PURPOSES, Plan, Purpose};
+
+    fn ledger(cap: usize) -> Ledger {
+        let limits = [Limit { guarantee: 0, cap, reserve: 0 }; PURPOSES];
+        Ledger::new(Plan { total: 10 * cap, limits, team_share: 1.0 }, 0)
+    }
+
+    /// A buffer never holds more than its own and what it was granted, and gives that back when it is empty.
+    #[test]
+    fn a_buffer_asks_before_it_grows_and_gives_back_when_empty() {
+        let ledger = ledger(20_000);
+        let mut b = Buffer::new(1000, ledger.empty(Holder::of(Purpose::Partial)));
+        assert!(b.push(&[1; 1000]) && ledger.accounts().used(Purpose::Partial) == 0, "its own");
+        assert!(b.push(&[2; 7000]));
+        assert_eq!(ledger.accounts().used(Purpose::Partial), 8192 - 1000);
+        assert!(!b.push(&[3; 30_000]), "over the cap");
+        assert_eq!((b.len(), b.bytes()[999], b.bytes()[1000]), (8000, 1, 2), "and nothing was appended");
+        b.consume(7999);
+        assert!(b.push(&[4; 5000]), "compacted in place");
+        assert_eq!(ledger.accounts().used(Purpose::Partial), 8192 - 1000);
+        b.consume(usize::MAX);
+        assert_eq!(ledger.accounts().sum(), 0);
+        b.skip(7);
+        assert_eq!((b.skipping(), b.data.capacity()), (7, 0), "what is passed over costs nothing");
+    }
+
+    /// Bodies keep their grants until their last byte is sent, and text stands between them in order.
+    #[test]
+    fn an_output_gives_bodies_back_as_they_are_sent() {
+        let ledger = ledger(20_000);
+        let mut out = Output::new(ledger.empty(Holder::of(Purpose::Unread)));
+        let body = |n: usize| (vec![b'b'; n], ledger.ask(Holder::of(Purpose::Unread), n).unwrap());
+        let ((one, first), (two, second)) = (body(3), body(4));
+        out.push(b"head ");
+        out.push(b"more ");
+        out.push_body(one, 0..3, first);
+        out.push(b" tail");
+        out.push_body(two, 1..3, second);
+        assert_eq!(out.bytes(), b"head more bbb tailbb");
+        assert_eq!(ledger.accounts().used(Purpose::Unread), 7);
+        out.consume(12);
+        assert_eq!((out.bytes(), ledger.accounts().used(Purpose::Unread)), (b"b tailbb".to_vec(), 7));
+        out.consume(1);
+        assert_eq!(ledger.accounts().used(Purpose::Unread), 4);
+        out.consume(7);
+        assert!(out.is_empty() && out.text == 0 && ledger.accounts().sum() == 0);
+        (0..TEXT / 2).for_each(|_| out.push(b"x"));
+        assert!(!out.crowded());
+        out.push(b"x");
+        assert!(out.crowded());
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,11 +1,12 @@
 //! RESP clients: one task a connection, which reads requests, hands them to the broker and writes answers.
 
 use super::resp::{self, Broken, Command};
-use super::{Buffer, Seat, Unreadable, amount, number};
+use super::{Buffer, INPUT, Output, Seat, Unreadable, amount, number};
 use crate::broker::{Answer, Ask, Caller, Contracts, Input};
 use crate::clock;
 use crate::config::Classes;
 use crate::interface::*;
+use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
 use rustc_hash::FxHashSet;
 use std::cell::Cell;
 use std::io;
@@ -32,6 +33,8 @@
 const CREDIT: (f64, f64) = (1000.0, 500.0);
 /// What a frame costs of it: one that is taken, refused at once, unusable.
 const COSTS: [f64; 3] = [1.0, 2.0, 10.0];
+/// A client whose frame may not grow is read from again after this (seconds).
+const RELIEF: f64 = 0.005;
 /// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
 /// and its bytes are counted against everybody's.
 const STALLED: f64 = 5.0;
@@ -62,18 +65,27 @@
     pub connections: usize,
     /// Numbers for connections, shared by all fronts.
     pub numbers: Rc<Cell<u64>>,
-    /// Bytes of answers that connections hold, and the most of them.
-    pub unsent: Rc<Cell<usize>>,
-    /// Over this many of them, new requests are refused.
-    pub unsent_most: usize,
+    /// Connections that are open.
+    pub open: Rc<Cell<usize>>,
+    /// What holds connections, requests and answers.
+    pub memory: Ledger,
     /// What a refusal of this front's own says (seconds).
     pub wait: f64,
 }
 
+impl Front {
+    /// Takes memory for a request and for its body, which it has from then on.
+    fn hold(&self, mut ask: Ask, body: &[u8]) -> Result<Ask, Refused> {
+        ask.hold(&self.memory, self.classes.never_kept(ask.class), body.len())?;
+        ask.body = body.to_vec();
+        Ok(ask)
+    }
+}
+
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    let serve = |stream, seat| Client::new(front.clone(), seat).serve(stream);
-    super::accept(listener, front.connections, serve).await;
+    let serve = |stream, seat, own| Client::new(front.clone(), seat, own).serve(stream);
+    super::accept(listener, front.connections, front.open.clone(), front.memory.clone(), serve).await;
 }
 
 /// One connection's requests and answers, without the socket.
@@ -82,7 +94,7 @@
     number: u64,
     open: FxHashSet<u64>,
     reply: UnboundedSender<(u64, Answer)>,
-    pub(super) output: Buffer,
+    pub(super) output: Output,
     /// It has said something whole that can be used.
     spoken: bool,
     /// Credit for frames, and when it was topped up. Below zero, nothing is read.
@@ -93,12 +105,13 @@
     pub(super) fn new(front: Rc<Front>, reply: UnboundedSender<(u64, Answer)>) -> Self {
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
+        let unread = front.memory.empty(Holder { precious: true, ..Holder::of(Purpose::Unread) });
         Session {
             front,
             number,
             open: FxHashSet::default(),
             reply,
-            output: Buffer::default(),
+            output: Output::new(unread),
             spoken: false,
             credit: (CREDIT.1, 0.0),
         }
@@ -118,11 +131,12 @@
 
     /// Takes one whole frame off the buffer: `None` if there is none, else what the broker is to hear of it.
     pub(super) fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, Broken> {
-        if self.hears_at(now) > now {
+        // What is owed to a client that does not read must not outgrow the connection's own.
+        if self.hears_at(now) > now || self.output.crowded() {
             return Ok(None);
         }
-        let Some((command, used)) = resp::parse(input.bytes())? else { return Ok(None) };
-        let mut say = |tag, word| resp::answer(&mut self.output, tag, word, "", b"");
+        let Some((command, used)) = resp::parse(input.bytes())? else { return Ok(self.announced(input)) };
+        let mut say = |tag, word| resp::answer(&mut self.output, tag, word, "", None);
         let [mut cost, refused, unusable] = COSTS;
         let mut usable = true;
         let heard = match command {
@@ -143,20 +157,23 @@
             Command::Request { tag, class, fields, body } => {
                 let front = &self.front;
                 let class = front.classes.get(class);
-                let ask = class.and_then(|c| parse(now, c, &front.classes, &front.contracts, fields, body));
-                let crowded = self.open.len() >= OPEN_MOST || front.unsent.get() > front.unsent_most;
+                let ask = class.and_then(|c| parse(now, c, &front.classes, &front.contracts, fields));
+                let ask = ask.map(|ask| match self.open.len() >= OPEN_MOST {
+                    true => None,
+                    false => front.hold(ask, body).ok(),
+                });
                 match ask {
                     None => {
                         say(tag, "fault");
                         (cost, usable) = (unusable, false);
                         None
                     }
-                    Some(_) if crowded => {
+                    Some(None) => {
                         self.refuse(tag, self.front.wait);
                         cost = refused;
                         None
                     }
-                    Some(ask) => {
+                    Some(Some(ask)) => {
                         self.open.insert(tag);
                         Some(Input::Ask { caller: self.caller(tag), ask, reply: self.reply.clone() })
                     }
@@ -169,27 +186,47 @@
         Ok(Some(heard))
     }
 
+    /// A request whose body is still to come: there is memory for all of it, or it is refused now and its bytes are
+    /// passed over as they come.
+    fn announced(&mut self, input: &mut Buffer) -> Option<Option<Input>> {
+        let resp::Pending { tag, class, body, total } = resp::pending(input.bytes())?;
+        let front = &self.front;
+        let precious = front.classes.get(class).is_some_and(|c| front.classes.never_kept(c));
+        input.set_room(|| front.memory.empty(Holder { precious, ..Holder::of(Purpose::Bodies) }));
+        let admitted = self.open.len() < OPEN_MOST && front.memory.admits(body, precious);
+        if admitted && input.reserve(total - input.len()).is_ok() || self.open.contains(&tag) {
+            return None;
+        }
+        input.skip(total);
+        self.refuse(tag, self.front.wait);
+        self.credit.0 -= COSTS[1];
+        self.spoken = true;
+        Some(None)
+    }
+
     /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. The
     /// tags stay open, so that the broker hears that nobody waits any more.
     pub(super) fn broken(&mut self, tag: Option<u64>) {
         for &tag in self.open.iter().chain(tag.filter(|tag| !self.open.contains(tag)).iter()) {
-            resp::answer(&mut self.output, tag, "fault", "", b"");
+            resp::answer(&mut self.output, tag, "fault", "", None);
         }
     }
 
-    pub(super) fn answer(&mut self, tag: u64, answer: &Answer) {
+    pub(super) fn answer(&mut self, tag: u64, answer: Answer) {
         // After an abort none is owed, and one that crossed it is dropped.
         if !self.open.remove(&tag) {
             return;
         }
         match answer {
             Answer::Served(content) if content.current => {
-                resp::answer(&mut self.output, tag, "ok", "current=1", b"");
+                resp::answer(&mut self.output, tag, "ok", "current=1", None);
+            }
+            Answer::Served(content) => {
+                resp::answer(&mut self.output, tag, "ok", "", Some((content.body, content.grant)));
             }
-            Answer::Served(content) => resp::answer(&mut self.output, tag, "ok", "", &content.body),
-            Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, *wait),
+            Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, wait),
             Answer::Failed | Answer::Late | Answer::Forbidden => {
-                resp::answer(&mut self.output, tag, "fault", "", b"");
+                resp::answer(&mut self.output, tag, "fault", "", None);
             }
         }
     }
@@ -199,7 +236,7 @@
             true => format!("pushback={}", (wait * 1000.0).ceil()),
             false => String::new(),
         };
-        resp::answer(&mut self.output, tag, "full", &fields, b"");
+        resp::answer(&mut self.output, tag, "full", &fields, None);
     }
 }
 
@@ -207,14 +244,13 @@
     seat: Seat,
     session: Session,
     answers: UnboundedReceiver<(u64, Answer)>,
-    /// Bytes of the output that are counted in the front's sum.
-    counted: usize,
+    _own: Grant,
 }
 
 impl Client {
-    fn new(front: Rc<Front>, seat: Seat) -> Self {
+    fn new(front: Rc<Front>, seat: Seat, own: Grant) -> Self {
         let (reply, answers) = unbounded_channel();
-        Client { seat, session: Session::new(front, reply), answers, counted: 0 }
+        Client { seat, session: Session::new(front, reply), answers, _own: own }
     }
 
     async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
@@ -234,7 +270,6 @@
             let caller = Caller { connection: number, tag };
             let _ = front.asks.send(Input::Abort(caller)).await;
         }
-        front.unsent.set(front.unsent.get() - self.counted);
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
                 Ok(())
@@ -244,23 +279,24 @@
     }
 
     async fn exchange(&mut self, stream: &TcpStream) -> Result<(), Ended> {
-        let mut input = Buffer::default();
+        let memory = self.session.front.memory.clone();
+        let mut input = Buffer::new(INPUT, memory.empty(Holder::of(Purpose::Bodies)));
         let made = clock::now();
         let (mut idle_at, mut stalled_at) = (made + IDLE, made + STALLED);
         // When the frame that has begun is to be whole.
         let mut whole_by = None;
         loop {
             while let Ok((tag, answer)) = self.answers.try_recv() {
-                self.session.answer(tag, &answer);
+                self.session.answer(tag, answer);
             }
             let output = &mut self.session.output;
             if output.write_to(stream)? > 0 || output.is_empty() {
                 stalled_at = clock::now() + STALLED;
             }
-            let unsent = &self.session.front.unsent;
-            unsent.set(unsent.get() + output.len() - self.counted);
-            self.counted = output.len();
-            let full = output.len() > UNSENT;
+            // One that leaves much unread is not read from, and sooner while all do.
+            let full = output.len() > UNSENT
+                || output.crowded()
+                || !memory.hears(output.len(), self.session.front.open.get());
             let writable = !output.is_empty();
             let quiet = !writable && self.session.open.is_empty();
             match quiet {
@@ -283,7 +319,7 @@
                 biased;
                 Some((tag, answer)) = self.answers.recv() => {
                     idle_at = clock::now() + IDLE;
-                    self.session.answer(tag, &answer);
+                    self.session.answer(tag, answer);
                 }
                 ready = stream.ready(interest), if writable || !deaf => {
                     if !ready?.is_readable() || full || deaf {
@@ -299,6 +335,10 @@
                             whole_by = (!input.is_empty()).then_some(by);
                         }
                         Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                        // Half a frame that may not grow is held up, and is to be whole in its time all the same.
+                        Err(e) if e.kind() == io::ErrorKind::OutOfMemory => {
+                            sleep_until(clock::instant(clock::now() + RELIEF)).await;
+                        }
                         Err(e) => return Err(e.into()),
                     }
                 }
@@ -334,10 +374,13 @@
     /// the client might lose them.
     async fn part(&mut self, stream: &mut TcpStream) {
         let by = clock::instant(clock::now() + PARTING.0);
-        let last = std::mem::take(&mut self.session.output);
+        let last = &mut self.session.output;
         let mut passed = 0;
         let parting = async {
-            stream.write_all(last.bytes()).await?;
+            while !last.is_empty() {
+                stream.writable().await?;
+                last.write_to(stream)?;
+            }
             stream.shutdown().await?;
             let mut rest = [0; 4096];
             while passed < PARTING.1 {
@@ -388,17 +431,10 @@
 /// Reads a request's fields; `None` if one that is needed is missing, stands twice or cannot be used. Unknown
 /// ones are passed over. Guards the cache nodes, which end a connection with all that is open on it over what
 /// they cannot read, and the core, which a far deadline would keep busy.
-fn parse(
-    now: f64,
-    class: ClassId,
-    classes: &Classes,
-    contracts: &Contracts,
-    fields: &[u8],
-    body: &[u8],
-) -> Option<Ask> {
+fn parse(now: f64, class: ClassId, classes: &Classes, contracts: &Contracts, fields: &[u8]) -> Option<Ask> {
     const NAMES: [&[u8]; 10] =
         [b"call", b"ttl", b"rep", b"dedupe", b"row", b"slice", b"set", b"heap", b"org", b"seen"];
-    let mut ask = Ask { class, body: body.to_vec(), ..Ask::default() };
+    let mut ask = Ask { class, ..Ask::default() };
     let mut ttl = None;
     let mut had = [false; NAMES.len()];
     for field in fields.split(|&b| b == b',') {
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -4,6 +4,7 @@
 use super::frames::{self, Frame};
 use super::{Buffer, Live, Unreadable};
 use crate::broker::News;
+use crate::memory::{Holder, Ledger, Purpose};
 use crate::{clock, log};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +21,9 @@
 /// Pause before connecting again (seconds), longer after each failure up to the second.
 const PAUSE: (f64, f64) = (0.05, 0.5);
 
+/// What is read of the feed at once (bytes).
+const OWN: usize = 16 * 1024;
+
 /// What to do with a frame.
 #[derive(Debug, PartialEq)]
 pub enum Step {
@@ -71,7 +75,7 @@
 
 /// Follows the coordinator for ever, also to another address: from the last number had, so that no event is
 /// missed or heard twice. A session that the change cuts hands on an event at once or not at all.
-pub async fn follow(address: Rc<Live<SocketAddr>>, last: u64, news: UnboundedSender<News>) {
+pub async fn follow(address: Rc<Live<SocketAddr>>, last: u64, news: UnboundedSender<News>, memory: Ledger) {
     let mut feed = Feed::new(last);
     let mut pause = PAUSE.0;
     loop {
@@ -79,7 +83,7 @@
         let why = tokio::select! {
             biased;
             () = address.changed() => None,
-            ended = session(now, &mut feed, &news) => Some(match ended {
+            ended = session(now, &mut feed, &news, &memory) => Some(match ended {
                 Ok(why) => why.to_owned(),
                 Err(e) => e.to_string(),
             }),
@@ -111,6 +115,7 @@
     address: SocketAddr,
     feed: &mut Feed,
     news: &UnboundedSender<News>,
+    memory: &Ledger,
 ) -> std::io::Result<&'static str> {
     let connect_by = clock::instant(clock::now() + CONNECT_WITHIN);
     let Ok(stream) = timeout_at(connect_by, TcpStream::connect(address)).await else {
@@ -119,7 +124,9 @@
     let mut stream = stream?;
     stream.set_nodelay(true)?;
     stream.write_all(&feed.last.to_be_bytes()).await?;
-    let mut buffer = Buffer::default();
+    // News are more precious than anything they could push out: no list or purge is missed for want of memory.
+    let holder = Holder { precious: true, ..Holder::of(Purpose::Learned) };
+    let mut buffer = Buffer::new(OWN, memory.empty(holder));
     let mut silent_at = clock::instant(clock::now() + SILENT_AFTER);
     loop {
         let Ok(ready) = timeout_at(silent_at, stream.readable()).await else { return Ok("silence") };
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -4,6 +4,7 @@
 use super::{Buffer, Unreadable, lines};
 use crate::broker::{Content, Order, Report, Ticket};
 use crate::interface::{Note, Outcome};
+use crate::memory::{Grant, Holder, Ledger, Purpose};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::VecDeque;
 
@@ -11,6 +12,8 @@
 const AHEAD: usize = 16 * 1024;
 /// With so many withdrawn requests a connection is given no new ones.
 const WITHDRAWN_MOST: usize = 512;
+/// An answer without content is waited for whole up to this length (bytes); of a longer one only the line is read.
+const TOLD: usize = 4096;
 /// Calls that were answered here lately and are remembered, since a second copy of an answer may follow.
 const ANSWERED: usize = 64;
 /// A copy made so much later than now is none; clocks of a site differ by less (seconds).
@@ -31,11 +34,29 @@
     never_kept: bool,
     /// The client holds a copy, so that its tag alone may be answered.
     have: bool,
+    /// Whose request it is, for the accounts.
+    team: Option<u16>,
+}
+
+impl Sent {
+    fn holder(&self, purpose: Purpose) -> Holder {
+        Holder { purpose, team: self.team, precious: self.never_kept }
+    }
+}
+
+/// How far the reading of answers has come.
+#[derive(Debug, PartialEq)]
+pub enum Progress {
+    /// More bytes are needed.
+    Wants,
+    /// The next answer is announced, and there is no memory for it. Nothing of it is read until there is, or it
+    /// is given up.
+    Held,
 }
 
 /// The state of one connection.
-#[derive(Default)]
 pub struct Exchange {
+    memory: Ledger,
     waiting: VecDeque<Order>,
     out: FxHashMap<Box<str>, Sent>,
     withdrawn: FxHashSet<Box<str>>,
@@ -45,9 +66,35 @@
     cancels: Vec<Box<str>>,
     last_read: f64,
     silent: bool,
+    /// Memory for the answer that is under way, granted before its bytes are read.
+    coming: Option<Grant>,
+    /// Bytes that nobody waits for are passed over; behind them the end of their line is due.
+    passing: bool,
 }
 
 impl Exchange {
+    /// A connection on which nothing is under way; what comes and goes on it is held by these accounts.
+    pub fn new(memory: Ledger) -> Self {
+        Exchange {
+            memory,
+            waiting: VecDeque::new(),
+            out: FxHashMap::default(),
+            withdrawn: FxHashSet::default(),
+            answered: VecDeque::new(),
+            encoded: 0,
+            cancels: Vec::new(),
+            last_read: 0.0,
+            silent: false,
+            coming: None,
+            passing: false,
+        }
+    }
+
+    /// Does an order wait for its write?
+    pub fn waits(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// How many requests are waiting or out.
     pub fn load(&self) -> usize {
         self.waiting.len() + self.out.len()
@@ -90,11 +137,15 @@
         Some(ended(ticket, Outcome::Cancelled))
     }
 
-    /// Encodes what waits, as long as the socket keeps up. What is overdue is not sent any more.
+    /// Encodes what waits, as long as the socket keeps up. What is overdue is not sent any more; what there is
+    /// no memory for waits on, and can be taken back unsent.
     pub fn encode(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) {
         let had = out.len();
-        for call in self.cancels.drain(..) {
-            lines::cancel(out, &call);
+        while let Some(call) = self.cancels.pop() {
+            if !lines::cancel(out, &call) {
+                self.cancels.push(call);
+                break;
+            }
         }
         self.encoded += (out.len() - had) as u64;
         while out.len() < AHEAD
@@ -106,58 +157,142 @@
                 continue;
             }
             let (from, had) = (self.encoded, out.len());
-            lines::serve(out, &order, patience);
+            let holder =
+                Holder { purpose: Purpose::Bodies, team: order.ask.team, precious: order.never_kept };
+            out.set_room(|| self.memory.empty(holder));
+            if !lines::serve(out, &order, patience) {
+                return self.waiting.push_front(order);
+            }
             self.encoded += (out.len() - had) as u64;
             report(Report::Written(order.ticket));
             let (oldest, never_kept, have) = (order.oldest, order.never_kept, order.ask.have.is_some());
-            let sent = Sent { ticket: order.ticket, at: now, from, oldest, never_kept, have };
-            self.out.insert(order.ask.call.clone(), sent);
+            let (ticket, team) = (order.ticket, order.ask.team);
+            self.out.insert(
+                order.ask.call.clone(),
+                Sent { ticket, at: now, from, oldest, never_kept, have, team },
+            );
         }
     }
 
-    /// Takes whole answers off the head of the buffer. Only a whole one becomes `Ok`.
+    /// Takes whole answers off the head of the buffer. Only a whole one becomes `Ok`, and only what somebody
+    /// waits for is held at all: its stated length is granted before its bytes are read.
     pub fn decode(
         &mut self,
         now: f64,
         buffer: &mut Buffer,
         mut report: impl FnMut(Report),
-    ) -> Result<(), Unreadable> {
+    ) -> Result<Progress, Unreadable> {
         (self.last_read, self.silent) = (now, false);
-        while let Some((answer, used)) = lines::parse(buffer.bytes())? {
-            // Only what is out can be answered: a second copy, or an answer under an unknown id, is passed over.
-            if let Some(sent) = self.out.get(answer.id) {
-                let outcome = answer.outcome.ok_or(Unreadable("an answer with an unknown word"))?;
-                if answer.valid && !sent.have {
-                    return Err(Unreadable("a valid copy that nobody asked for"));
+        loop {
+            if self.passing {
+                if buffer.skipping() > 0 || buffer.len() < 2 {
+                    return Ok(Progress::Wants);
                 }
-                // A copy that cannot be told from others, or whose age is untold, is a spoilt one.
-                let told = !answer.etag.is_empty() && answer.made.is_some();
-                if outcome == Outcome::Ok && !told && (answer.valid || !sent.never_kept) {
-                    return Err(Unreadable("a copy without its tag or time"));
+                if !buffer.bytes().starts_with(b"\r\n") {
+                    return Err(Unreadable("bytes that do not end where they should"));
                 }
-                let made = answer.made.map(|ms| ms as f64 / 1000.0);
-                if made.is_some_and(|made| made > now + AHEAD_OF_TIME) {
-                    return Err(Unreadable("a copy from the future"));
-                }
-                // What the node should not have served is not served on.
-                let old = outcome == Outcome::Ok && made.is_some_and(|made| made < sent.oldest - CLOCKS);
-                let outcome = if old { Outcome::Error } else { outcome };
-                let Some((call, sent)) = self.out.remove_entry(answer.id) else { continue };
-                if self.answered.len() >= ANSWERED {
-                    self.answered.pop_front();
+                buffer.consume(2);
+                self.passing = false;
+            }
+            let Some(head) = lines::head(buffer.bytes())? else { return Ok(Progress::Wants) };
+            let (line, length, total) = (head.line, head.length, head.total());
+            // Only what is out can be answered: a second copy, or an answer under an unknown id, is passed over.
+            let Some(sent) = self.out.get(head.answer.id) else {
+                self.coming = None;
+                self.pass(buffer, line, length);
+                continue;
+            };
+            let outcome = head.answer.outcome.ok_or(Unreadable("an answer with an unknown word"))?;
+            if head.answer.valid && !sent.have {
+                return Err(Unreadable("a valid copy that nobody asked for"));
+            }
+            // A copy that cannot be told from others, or whose age is untold, is a spoilt one.
+            let told = !head.answer.etag.is_empty() && head.answer.made.is_some();
+            if outcome == Outcome::Ok && !told && (head.answer.valid || !sent.never_kept) {
+                return Err(Unreadable("a copy without its tag or time"));
+            }
+            let made = head.answer.made.map(|ms| ms as f64 / 1000.0);
+            if made.is_some_and(|made| made > now + AHEAD_OF_TIME) {
+                return Err(Unreadable("a copy from the future"));
+            }
+            // What the node should not have served is not served on.
+            let old = outcome == Outcome::Ok && made.is_some_and(|made| made < sent.oldest - CLOCKS);
+            let outcome = if old { Outcome::Error } else { outcome };
+            // Content is held from here until the client has it; anything else is only told.
+            let content = length.filter(|&n| n > 0 && outcome == Outcome::Ok);
+            if let Some(length) = content
+                && self.coming.is_none()
+            {
+                let Ok(grant) = self.memory.ask(sent.holder(Purpose::Unread), line + length) else {
+                    return Ok(Progress::Held);
+                };
+                let partial = sent.holder(Purpose::Partial);
+                self.coming = Some(grant);
+                if total > buffer.len() {
+                    buffer.set_room(|| self.memory.empty(partial));
+                    if buffer.reserve(total - buffer.len()).is_err() {
+                        self.coming = None;
+                        return Ok(Progress::Held);
+                    }
+                    return Ok(Progress::Wants);
                 }
-                self.answered.push_back(call);
-                let content = (outcome == Outcome::Ok).then(|| Content {
-                    body: answer.body.to_vec(),
-                    etag: answer.etag.into(),
-                    current: answer.valid,
-                });
-                let (note, source_wait) = (answer.note, answer.source_wait);
-                report(Report::Ended { ticket: sent.ticket, outcome, note, source_wait, content });
             }
-            buffer.consume(used);
+            let held = content.is_some() || total <= TOLD;
+            if held && buffer.len() < total {
+                return Ok(Progress::Wants);
+            }
+            if held && length.is_some() && &buffer.bytes()[total - 2..total] != b"\r\n" {
+                return Err(Unreadable("bytes that do not end where they should"));
+            }
+            let body = content.map_or_else(Vec::new, |length| buffer.bytes()[line..line + length].to_vec());
+            let answer = head.answer;
+            let (note, source_wait, current) = (answer.note, answer.source_wait, answer.valid);
+            let grant = self.coming.take().unwrap_or_default();
+            let content =
+                (outcome == Outcome::Ok).then(|| Content { body, etag: answer.etag.into(), current, grant });
+            let Some((call, sent)) = self.out.remove_entry(answer.id) else { continue };
+            self.remember(call);
+            match held {
+                true => buffer.consume(total),
+                false => self.pass(buffer, line, length),
+            }
+            report(Report::Ended { ticket: sent.ticket, outcome, note, source_wait, content });
+        }
+    }
+
+    /// There was no memory for the answer at the head of the buffer, for too long: it is passed over, and its
+    /// request hears that at once. What else is out here, and is still to come behind it, is not touched.
+    pub fn give_up(&mut self, buffer: &mut Buffer, mut report: impl FnMut(Report)) {
+        let Ok(Some(head)) = lines::head(buffer.bytes()) else { return };
+        let (line, length) = (head.line, head.length);
+        if let Some((call, sent)) = self.out.remove_entry(head.answer.id) {
+            self.remember(call);
+            report(Report::NoMemory(sent.ticket));
+        }
+        self.coming = None;
+        self.pass(buffer, line, length);
+    }
+
+    /// Is an answer here in part?
+    pub fn midway(&self, buffer: &Buffer) -> bool {
+        self.passing || !buffer.is_empty()
+    }
+
+    /// Takes an answer's line off the buffer, and what follows it as it comes.
+    fn pass(&mut self, buffer: &mut Buffer, line: usize, length: Option<usize>) {
+        buffer.consume(line);
+        if let Some(length) = length {
+            buffer.skip(length);
+            self.passing = true;
+        }
+    }
+
+    /// A second copy of an answer may follow under this name.
+    fn remember(&mut self, call: Box<str>) {
+        if self.answered.len() >= ANSWERED {
+            self.answered.pop_front();
         }
-        Ok(())
+        self.answered.push_back(call);
     }
 
     /// Gives up what was never sent.
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -31,8 +31,10 @@
     pub body: &'a [u8],
 }
 
-/// Writes `serve` for an order, of which the node may take until `patience_ms` from now.
-pub fn serve(out: &mut Buffer, order: &Order, patience_ms: u64) {
+/// Writes `serve` for an order, of which the node may take until `patience_ms` from now; nothing at all if there is
+/// no memory for it.
+#[must_use]
+pub fn serve(out: &mut Buffer, order: &Order, patience_ms: u64) -> bool {
     use std::fmt::Write;
     let ask = &order.ask;
     let mut line = String::with_capacity(160);
@@ -63,18 +65,37 @@
         let _ = write!(line, ",have={have}");
     }
     let _ = write!(line, " {}\r\n", ask.body.len());
-    out.push(line.as_bytes());
-    out.push(&ask.body);
-    out.push(b"\r\n");
+    let fits = out.reserve(line.len() + ask.body.len() + 2).is_ok();
+    fits && out.push(line.as_bytes()) && out.push(&ask.body) && out.push(b"\r\n")
 }
 
-/// Writes `cancel`.
-pub fn cancel(out: &mut Buffer, id: &str) {
-    out.push(format!("cancel {id}\r\n").as_bytes());
+/// Writes `cancel`; not if there is no memory for it.
+#[must_use]
+pub fn cancel(out: &mut Buffer, id: &str) -> bool {
+    out.push(format!("cancel {id}\r\n").as_bytes())
 }
 
-/// Reads one answer off the head of `bytes`, and how long it was; `None` while it is not whole.
-pub fn parse(bytes: &[u8]) -> Result<Option<(Answer<'_>, usize)>, Unreadable> {
+/// An answer's line: all that it says before its bytes come.
+#[derive(Debug, PartialEq)]
+pub struct Head<'a> {
+    /// The answer, without bytes.
+    pub answer: Answer<'a>,
+    /// Bytes of the line.
+    pub line: usize,
+    /// Bytes that follow, without the end of line behind them; `None` where nothing follows.
+    pub length: Option<usize>,
+}
+
+impl Head<'_> {
+    /// How long the whole answer is.
+    pub fn total(&self) -> usize {
+        self.line + self.length.map_or(0, |length| length + 2)
+    }
+}
+
+/// Reads the line of an answer off the head of `bytes`; `None` while it is not whole. What is wrong with an
+/// answer is told from its line, so that none of its bytes needs to be held.
+pub fn head(bytes: &[u8]) -> Result<Option<Head<'_>>, Unreadable> {
     let Some(end) = bytes.iter().take(LINE).position(|&b| b == b'\n') else {
         return if bytes.len() >= LINE { Err(Unreadable("an overlong line")) } else { Ok(None) };
     };
@@ -85,19 +106,17 @@
         return Err(Unreadable("a line without a word"));
     };
     let fields = words.next().unwrap_or("-");
-    let mut used = end + 1;
-    let mut body: &[u8] = &[];
     let length = words.next();
     if words.next().is_some() {
         return Err(Unreadable("a line with too many words"));
     }
-    if let Some(length) = length {
-        let length = super::number(length.as_bytes()).filter(|&n| n <= LARGEST as u64);
-        let length = length.ok_or(Unreadable("a length that is none, or too large"))? as usize;
-        let Some(rest) = bytes.get(used..used + length + 2) else { return Ok(None) };
-        body = rest.strip_suffix(b"\r\n").ok_or(Unreadable("bytes that do not end where they should"))?;
-        used += length + 2;
-    }
+    let length = match length {
+        None => None,
+        Some(digits) => {
+            let length = super::number(digits.as_bytes()).filter(|&n| n <= LARGEST as u64);
+            Some(length.ok_or(Unreadable("a length that is none, or too large"))? as usize)
+        }
+    };
     let outcome = match word {
         "HIT" | "VALID" => Some(Outcome::Ok),
         "NONE" => Some(Outcome::Miss),
@@ -108,7 +127,7 @@
     };
     let valid = word == "VALID";
     let (note, source_wait, etag, made) = (Note::None, 0.0, "", None);
-    let mut answer = Answer { id, outcome, valid, note, source_wait, etag, made, body };
+    let mut answer = Answer { id, outcome, valid, note, source_wait, etag, made, body: &[] };
     for (name, value) in fields.split(',').filter_map(|f| f.split_once('=')) {
         match name {
             "n" => answer.note = note_of(value),
@@ -121,11 +140,20 @@
     // Guards against a spoilt answer that would pass for served.
     match word {
         "HIT" if length.is_none() => Err(Unreadable("a hit without its length")),
-        "VALID" if !body.is_empty() => Err(Unreadable("a valid copy with bytes")),
-        _ => Ok(Some((answer, used))),
+        "VALID" if length.unwrap_or(0) > 0 => Err(Unreadable("a valid copy with bytes")),
+        _ => Ok(Some(Head { answer, line: end + 1, length })),
     }
 }
 
+/// Reads one answer off the head of `bytes`, and how long it was; `None` while it is not whole.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Answer<'_>, usize)>, Unreadable> {
+    let Some(Head { mut answer, line, length }) = head(bytes)? else { return Ok(None) };
+    let Some(length) = length else { return Ok(Some((answer, line))) };
+    let Some(rest) = bytes.get(line..line + length + 2) else { return Ok(None) };
+    answer.body = rest.strip_suffix(b"\r\n").ok_or(Unreadable("bytes that do not end where they should"))?;
+    Ok(Some((answer, line + length + 2)))
+}
+
 fn note_of(word: &str) -> Note {
     match word {
         "TCP_HIT" => Note::Hit,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,8 +12,9 @@
 pub mod pool;
 pub mod resp;
 
-pub use buffer::Buffer;
+pub use buffer::{Buffer, Output, TEXT};
 
+use crate::memory::{Grant, Holder, Ledger, Purpose};
 use crate::{clock, log};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,6 +27,14 @@
 /// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
 const ACCEPT_PAUSE: f64 = 0.01;
 
+/// What a client connection has as its own beside the text of its answers: its task, its tables, and what is
+/// read at once (bytes).
+const OWN: usize = 4 * 1024 + INPUT;
+/// What is read of a client at once (bytes).
+pub const INPUT: usize = 4 * 1024;
+/// While memory is scarce, idle connections are looked at this often (seconds).
+const RELIEF: f64 = 0.1;
+
 /// Why input cannot be read; the connection that it came on is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Unreadable(pub &'static str);
@@ -134,6 +143,11 @@
 }
 
 impl Lobby {
+    /// How many wait for their client.
+    fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     /// Asks the most dispensable connection to leave, if there is one.
     fn make_place(&self) -> bool {
         let first = self.waiting.borrow_mut().pop_first();
@@ -147,14 +161,33 @@
 /// Accepts until the program ends: a task for each connection, and at most so many of them. Guards against
 /// connections that say nothing, which must not keep out those that would: the newest comer gets the place
 /// of the one that is most dispensable, and is turned away only where all have a request.
-pub async fn accept<F>(listener: TcpListener, most: usize, serve: impl Fn(TcpStream, Seat) -> F)
-where
+pub async fn accept<F>(
+    listener: TcpListener,
+    most: usize,
+    open: Rc<Cell<usize>>,
+    memory: Ledger,
+    serve: impl Fn(TcpStream, Seat, Grant) -> F,
+) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let open = Rc::new(Cell::new(0usize));
     let lobby = Rc::new(Lobby::default());
+    let own = || memory.ask(Holder::of(Purpose::Clients), OWN + TEXT);
+    let mut relief_at = clock::now();
     loop {
-        match listener.accept().await {
+        // While memory is scarce, idle connections leave turn by turn, the most dispensable first.
+        let closing = memory.closes(lobby.waiting()) > 0;
+        let accepted = tokio::select! {
+            biased;
+            () = sleep_until(clock::instant(relief_at)), if closing => {
+                relief_at = clock::now() + RELIEF;
+                for _ in 0..memory.closes(lobby.waiting()) {
+                    lobby.make_place();
+                }
+                continue;
+            }
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, peer)) => {
                 if open.get() >= most {
                     if !lobby.make_place() {
@@ -164,7 +197,16 @@
                     // Whoever was asked leaves now, before there is another.
                     tokio::task::yield_now().await;
                 }
-                let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone())));
+                let mut granted = own();
+                if granted.is_err() && lobby.make_place() {
+                    tokio::task::yield_now().await;
+                    granted = own();
+                }
+                let Ok(granted) = granted else {
+                    log!("client {peer} is turned away: no memory for another connection");
+                    continue;
+                };
+                let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone()), granted));
                 open.set(open.get() + 1);
                 tokio::task::spawn_local(async move {
                     match served.await {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,9 +2,10 @@
 //! pool; each connection is a task of its own that reports straight to the broker.
 
 use super::Buffer;
-use super::exchange::{Exchange, ended};
+use super::exchange::{Exchange, Progress, ended};
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
+use crate::memory::{Grant, Holder, Ledger, Purpose};
 use crate::{clock, log};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -19,8 +20,14 @@
 /// A further connection to a node is opened once each has so many requests. Whatever spoils an answer ends
 /// its connection, and with it what else is out there.
 const CROWD: usize = 1;
-/// While clients read too little, it is looked again after this (seconds).
+/// While there is no memory for an answer, it is asked for again after this; after that the answer is given up,
+/// and its request refused, so that its client hears in time (seconds).
 const RELIEF: f64 = 0.005;
+const HELD_UP: f64 = 0.15;
+/// A connection's own: its task and tables, what is read at once, and what is written of orders without bodies.
+const OWN: usize = 4 * 1024;
+const INPUT: usize = 16 * 1024;
+const OUTPUT: usize = 4 * 1024;
 /// Most connections to one node.
 const PER_NODE: usize = 16;
 /// An answer of which a part has come goes on within this, and is whole within that (seconds). Nodes write
@@ -40,8 +47,6 @@
     pub streams: usize,
     /// Most connections in all.
     pub connections: usize,
-    /// While clients have left more bytes than this unread, answers are left unread too.
-    pub unsent_most: usize,
 }
 
 /// To a connection's task.
@@ -80,18 +85,18 @@
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
     limits: Limits,
-    unsent: Rc<Cell<usize>>,
+    memory: Ledger,
 }
 
-/// Runs the pool until the broker has ended. `unsent` counts the bytes that clients have left unread.
+/// Runs the pool until the broker has ended.
 pub async fn run(
     mut commands: UnboundedReceiver<Command>,
     reports: UnboundedSender<Report>,
     limits: Limits,
-    unsent: Rc<Cell<usize>>,
+    memory: Ledger,
 ) {
     let (returned, mut back) = unbounded_channel();
-    let mut pool = Pool { peers: FxHashMap::default(), reports, returned, limits, unsent };
+    let mut pool = Pool { peers: FxHashMap::default(), reports, returned, limits, memory };
     loop {
         tokio::select! {
             biased;
@@ -184,13 +189,14 @@
         peer.links.retain(|l| !l.jobs.is_closed());
         let usable = |l: &&Link| l.state.borrow().takes(&order.ask.call) && l.load() < self.limits.streams;
         let least = peer.links.iter().filter(usable).min_by_key(|l| l.load());
+        let own = || self.memory.ask(Holder::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
         let room = peer.links.len() < PER_NODE && total < self.limits.connections;
+        let own = if least.is_some_and(|link| link.load() < CROWD) || !room { None } else { own() };
         let link = match least {
-            Some(link) if link.load() < CROWD || !room => link,
-            _ if room => {
-                let Some(address) = peer.address else { return };
+            Some(link) if own.is_none() => link,
+            _ if let (Some(own), Some(address)) = (own, peer.address) => {
                 let (reports, returned) = (self.reports.clone(), self.returned.clone());
-                peer.links.push(open(address, self.limits, reports, returned, self.unsent.clone()));
+                peer.links.push(open(address, self.limits, reports, returned, self.memory.clone(), own));
                 &peer.links[peer.links.len() - 1]
             }
             _ => {
@@ -212,14 +218,25 @@
     limits: Limits,
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
-    unsent: Rc<Cell<usize>>,
+    memory: Ledger,
+    own: Grant,
 ) -> Link {
     let (jobs, queue) = unbounded_channel();
-    let state = Rc::new(RefCell::new(Exchange::default()));
+    let state = Rc::new(RefCell::new(Exchange::new(memory.clone())));
     let pending = Rc::new(Cell::new(0));
     let link = Link { jobs, state: state.clone(), pending: pending.clone() };
-    let connection =
-        Connection { address, limits, queue, state, pending, reports, returned, unsent, retired: false };
+    let connection = Connection {
+        address,
+        limits,
+        queue,
+        state,
+        pending,
+        reports,
+        returned,
+        memory,
+        _own: own,
+        retired: false,
+    };
     tokio::task::spawn_local(connection.run());
     link
 }
@@ -232,7 +249,8 @@
     pending: Rc<Cell<usize>>,
     reports: UnboundedSender<Report>,
     returned: UnboundedSender<Order>,
-    unsent: Rc<Cell<usize>>,
+    memory: Ledger,
+    _own: Grant,
     retired: bool,
 }
 
@@ -267,7 +285,8 @@
         let connected = self.connect().await;
         // A connection that is reset while it is new is no refusal.
         let refused = connected.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::ConnectionReset);
-        let mut output = Buffer::default();
+        // What a body needs beyond the connection's own is granted with the body's own account.
+        let mut output = Buffer::new(OUTPUT, self.memory.empty(Holder::of(Purpose::Bodies)));
         let ended_by = match connected {
             Ok(stream) => self.serve(stream, &mut output).await,
             Err(e) => Err(e),
@@ -310,10 +329,12 @@
 
     /// Writes orders and reads answers until the connection breaks, is idle or its node is gone.
     async fn serve(&mut self, stream: TcpStream, output: &mut Buffer) -> io::Result<()> {
-        let mut input = Buffer::default();
+        let mut input = Buffer::new(INPUT, self.memory.empty(Holder::of(Purpose::Partial)));
         let mut idle_at = clock::now() + self.limits.idle;
         // Since when a part of an answer is here, and when the rest is to go on.
         let mut part: Option<(f64, f64)> = None;
+        // When the answer that there is no memory for is given up.
+        let mut give_up_at: Option<f64> = None;
         loop {
             while let Ok(job) = self.queue.try_recv() {
                 self.take(job);
@@ -326,8 +347,7 @@
             } else if (worn || self.retired) && output.is_empty() {
                 return Ok(());
             }
-            let paused = self.unsent.get() > self.limits.unsent_most;
-            if paused {
+            if give_up_at.is_some() {
                 part = part.map(|_| (clock::now(), clock::now() + STALL.0));
             }
             let stalled_at = part.map(|(since, goes_on)| goes_on.min(since + STALL.1));
@@ -335,25 +355,21 @@
                 true => Interest::READABLE,
                 false => Interest::READABLE | Interest::WRITABLE,
             };
+            // An order whose body there is no memory to write.
+            let unwritten = self.state.borrow().waits() && output.is_empty();
+            let mut decode = give_up_at.is_some();
             tokio::select! {
                 biased;
                 Some(job) = self.queue.recv() => self.take(job),
-                // Guards the memory limit against clients that do not read: what they leave unread here stays
-                // with the cache nodes; deadlines go on.
-                () = sleep_until(clock::instant(clock::now() + RELIEF)), if paused => {}
-                ready = stream.ready(interest), if !paused => {
+                // Guards the memory limit: what there is no memory for stays with the cache node, which holds up
+                // this connection and no other; deadlines go on.
+                () = sleep_until(clock::instant(clock::now() + RELIEF)), if give_up_at.is_some() || unwritten => {}
+                ready = stream.ready(interest), if give_up_at.is_none() => {
                     if ready?.is_readable() {
-                        let had = input.len();
                         match input.read_from(&stream) {
                             Ok(0) if load == 0 => return Ok(()),
                             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                            Ok(_) => {
-                                let read = self.state.borrow_mut().decode(clock::now(), &mut input, |r| self.report(r));
-                                read.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.0))?;
-                                let (now, whole) = (clock::now(), input.len() < had);
-                                let since = part.filter(|_| !whole).map_or(now, |p| p.0);
-                                part = (!input.is_empty()).then_some((since, now + STALL.0));
-                            }
+                            Ok(_) => decode = true,
                             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                             Err(e) => return Err(e),
                         }
@@ -365,6 +381,26 @@
                 }
                 () = sleep_until(clock::instant(idle_at)), if load == 0 => return Ok(()),
             }
+            if decode {
+                let now = clock::now();
+                let before = (input.taken(), input.skipping());
+                let mut state = self.state.borrow_mut();
+                let mut progress = state.decode(now, &mut input, |r| self.report(r));
+                while progress == Ok(Progress::Held) {
+                    if now < *give_up_at.get_or_insert(now + HELD_UP) {
+                        break;
+                    }
+                    state.give_up(&mut input, |r| self.report(r));
+                    give_up_at = None;
+                    progress = state.decode(now, &mut input, |r| self.report(r));
+                }
+                let progress = progress.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.0))?;
+                give_up_at = give_up_at.filter(|_| progress == Progress::Held);
+                // Something whole has come, or was passed over: what follows it begins now.
+                let whole = (input.taken(), input.skipping()) != before;
+                let since = part.filter(|_| !whole).map_or(now, |p| p.0);
+                part = state.midway(&input).then_some((since, now + STALL.0));
+            }
         }
     }
 }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -1,6 +1,7 @@
 //! RESP as clients speak it: arrays of bulk strings, every one with a tag. Parsing and writing only.
 
 use super::Unreadable;
+use crate::memory::Grant;
 
 /// A frame that cannot be read, after which nothing on its connection can. Its tag, if that came before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -110,13 +111,69 @@
     }
 }
 
+/// A request whose body is not whole, as far as its words before the body say.
+#[derive(Debug, PartialEq)]
+pub struct Pending<'a> {
+    /// The tag of the answer.
+    pub tag: u64,
+    /// The class, in a word.
+    pub class: &'a [u8],
+    /// Bytes of the body.
+    pub body: usize,
+    /// Bytes of the whole frame.
+    pub total: usize,
+}
+
+/// Reads a request whose body has been announced and has not come whole; `None` if there is none such at the head
+/// of `bytes`. So a body can be refused, or granted, before its bytes are read.
+pub fn pending(bytes: &[u8]) -> Option<Pending<'_>> {
+    let (count, mut at) = header(bytes, b'*', WORDS).ok()??;
+    let mut words: [&[u8]; 4] = [&[]; 4];
+    for word in words.iter_mut().filter(|_| count == 5) {
+        let (length, used) = header(bytes.get(at..)?, b'$', BULK).ok()??;
+        *word = bytes.get(at + used..at + used + length)?;
+        at += used + length + 2;
+    }
+    let (body, used) = header(bytes.get(at..)?, b'$', BULK).ok()??;
+    let total = at + used + body + 2;
+    let tag = super::number(words[1]).filter(|_| words[0] == b"REQ" && total > bytes.len())?;
+    Some(Pending { tag, class: words[2], body, total })
+}
+
+/// Most digits of a number.
+const DECIMAL: usize = 20;
+
+/// A number's digits, without an allocation.
+fn decimal(mut number: u64, digits: &mut [u8; DECIMAL]) -> &str {
+    let mut at = DECIMAL;
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            return std::str::from_utf8(&digits[at..]).unwrap_or_default();
+        }
+    }
+}
+
 /// Writes an answer: tag, word, fields, body.
-pub fn answer(out: &mut super::Buffer, tag: u64, word: &str, fields: &str, body: &[u8]) {
-    let tag = tag.to_string();
+pub fn answer(out: &mut super::Output, tag: u64, word: &str, fields: &str, body: Option<(Vec<u8>, Grant)>) {
+    let (body, grant) = body.unwrap_or_default();
+    let mut digits = [0; DECIMAL];
     out.push(b"*4\r\n");
-    for part in [tag.as_bytes(), word.as_bytes(), fields.as_bytes(), body] {
-        out.push(format!("${}\r\n", part.len()).as_bytes());
-        out.push(part);
+    let mut own = [0; DECIMAL];
+    let tag = decimal(tag, &mut own);
+    for part in [tag, word, fields] {
+        out.push(b"$");
+        out.push(decimal(part.len() as u64, &mut digits).as_bytes());
+        out.push(b"\r\n");
+        out.push(part.as_bytes());
         out.push(b"\r\n");
     }
+    let length = body.len();
+    out.push(b"$");
+    out.push(decimal(length as u64, &mut digits).as_bytes());
+    out.push(b"\r\n");
+    out.push_body(body, 0..length, grant);
+    out.push(b"\r\n");
 }
--- a/src/signed/http.rs
+++ b/src/signed/http.rs
@@ -180,20 +180,17 @@
     Some(if range.start < range.end { Ok(range) } else { Err(()) })
 }
 
-/// Writes a response's head and, unless only the head was asked for, its body.
-pub fn respond(out: &mut crate::net::Buffer, status: u16, fields: &[(&str, &str)], body: &[u8], bare: bool) {
+/// Writes a response's head; `length` bytes of body are to follow it, unless only the head was asked for.
+pub fn respond(out: &mut crate::net::Output, status: u16, fields: &[(&str, &str)], length: usize) {
     let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
     for (name, value) in fields {
         let _ = write!(head, "{name}: {value}\r\n");
     }
     if status != 304 {
-        let _ = write!(head, "Content-Length: {}\r\n", body.len());
+        let _ = write!(head, "Content-Length: {length}\r\n");
     }
     head.push_str("\r\n");
     out.push(head.as_bytes());
-    if !bare && status != 304 {
-        out.push(body);
-    }
 }
 
 fn reason(status: u16) -> &'static str {
--- a/src/signed/keys.rs
+++ b/src/signed/keys.rs
@@ -37,7 +37,20 @@
     replaced: Vec<(String, Key, f64)>,
 }
 
+impl Key {
+    /// Bytes that it takes: what verifies, its names, and the key as it was written.
+    fn footprint(&self) -> usize {
+        const OWN: usize = 1024;
+        OWN + 4 * self.issuer.len() + 2 * self.written.to_string().len()
+    }
+}
+
 impl KeyFile {
+    /// Bytes that the keys take.
+    pub fn footprint(&self) -> usize {
+        self.keys.values().map(Key::footprint).sum()
+    }
+
     /// Reads a key file; an error names the key that is at fault, and never its material.
     pub fn parse(text: &str) -> Result<Self, String> {
         let value: Value = serde_json::from_str(text).map_err(|e| format!("no JSON at line {}", e.line()))?;
@@ -98,6 +111,12 @@
         self.current.get(kid).into_iter().chain(old.map(|(_, key, _)| key))
     }
 
+    /// Bytes that they take, the replaced ones too.
+    pub fn footprint(&self) -> usize {
+        let replaced = self.replaced.iter().map(|(_, key, _)| key);
+        self.current.values().chain(replaced).map(Key::footprint).sum()
+    }
+
     /// How many are current.
     pub fn len(&self) -> usize {
         self.current.len()
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -8,7 +8,8 @@
 
 use crate::broker::{Answer, Ask, Caller, Content, Contracts, Input};
 use crate::interface::*;
-use crate::net::{Buffer, Seat};
+use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
+use crate::net::{Buffer, INPUT, Output, Seat};
 use crate::{clock, log};
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -33,8 +34,6 @@
 const IDLE: f64 = 20.0;
 /// The answer is to be out this long before the class's deadline (seconds).
 const MARGIN: f64 = 0.02;
-/// Bytes read ahead of the request that is being served.
-const AHEAD: usize = 64 * 1024;
 
 /// Bytes in base64url without padding.
 fn base64url(text: &str) -> Option<Vec<u8>> {
@@ -61,17 +60,23 @@
     pub connections: usize,
     /// Numbers for connections, shared by all fronts.
     pub numbers: Rc<Cell<u64>>,
-    /// Bytes of answers that connections hold, shared by all fronts, and the most of them.
-    pub unsent: Rc<Cell<usize>>,
-    /// Over this many of them, new requests are refused.
-    pub unsent_most: usize,
+    /// Connections that are open.
+    pub open: Rc<Cell<usize>>,
+    /// What holds connections, requests and answers.
+    pub memory: Ledger,
     /// What a refusal of this front's own says (seconds).
     pub wait: f64,
 }
 
 /// Rereads the key file, of which `text` was read before, for ever. One that cannot be used changes nothing
 /// and is told of once.
-pub async fn watch_keys(path: PathBuf, text: String, keys: Rc<RefCell<Keys>>, every: f64, overlap: f64) {
+pub async fn watch_keys(
+    path: PathBuf,
+    text: String,
+    keys: Rc<RefCell<Keys>>,
+    (every, overlap): (f64, f64),
+    mut held: Grant,
+) {
     let mut last = Some(text);
     loop {
         sleep_until(clock::instant(clock::now() + every)).await;
@@ -87,9 +92,14 @@
         }
         let file = text.as_ref().map_err(ToString::to_string).and_then(|t| KeyFile::parse(t));
         match file {
+            // The replaced ones stay for the overlap, so that both are held for a while.
+            Ok(file) if held.resize(keys.borrow().footprint() + file.footprint()).is_err() => {
+                log!("keys: no memory for the new set ('memory.signed'); the old set stays");
+            }
             Ok(file) => {
                 let now = clock::now();
                 keys.borrow_mut().replace(now, now + overlap, file);
+                let _ = held.resize(keys.borrow().footprint());
                 log!("keys: {} in force; replaced ones verify for {overlap} s", keys.borrow().len());
             }
             Err(e) => log!("keys: {e}; the old set stays"),
@@ -100,8 +110,8 @@
 
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
-    let serve = |stream, seat| Connection::new(front.clone(), seat).serve(stream);
-    crate::net::accept(listener, front.connections, serve).await;
+    let serve = |stream, seat, own| Connection::new(front.clone(), seat, own).serve(stream);
+    crate::net::accept(listener, front.connections, front.open.clone(), front.memory.clone(), serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
@@ -114,6 +124,11 @@
     why: &'static str,
 }
 
+/// There is no memory for it.
+const BUSY: Denied = Denied { status: 503, why: "busy; try again" };
+/// What a header line takes beside its text (bytes).
+const FIELD: usize = 2 * size_of::<String>();
+
 impl Front {
     /// Checks a request whose head arrived at `now`: its method, its target, its link. From here on it is
     /// authorised; neither an expiry nor a change of keys cuts what it asked for.
@@ -124,6 +139,9 @@
             return denied(403, "no contract covers the path");
         };
         let Some(rules) = self.classes.get(usize::from(class.0)) else { return denied(403, "no class") };
+        let Ok(_check) = self.memory.ask(Holder::of(Purpose::Signed), token::CHECK) else {
+            return Err(BUSY);
+        };
         let cookie = request.field("cookie").and_then(uri::cookie).map(str::to_owned);
         let checked = target.token.or(cookie).ok_or(Refusal::Missing).and_then(|token| {
             let uri = format!("{}{}", self.base, target.uri);
@@ -196,23 +214,24 @@
     reply: UnboundedSender<(u64, Answer)>,
     answers: UnboundedReceiver<(u64, Answer)>,
     input: Buffer,
-    output: Buffer,
-    counted: usize,
+    output: Output,
+    _own: Grant,
 }
 
 impl Connection {
-    fn new(front: Rc<Front>, seat: Seat) -> Self {
+    fn new(front: Rc<Front>, seat: Seat, own: Grant) -> Self {
         let (reply, answers) = unbounded_channel();
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
-        let (input, output) = (Buffer::default(), Buffer::default());
-        Connection { front, seat, number, tag: 0, reply, answers, input, output, counted: 0 }
+        let input = Buffer::new(INPUT, front.memory.empty(Holder::of(Purpose::Signed)));
+        let unread = Holder { precious: true, ..Holder::of(Purpose::Unread) };
+        let output = Output::new(front.memory.empty(unread));
+        Connection { front, seat, number, tag: 0, reply, answers, input, output, _own: own }
     }
 
     async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let ended = self.requests(&stream).await;
-        self.front.unsent.set(self.front.unsent.get() - self.counted);
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
                 Ok(())
@@ -234,14 +253,27 @@
                 None => return Ok(()),
             };
             let arrived = clock::now();
+            // What was read of its head is held while it is served.
+            let text =
+                request.fields.iter().map(|(name, value)| name.len() + value.len() + FIELD).sum::<usize>();
+            let held = self.front.memory.ask(Holder::of(Purpose::Signed), text + 2 * request.target.len());
             let bare = request.method == "HEAD";
-            let admitted = self.front.admit(arrived, &request);
+            let admitted = match &held {
+                Ok(_) => self.front.admit(arrived, &request).and_then(|ask| self.hold(ask, request.length)),
+                Err(_) => Err(BUSY),
+            };
             let keep = request.keep && (admitted.is_ok() || request.length == 0);
             let end = if keep { ("Connection", "keep-alive") } else { ("Connection", "close") };
             match admitted {
                 Err(Denied { status, why }) => {
                     let challenge = [end, ("WWW-Authenticate", "URISigningPackage")];
-                    let fields = if status == 401 { &challenge[..] } else { &challenge[..1] };
+                    let wait = format!("{}", self.front.wait.max(1.0).ceil());
+                    let later = [end, ("Retry-After", &*wait)];
+                    let fields = match status {
+                        401 => &challenge[..],
+                        503 => &later[..],
+                        _ => &challenge[..1],
+                    };
                     self.say(status, fields, why, bare);
                 }
                 Ok(mut ask) => {
@@ -249,21 +281,27 @@
                         self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
                         self.flush(stream).await?;
                     }
+                    // Its memory is granted; it is moved there as it comes, and needs no room in the buffer.
                     let by = clock::instant(arrived + WHOLE);
-                    while self.input.len() < request.length {
+                    ask.body = Vec::with_capacity(request.length);
+                    loop {
+                        let here = self.input.len().min(request.length - ask.body.len());
+                        ask.body.extend_from_slice(&self.input.bytes()[..here]);
+                        self.input.consume(here);
+                        if ask.body.len() == request.length {
+                            break;
+                        }
                         if !self.fill(stream, by).await? {
                             return Ok(());
                         }
                     }
-                    ask.body = self.input.bytes()[..request.length].to_vec();
-                    self.input.consume(request.length);
                     let deadline = ask.deadline;
                     let Some(mut answer) = self.ask(stream, ask).await? else { return Ok(()) };
                     // What the core gave up on since its time was over is told as that.
                     if matches!(answer, Answer::Refused(_) | Answer::Failed) && clock::now() >= deadline {
                         answer = Answer::Late;
                     }
-                    self.answer(&answer, &request, end);
+                    self.answer(answer, &request, end);
                 }
             }
             self.flush(stream).await?;
@@ -291,7 +329,12 @@
             if !begun && !self.input.is_empty() {
                 (begun, by) = (true, clock::instant(clock::now() + WHOLE));
             }
-            if !self.fill(stream, by).await? {
+            let more = match self.fill(stream, by).await {
+                // Half a head that may not grow.
+                Err(e) if e.kind() == io::ErrorKind::OutOfMemory => return Ok(Some(Err(Unusable(503)))),
+                more => more?,
+            };
+            if !more {
                 let late = begun && Instant::now() >= by;
                 return Ok(late.then_some(Err(Unusable(408))));
             }
@@ -318,9 +361,6 @@
 
     /// Hands the request to the core and waits for its answer; `None` if the client left before.
     async fn ask(&mut self, stream: &TcpStream, ask: Ask) -> io::Result<Option<Answer>> {
-        if self.front.unsent.get() > self.front.unsent_most {
-            return Ok(Some(Answer::Refused(self.front.wait)));
-        }
         self.tag += 1;
         let caller = Caller { connection: self.number, tag: self.tag };
         let ended = |_| io::Error::other("the broker has ended");
@@ -334,7 +374,7 @@
                         return Ok(Some(answer));
                     }
                 }
-                ready = stream.readable(), if self.input.len() < AHEAD => {
+                ready = stream.readable(), if self.input.len() < INPUT => {
                     let left = match ready.and_then(|()| self.input.read_from(stream)) {
                         Ok(n) => n == 0,
                         Err(e) => e.kind() != io::ErrorKind::WouldBlock,
@@ -348,16 +388,23 @@
         }
     }
 
-    fn answer(&mut self, answer: &Answer, request: &http::Request, end: (&str, &str)) {
+    /// Takes memory for a request and its body; what does not fit is refused before its body is read.
+    fn hold(&self, mut ask: Ask, body: usize) -> Admitted {
+        let rules = self.front.classes.get(usize::from(ask.class.0));
+        let held = ask.hold(&self.front.memory, rules.is_some_and(|c| c.never_kept), body);
+        held.map_err(|Refused { .. }| BUSY).map(|()| ask)
+    }
+
+    fn answer(&mut self, answer: Answer, request: &http::Request, end: (&str, &str)) {
         let bare = request.method == "HEAD";
         let seconds = |wait: f64| format!("{}", wait.max(1.0).ceil());
         match answer {
             Answer::Served(content) => self.served(content, request, end),
             Answer::Refused(wait) => {
-                self.say(503, &[end, ("Retry-After", &seconds(*wait))], "busy; try again", bare);
+                self.say(503, &[end, ("Retry-After", &seconds(wait))], "busy; try again", bare);
             }
             Answer::OverBudget(wait) => {
-                self.say(429, &[end, ("Retry-After", &seconds(*wait))], "the team's budget is spent", bare);
+                self.say(429, &[end, ("Retry-After", &seconds(wait))], "the team's budget is spent", bare);
             }
             Answer::Forbidden => self.say(403, &[end], "no contract covers the request", bare),
             Answer::Failed => self.say(502, &[end], "the caches failed", bare),
@@ -366,34 +413,41 @@
     }
 
     /// The object, or the part of its bytes that was asked for.
-    fn served(&mut self, content: &Content, request: &http::Request, end: (&str, &str)) {
+    fn served(&mut self, content: Content, request: &http::Request, end: (&str, &str)) {
         let etag = format!("\"{}\"", content.etag);
         // Only the holder of a valid link may have it; no cache between may keep it for others.
         let mut fields = vec![end, ("Cache-Control", "private"), ("Accept-Ranges", "bytes")];
         if !content.etag.is_empty() {
             fields.push(("ETag", &etag));
         }
-        let (body, length) = (&content.body[..], content.body.len());
+        let length = content.body.len();
         // A range of another version than the client's is of no use to it: the whole is sent.
         let same = request.field("if-range").is_none_or(|tag| tag == etag);
         let asked = request.field("range").filter(|_| request.method == "GET" && same);
-        let (status, body, place) = match asked.and_then(|r| http::range(r, length)) {
-            _ if content.current => (304, body, None),
-            None => (200, body, None),
-            Some(Ok(r)) => (206, &body[r.clone()], Some(format!("bytes {}-{}/{length}", r.start, r.end - 1))),
-            Some(Err(())) => (416, &body[..0], Some(format!("bytes */{length}"))),
+        let (status, part, place) = match asked.and_then(|r| http::range(r, length)) {
+            _ if content.current => (304, 0..0, None),
+            None => (200, 0..length, None),
+            Some(Ok(r)) => (206, r.clone(), Some(format!("bytes {}-{}/{length}", r.start, r.end - 1))),
+            Some(Err(())) => (416, 0..0, Some(format!("bytes */{length}"))),
         };
         if let Some(place) = &place {
             fields.push(("Content-Range", place));
         }
-        http::respond(&mut self.output, status, &fields, body, request.method == "HEAD");
+        http::respond(&mut self.output, status, &fields, part.len());
+        if request.method != "HEAD" {
+            self.output.push_body(content.body, part, content.grant);
+        }
     }
 
     /// An answer of a line of text.
     fn say(&mut self, status: u16, fields: &[(&str, &str)], text: &str, bare: bool) {
         let mut all = vec![("Content-Type", "text/plain"), ("Cache-Control", "no-store")];
         all.extend(fields);
-        http::respond(&mut self.output, status, &all, format!("{text}\n").as_bytes(), bare);
+        http::respond(&mut self.output, status, &all, text.len() + 1);
+        if !bare {
+            self.output.push(text.as_bytes());
+            self.output.push(b"\n");
+        }
     }
 
     /// Writes all that is to be written; a client that takes nothing for long is dropped.
@@ -403,9 +457,6 @@
             if self.output.write_to(stream)? > 0 {
                 by = clock::instant(clock::now() + IDLE);
             }
-            let unsent = &self.front.unsent;
-            unsent.set(unsent.get() + self.output.len() - self.counted);
-            self.counted = self.output.len();
             if self.output.is_empty() {
                 return Ok(());
             }
--- a/src/signed/token.rs
+++ b/src/signed/token.rs
@@ -10,6 +10,8 @@
 const LONGEST: usize = 4096;
 /// Largest program that a token's regular expression may compile to (bytes).
 const PATTERN: usize = 256 * 1024;
+/// What checking a token takes at most: its claims, its compiled expression and what running that takes (bytes).
+pub const CHECK: usize = 2 * PATTERN + 8 * LONGEST;
 /// Claims that can be honoured here. `sub` is opaque and `iat` only informs (RFC 9246, 2.1).
 const KNOWN: [&str; 9] = ["iss", "sub", "aud", "exp", "nbf", "iat", "cdniv", "cdnicrit", "cdniuc"];
 /// Claims that the RFC defines and that cannot be honoured here: a nonce needs what fronts do not share, the
--- a/src/xds.rs
+++ b/src/xds.rs
@@ -3,6 +3,7 @@
 
 use crate::broker::{Member, News};
 use crate::interface::*;
+use crate::memory::{Holder, Ledger, Purpose};
 use crate::net::{Buffer, Live};
 use crate::signed::http;
 use crate::{clock, log};
@@ -24,6 +25,8 @@
 const METADATA: &str = "onyxyoke";
 /// Largest response (bytes).
 const LARGEST: usize = 4 << 20;
+/// What is read of a response at once (bytes).
+const OWN: usize = 16 * 1024;
 /// A poll that has no response by then has failed (seconds).
 const POLL_WITHIN: f64 = 2.0;
 
@@ -248,6 +251,7 @@
     node: String,
     names: Names,
     news: UnboundedSender<News>,
+    memory: Ledger,
 ) {
     let mut world = World::new(names.clone());
     let new = |kind, target| Subscription {
@@ -269,7 +273,7 @@
             if s.kind == ASSIGNMENT && wanted.is_empty() {
                 continue;
             }
-            if let Err(e) = poll(server.get().0, &node, s, &mut world, &wanted).await {
+            if let Err(e) = poll(server.get().0, &node, s, &mut world, &wanted, &memory).await {
                 log!("xds {}: {e}; the last good list stays", s.target);
             }
         }
@@ -297,6 +301,7 @@
     s: &mut Subscription,
     world: &mut World,
     wanted: &[String],
+    memory: &Ledger,
 ) -> Result<(), String> {
     let mut ask = json!({
         "node": {"id": node}, "type_url": s.kind, "resource_names": wanted,
@@ -307,7 +312,7 @@
     }
     let by = clock::instant(clock::now() + POLL_WITHIN);
     let (status, body) =
-        post(server, s.target, ask.to_string().as_bytes(), by).await.map_err(|e| e.to_string())?;
+        post(server, s.target, ask.to_string().as_bytes(), by, memory).await.map_err(|e| e.to_string())?;
     if status == 304 {
         return Ok(());
     }
@@ -332,15 +337,26 @@
 }
 
 /// Posts JSON on a connection of its own and returns status and body.
-async fn post(server: SocketAddr, target: &str, body: &[u8], by: Instant) -> io::Result<(u16, Vec<u8>)> {
+async fn post(
+    server: SocketAddr,
+    target: &str,
+    body: &[u8],
+    by: Instant,
+    memory: &Ledger,
+) -> io::Result<(u16, Vec<u8>)> {
     let late = |_| io::Error::from(io::ErrorKind::TimedOut);
     let bad = || io::Error::new(io::ErrorKind::InvalidData, "a response that cannot be read");
     let stream = timeout_at(by, TcpStream::connect(server)).await.map_err(late)??;
     stream.set_nodelay(true)?;
-    let (mut out, mut input) = (Buffer::default(), Buffer::default());
+    let buffer = || Buffer::new(OWN, memory.empty(Holder { precious: true, ..Holder::of(Purpose::Learned) }));
+    let (mut out, mut input) = (buffer(), buffer());
     let length = body.len();
-    out.push(format!("POST {target} HTTP/1.1\r\nHost: {server}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n").as_bytes());
-    out.push(body);
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nHost: {server}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    if !out.push(head.as_bytes()) || !out.push(body) {
+        return Err(io::ErrorKind::OutOfMemory.into());
+    }
     while !out.is_empty() {
         timeout_at(by, stream.writable()).await.map_err(late)??;
         out.write_to(&stream)?;
