--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,194 @@
+//! A long run of one front under a small memory limit, while all goes wrong in turn.
+
+mod clients;
+mod front;
+mod schedule;
+mod verdict;
+
+use clients::Clients;
+use front::Front;
+use onyxyoke_stand_ins::caches::{Cache, Mood};
+use onyxyoke_stand_ins::coordinator::{Coordinator, Member};
+use onyxyoke_stand_ins::unix_ms;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use schedule::{Trouble, troubles};
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use verdict::Verdict;
+
+/// How a soak is run.
+#[derive(clap::Args)]
+pub struct Options {
+    /// How long
+    #[arg(long, default_value_t = 20.0)]
+    minutes: f64,
+    /// The front's memory limit in megabytes
+    #[arg(long, default_value_t = 32)]
+    memory_mb: usize,
+    /// The front's descriptor limit
+    #[arg(long, default_value_t = 256)]
+    sockets: usize,
+    /// What is drawn at random, is drawn from this
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Requests a second of usual clients, on a calm minute
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+    /// Where the report is written
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The front's program [default: `onyxyoke` beside this one]
+    #[arg(long)]
+    front: Option<PathBuf>,
+}
+
+/// Between two looks at the front (seconds).
+const LOOK: f64 = 0.1;
+/// One round of all troubles takes so long, or a quarter of the run where that is shorter (seconds).
+const ROUND: f64 = 60.0;
+/// Nodes of each kind.
+const CACHES: usize = 8;
+const PARENTS: usize = 2;
+
+/// Runs it; did all hold?
+pub fn run(options: &Options) -> Result<bool, Box<dyn Error>> {
+    let program = match &options.front {
+        Some(path) => path.clone(),
+        None => std::env::current_exe()?.with_file_name("onyxyoke"),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let verdict = LocalSet::new().block_on(&runtime, soak(options, program))?;
+    print!("{verdict}");
+    if let Some(path) = &options.json {
+        std::fs::write(path, serde_json::to_string_pretty(&verdict)?)?;
+    }
+    Ok(verdict.held())
+}
+
+/// Everything outside of the front.
+struct World {
+    caches: Vec<Rc<Cache>>,
+    members: Vec<Member>,
+    coordinator: Rc<Coordinator>,
+    random: StdRng,
+}
+
+impl World {
+    async fn start(seed: u64) -> std::io::Result<World> {
+        let (mut caches, mut members) = (Vec::new(), Vec::new());
+        for i in 0..CACHES + PARENTS + 1 {
+            let origin = i == CACHES + PARENTS;
+            let cache = Cache::start(origin, seed + i as u64).await?;
+            let (kind, zone) = match i {
+                _ if i < CACHES => (0, 1),
+                _ if origin => (2, 0),
+                _ => (1, 0),
+            };
+            let (id, address) = (i as u32 + 1, cache.address);
+            members.push(Member { id, address, state: 0, zone, kind, weight: 40.0, started_ms: 0 });
+            caches.push(cache);
+        }
+        let coordinator = Coordinator::start(1).await?;
+        Ok(World { caches, members, coordinator, random: StdRng::seed_from_u64(seed) })
+    }
+
+    fn moods(&self, which: impl Fn(usize) -> bool, mood: Mood) {
+        let mood = Mood { slow: mood.slow.max(1.0), ..mood };
+        let caches = self.caches.iter().enumerate().filter(|(i, _)| which(*i));
+        caches.for_each(|(_, c)| c.set(mood));
+    }
+
+    fn node(&mut self, at: usize, state: u8, restarted: bool) {
+        self.members[at].state = state;
+        if restarted {
+            self.members[at].started_ms = unix_ms();
+            self.caches[at].empty();
+        }
+        self.coordinator.changed(&self.members[at..=at]);
+    }
+
+    /// A trouble begins, or ends.
+    fn turn(&mut self, trouble: Trouble, on: bool, clients: &Clients, front: &Front) {
+        let calm = Mood::default();
+        let victim = self.random.random_range(0..CACHES);
+        match trouble {
+            Trouble::Oversized => clients.oversized.set(if on { 0.1 } else { 0.0 }),
+            Trouble::OneTime => clients.one_time.set(if on { 0.17 } else { 0.02 }),
+            Trouble::LateNews => self.coordinator.late.set(on),
+            Trouble::HalfTheFronts => clients.load.set(if on { 1.85 } else { 1.0 }),
+            Trouble::Failing if on => {
+                let failing = self.random.random_range(0.33..0.97);
+                self.moods(|i| i == victim || i == CACHES, Mood { failing, ..calm });
+            }
+            Trouble::Dying if on => self.moods(|i| i < CACHES, Mood { dying: 0.1, garbling: 0.01, ..calm }),
+            Trouble::Silent if on => self.moods(|i| i == victim, Mood { silent: true, ..calm }),
+            Trouble::Slow if on => self.moods(|i| i < CACHES, Mood { slow: 6.0, ..calm }),
+            Trouble::Failing | Trouble::Dying | Trouble::Silent | Trouble::Slow => self.moods(|_| true, calm),
+            Trouble::PurgeStorm if on => {
+                (0..2_000).for_each(|i| self.coordinator.purged(clients.popular(i), unix_ms()));
+            }
+            Trouble::PurgeStorm => {}
+            Trouble::Drain => {
+                self.node(0, u8::from(on), !on);
+                self.node(1, 0, on);
+            }
+            Trouble::SlowReaders => clients.slow_readers.set(if on { 16 } else { 0 }),
+            Trouble::Rude => clients.rude.set(if on { 40 } else { 0 }),
+            Trouble::Aborts => clients.aborts.set(on),
+            Trouble::CapsHalved => front.caps(on),
+            Trouble::Flood => clients.flood.set(if on { 24 } else { 0 }),
+        }
+    }
+}
+
+async fn soak(options: &Options, program: PathBuf) -> Result<Verdict, Box<dyn Error>> {
+    let mut world = World::start(options.seed).await?;
+    let limits = (options.memory_mb, options.sockets);
+    let mut front = Front::start(&program, limits, &world.members, world.coordinator.address).await?;
+    let clients = Clients::new(front.address, options.seed, options.rate);
+    clients.start();
+    let seconds = options.minutes * 60.0;
+    let round = ROUND.min(seconds / 4.0);
+    let mut verdict = Verdict::new(options.memory_mb * 1_000_000, seconds, round, options.seed);
+    let (begun, mut on) = (Instant::now(), BTreeSet::new());
+    let mut looks = interval(Duration::from_secs_f64(LOOK));
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut purged_at = 0.0;
+    loop {
+        looks.tick().await;
+        let at = begun.elapsed().as_secs_f64();
+        if at >= seconds {
+            break;
+        }
+        let now: BTreeSet<Trouble> = troubles(at % round / round).collect();
+        for &trouble in on.symmetric_difference(&now) {
+            world.turn(trouble, now.contains(&trouble), &clients, &front);
+        }
+        on = now;
+        if at - purged_at >= 1.0 {
+            purged_at = at;
+            world.coordinator.purged(clients.popular(world.random.random_range(0..500)), unix_ms());
+        }
+        match front.look().await {
+            Some(look) => verdict.sample(at, look),
+            None => {
+                verdict.ended(at, front.last_lines());
+                break;
+            }
+        }
+    }
+    // What is out is answered within the longest deadline.
+    clients.stop();
+    let calm = on.into_iter().collect::<Vec<_>>();
+    calm.into_iter().for_each(|t| world.turn(t, false, &clients, &front));
+    sleep(Duration::from_secs_f64(6.0)).await;
+    verdict.clients(&clients);
+    verdict.exit(front.end().await, front.last_lines());
+    Ok(verdict)
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -16,6 +16,7 @@
 use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
 use crate::{Director, log};
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -92,6 +93,8 @@
     pub body: Vec<u8>,
     /// Memory of the request and of its body, until it is over.
     pub held: [Grant; 2],
+    /// Bytes that its client has left unread, where it reads more than one answer.
+    pub reader: Option<Rc<Cell<usize>>>,
 }
 
 impl Ask {
@@ -154,7 +157,7 @@
         /// Who asks.
         caller: Caller,
         /// What.
-        ask: Ask,
+        ask: Rc<Ask>,
         /// Where the answer goes. A connection has few requests open, which bounds its queue.
         reply: UnboundedSender<(u64, Answer)>,
     },
@@ -435,9 +438,13 @@
     }
 
     /// Takes a request from a front.
-    pub fn ask(&mut self, now: f64, caller: Caller, mut ask: Ask) {
+    pub fn ask(&mut self, now: f64, caller: Caller, ask: impl Into<Rc<Ask>>) {
+        let mut ask = ask.into();
         self.counters.requests += 1;
-        ask.deadline = ask.deadline.min(self.closes);
+        // It has just come, and is nobody else's.
+        if let Some(ask) = Rc::get_mut(&mut ask) {
+            ask.deadline = ask.deadline.min(self.closes);
+        }
         if ask.deadline <= now {
             return self.turn_away(caller, Answer::Late);
         }
@@ -476,7 +483,7 @@
         };
         self.timers.set(ask.deadline, timers::Timer::Deadline(id));
         self.callers.insert(caller, id);
-        self.open.insert(id, Open { caller, ask: Rc::new(ask), attempts: Vec::new(), done: false });
+        self.open.insert(id, Open { caller, ask, attempts: Vec::new(), done: false });
         self.feed(now, Event::Request(request));
         self.settle(now);
     }
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the core.
 
 use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
-use crate::{clock, log};
+use crate::clock;
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::future::pending;
@@ -88,8 +88,9 @@
             }
             Some(input) = inputs.asks.recv() => take(&mut broker, &mut replies, input),
             () = inputs.print.notified() => {
-                log!("{}", broker.counters);
-                log!("{}", broker.memory());
+                // Asked for by the operator, and so not held back by the storm that it is to explain.
+                eprintln!("onyxyoke: {}", broker.counters);
+                eprintln!("onyxyoke: {}", broker.memory());
             }
             Some(close) = inputs.close.recv() => match close {
                 Close::AnswerBy(by) => broker.answer_by(by),
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep_until;
 
+/// Tells what is live, and gives what was freed back to the system: the accounts are held against both.
+#[global_allocator]
+static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// After SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more; what comes
 /// up to 0.7 s after it is owed an answer. So long, and a little over, everything is taken (seconds).
 const CLOSING: f64 = 0.9;
@@ -110,7 +114,7 @@
     let (close, closes) = unbounded_channel();
     let print = Rc::new(Notify::new());
     let ready = Rc::new(Cell::new(false));
-    let (numbers, open) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let numbers = Rc::new(Cell::new(0));
     let memory = Ledger::new(config.memory, config.contracts.0.len());
     let contracts: Rc<Contracts> = Rc::new(config.contracts);
     let classes = Rc::new(config.classes);
@@ -129,7 +133,6 @@
             ready: ready.clone(),
             connections,
             numbers: numbers.clone(),
-            open: open.clone(),
             memory: memory.clone(),
             wait,
         };
@@ -157,7 +160,6 @@
             keys,
             connections,
             numbers,
-            open: open.clone(),
             memory: memory.clone(),
             wait,
         };
--- a/src/memory/accounts.rs
+++ b/src/memory/accounts.rs
@@ -48,6 +48,8 @@
     pub cap: usize,
     /// It may always hold so much.
     pub guarantee: usize,
+    /// Of that, only for what is precious.
+    pub reserve: usize,
     /// Held beyond the guarantee, out of the shared remainder.
     pub borrowed: usize,
     /// Asks that were refused.
@@ -123,8 +125,10 @@
         let (ordinary, held) = (add(account.ordinary, !precious), add(account.precious, precious));
         let wanted = ordinary.saturating_add(held.max(limit.reserve));
         let committed = (self.committed - before).saturating_add(limit.guarantee.max(wanted));
-        // What does not raise the sum of commitments is inside a guarantee or a reserve, and always fits.
-        let room = wanted <= limit.cap && (committed <= self.plan.total || committed <= self.committed);
+        // What does not raise the sum of commitments is inside a guarantee or a reserve, and always fits; the reserve
+        // is to be had even where others still hold more than a cap that was cut.
+        let room = wanted <= limit.cap && (committed <= self.plan.total || committed <= self.committed)
+            || precious && held <= limit.reserve;
         let share = self.teams.get(usize::from(team)).map_or(0, |t| t[at].saturating_add(bytes));
         if !room || share > self.plan.team_cap(purpose) {
             return Err(self.refuse(purpose));
@@ -190,9 +194,11 @@
         (self.plan.total.saturating_sub(self.committed), self.plan.total.saturating_sub(guaranteed))
     }
 
-    /// How full an account is, of its cap.
+    /// How full an account is, of what all but the precious may have of it.
     pub fn fullness(&self, purpose: Purpose) -> f64 {
-        self.used(purpose) as f64 / self.plan.limits[purpose as usize].cap.max(1) as f64
+        let (account, limit) = (&self.accounts[purpose as usize], &self.plan.limits[purpose as usize]);
+        let spent = account.ordinary + account.precious.saturating_sub(limit.reserve);
+        spent as f64 / limit.cap.saturating_sub(limit.reserve).max(1) as f64
     }
 
     /// One account as it is shown.
@@ -204,6 +210,7 @@
             peak: a.peak,
             cap: limit.cap,
             guarantee: limit.guarantee,
+            reserve: limit.reserve,
             borrowed: a.used().saturating_sub(limit.guarantee),
             refused: a.refused,
         }
--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -2,7 +2,7 @@
 //! its bytes are back.
 
 use super::accounts::NO_TEAM;
-use super::{Accounts, Finding, Level, Notice, Plan, Pressure, Purpose, Refused, Truth};
+use super::{Accounts, Finding, Level, Notice, Plan, Pressure, Purpose, Refused, Seen, Truth};
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::fmt;
 use std::rc::Rc;
@@ -31,6 +31,8 @@
     /// The level that held at the last look, at hand for every buffer.
     level: Cell<Level>,
     truth: RefCell<Truth>,
+    /// Client connections that are open.
+    clients: Cell<usize>,
 }
 
 /// The front's accounts, shared by its tasks, which all run on one thread.
@@ -45,6 +47,7 @@
             pressure: RefCell::default(),
             level: Cell::default(),
             truth: RefCell::default(),
+            clients: Cell::default(),
         }))
     }
 
@@ -76,9 +79,9 @@
         self.0.pressure.borrow().admits(&self.accounts(), bytes, precious)
     }
 
-    /// Is a client that has left so many bytes unread, one of so many, to be read from?
-    pub fn hears(&self, unread: usize, clients: usize) -> bool {
-        unread == 0 || self.0.pressure.borrow().hears(&self.accounts(), unread, clients)
+    /// Is a client that has left so many bytes unread to be read from, and to be given more?
+    pub fn hears(&self, unread: usize) -> bool {
+        unread == 0 || self.0.pressure.borrow().hears(&self.accounts(), unread, self.0.clients.get())
     }
 
     /// How many of so many idle connections are to be closed in this turn.
@@ -86,16 +89,16 @@
         self.0.pressure.borrow().closes(idle)
     }
 
-    /// A turn: the process was seen to hold so many bytes. What is worth a line in the log.
-    pub fn turn(&self, resident: usize) -> (Finding, Vec<Notice>) {
-        let finding = self.0.truth.borrow_mut().look(&mut self.accounts_mut(), resident);
+    /// A turn: this was seen of the process. What is worth a line in the log.
+    pub fn turn(&self, seen: Seen) -> (Finding, Vec<Notice>) {
+        let finding = self.0.truth.borrow_mut().look(&mut self.accounts_mut(), seen);
         self.level();
         (finding, self.accounts_mut().turn())
     }
 
-    /// What the system last said of the process (bytes).
-    pub fn resident(&self) -> usize {
-        self.0.truth.borrow().resident()
+    /// A client connected, or left.
+    pub fn clients(&self, change: isize) {
+        self.0.clients.set(self.0.clients.get().saturating_add_signed(change));
     }
 
     /// Asks for so many bytes.
@@ -113,28 +116,31 @@
     /// A grant of nothing yet, which may grow.
     pub fn empty(&self, holder: Holder) -> Grant {
         let (team, precious) = (holder.team.unwrap_or(NO_TEAM), holder.precious);
-        Grant { ledger: Some(self.clone()), purpose: holder.purpose, team, precious, bytes: 0 }
+        Grant { ledger: Some(self.clone()), purpose: holder.purpose, team, precious, bytes: 0, leaf: None }
     }
 }
 
 /// As the counters show it: sizes in bytes, by account.
 impl fmt::Display for Ledger {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let accounts = self.accounts();
+        let (accounts, seen) = (self.accounts(), self.0.truth.borrow().seen());
         let (free, shared) = accounts.remainder();
         write!(
             f,
-            "memory total={} held={} resident={} shared={shared} free={free} level={}",
+            "memory total={} held={} resident={} active={} heap={} shared={shared} free={free} level={}",
             accounts.plan().total,
             accounts.sum(),
-            self.resident(),
+            seen.resident,
+            seen.active,
+            seen.heap,
             self.0.level.get().name()
         )?;
         for purpose in Purpose::ALL {
             let s = accounts.sight(purpose);
             let name = purpose.name();
             write!(f, " {name}.now={} {name}.peak={} {name}.cap={}", s.now, s.peak, s.cap)?;
-            write!(f, " {name}.guarantee={} {name}.borrowed={}", s.guarantee, s.borrowed)?;
+            write!(f, " {name}.guarantee={} {name}.reserve={}", s.guarantee, s.reserve)?;
+            write!(f, " {name}.borrowed={}", s.borrowed)?;
             write!(f, " {name}.refused={}", s.refused)?;
         }
         Ok(())
@@ -148,12 +154,21 @@
     team: u16,
     precious: bool,
     bytes: usize,
+    /// A leaf of the tree: what one client holds, where that counts.
+    leaf: Option<Rc<Cell<usize>>>,
 }
 
 impl Default for Grant {
     /// Nothing, of no account; it cannot grow.
     fn default() -> Self {
-        Grant { ledger: None, purpose: Purpose::Program, team: NO_TEAM, precious: false, bytes: 0 }
+        Grant {
+            ledger: None,
+            purpose: Purpose::Program,
+            team: NO_TEAM,
+            precious: false,
+            bytes: 0,
+            leaf: None,
+        }
     }
 }
 
@@ -163,6 +178,19 @@
         self.bytes
     }
 
+    /// Counts its bytes in a leaf too, from now on.
+    pub fn counted_in(mut self, leaf: Rc<Cell<usize>>) -> Self {
+        leaf.set(leaf.get() + self.bytes);
+        self.leaf = Some(leaf);
+        self
+    }
+
+    fn count(&self, more: usize, less: usize) {
+        if let Some(leaf) = &self.leaf {
+            leaf.set(leaf.get() + more - less);
+        }
+    }
+
     /// Is memory so scarce that idle buffers are released?
     pub fn pressed(&self) -> bool {
         self.ledger.as_ref().is_some_and(|l| l.0.level.get() >= Level::Compact)
@@ -176,6 +204,7 @@
             Some(ledger) => {
                 ledger.accounts_mut().take(self.purpose, self.team, self.precious, more)?;
                 self.bytes += more;
+                self.count(more, 0);
                 Ok(())
             }
         }
@@ -185,6 +214,7 @@
     pub fn shrink(&mut self, less: usize) {
         let less = less.min(self.bytes);
         self.bytes -= less;
+        self.count(0, less);
         if let Some(ledger) = self.ledger.as_ref().filter(|_| less > 0) {
             ledger.accounts_mut().give_back(self.purpose, self.team, self.precious, less);
         }
@@ -205,12 +235,14 @@
     pub fn split(&mut self, bytes: usize) -> Grant {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
+        let leaf = self.leaf.clone();
         Grant {
             ledger: self.ledger.clone(),
             purpose: self.purpose,
             team: self.team,
             precious: self.precious,
             bytes,
+            leaf,
         }
     }
 
@@ -220,7 +252,15 @@
             (Some(a), Some(b)) => Rc::ptr_eq(&a.0, &b.0),
             _ => false,
         };
-        if !same || (self.purpose, self.team, self.precious) != (other.purpose, other.team, other.precious) {
+        let leaf = match (&self.leaf, &other.leaf) {
+            (Some(a), Some(b)) => Rc::ptr_eq(a, b),
+            (None, None) => true,
+            _ => false,
+        };
+        if !same
+            || !leaf
+            || (self.purpose, self.team, self.precious) != (other.purpose, other.team, other.precious)
+        {
             return Err(other);
         }
         self.bytes += std::mem::take(&mut other.bytes);
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -17,7 +17,7 @@
 pub use grant::{Grant, Holder, Ledger};
 pub use plan::{Limit, Plan, Wish};
 pub use pressure::{Level, Pressure, Thresholds};
-pub use truth::{Finding, Truth};
+pub use truth::{Finding, Seen, Truth};
 
 /// Accounts below the front's.
 pub const PURPOSES: usize = 9;
--- a/src/memory/pressure.rs
+++ b/src/memory/pressure.rs
@@ -56,20 +56,22 @@
 
 /// A request over this share of the free remainder, or of the free part of its account, is a large one.
 const LARGE: f64 = 0.125;
-/// Where an account is so full of its cap, what it holds counts as scarce though the remainder is not.
-const NEARLY_FULL: f64 = 0.97;
+/// Where so much of what may be left unread is, those who left more than their part are held up though the remainder
+/// is not scarce: the rest is for clients that read. It ends well below (shares of the cap).
+const CROWDED: (f64, f64) = (0.7, 0.6);
 
 /// The policy: the level that holds, and what it says to each.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Pressure {
     thresholds: Thresholds,
     level: Level,
+    crowded: bool,
 }
 
 impl Pressure {
     /// A policy with these thresholds.
     pub fn new(thresholds: Thresholds) -> Self {
-        Pressure { thresholds, level: Level::Calm }
+        Pressure { thresholds, ..Pressure::default() }
     }
 
     /// The level that holds.
@@ -88,8 +90,9 @@
         let (entered, kept) = (under(0.0), under(margin));
         let now = self.level as usize;
         let mut next = now.clamp(entered, kept.max(entered));
-        // A full account of unread answers is relieved as well, whatever the others leave free.
-        if accounts.fullness(Purpose::Unread) > NEARLY_FULL {
+        let unread = accounts.fullness(Purpose::Unread);
+        self.crowded = unread > if self.crowded { CROWDED.1 } else { CROWDED.0 };
+        if self.crowded {
             next = next.max(Level::HoldSlow as usize);
         }
         self.level = if next == 0 { Level::Calm } else { Level::ALL[next - 1] };
@@ -113,7 +116,7 @@
         if self.level >= Level::CloseIdle { idle.div_ceil(10) } else { 0 }
     }
 
-    /// Is a client that has left so many bytes unread to be read from? Those with more than their even part of
+    /// Is a client that has left so many bytes unread to be read from, and to be given more? Those with more than their even part of
     /// what the account may hold are not, until they have read.
     pub fn hears(&self, accounts: &Accounts, unread: usize, clients: usize) -> bool {
         let cap = accounts.plan().limits[Purpose::Unread as usize].cap;
--- a/src/memory/truth.rs
+++ b/src/memory/truth.rs
@@ -18,27 +18,40 @@
     Over(usize, usize),
 }
 
+/// What the system and the allocator say of the process, in bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// In memory, all of it.
+    pub resident: usize,
+    /// Pages in which the allocator has something live.
+    pub active: usize,
+    /// Pages that the allocator has in memory: these, its own tables, and what was freed and not yet returned.
+    pub heap: usize,
+}
+
 /// Compares the accounts with what the system says of the process.
 #[derive(Debug, Clone, Default)]
 pub struct Truth {
-    resident: usize,
+    seen: Seen,
     rest: f64,
     told: usize,
     over: bool,
 }
 
 impl Truth {
-    /// A look: the process holds so many bytes in memory. What no account knows of becomes the program's.
-    pub fn look(&mut self, accounts: &mut Accounts, resident: usize) -> Finding {
+    /// A look. What is live and no account knows of becomes the program's, and so does what is not the allocator's.
+    /// What was freed and is not yet back is nobody's: it can be had again at once.
+    pub fn look(&mut self, accounts: &mut Accounts, seen: Seen) -> Finding {
         let known = accounts.sum() - accounts.used(Purpose::Program);
-        let rest = resident.saturating_sub(known) as f64;
+        let live = seen.active + seen.resident.saturating_sub(seen.heap);
+        let rest = live.saturating_sub(known) as f64;
         // What is seen to grow counts at once, so that others are refused in time; what falls, falls slowly.
-        self.rest = if rest > self.rest || self.resident == 0 {
+        self.rest = if rest > self.rest || self.seen == Seen::default() {
             rest
         } else {
             self.rest + SMOOTH * (rest - self.rest)
         };
-        self.resident = resident;
+        self.seen = seen;
         let rest = self.rest as usize;
         let cap = accounts.sight(Purpose::Program).cap;
         // No more than its cap is held against the others: what is beyond is told of, and may be what the system
@@ -57,9 +70,9 @@
         Finding::Usual
     }
 
-    /// What the system last said (bytes).
-    pub fn resident(&self) -> usize {
-        self.resident
+    /// What was last said.
+    pub fn seen(&self) -> Seen {
+        self.seen
     }
 }
 
@@ -73,7 +86,7 @@
         let ledger = Ledger::new(Plan::new(64_000_000, &[Wish::default(); PURPOSES], 1.0).unwrap(), 0);
         let (mut truth, mut look) = (Truth::default(), Vec::new());
         for resident in [5_000_000, 5_500_000, 7_000_000, 7_100_000, 40_000_000, 41_000_000] {
-            look.push(truth.look(&mut ledger.accounts_mut(), resident));
+            look.push(truth.look(&mut ledger.accounts_mut(), Seen { resident, ..Seen::default() }));
         }
         let cap = ledger.accounts().sight(Purpose::Program).cap;
         let usual = Finding::Usual;
@@ -84,7 +97,10 @@
         // Memory that an account knows of is not the program's; the rest falls slowly.
         let _held = ledger.ask(Holder::of(Purpose::Clients), 2_000_000).unwrap();
         for _ in 0..50 {
-            truth.look(&mut ledger.accounts_mut(), 8_000_000);
+            truth.look(
+                &mut ledger.accounts_mut(),
+                Seen { resident: 9_000_000, active: 4_000_000, heap: 5_000_000 },
+            );
         }
         let rest = ledger.accounts().used(Purpose::Program);
         assert!((6_000_000..6_100_000).contains(&rest), "{rest}");
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -2,9 +2,11 @@
 //! need beyond their connection's own from an account, before they use it.
 
 use crate::memory::{Grant, Refused};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::ops::Range;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 
 /// Up to here a buffer grows by doubling, beyond in steps (bytes).
@@ -171,8 +173,8 @@
 struct Part {
     data: Vec<u8>,
     left: Range<usize>,
-    /// What a body is held by; text is the connection's own.
-    body: Option<Grant>,
+    /// What a body is held by, and when it is due in Unix seconds; text is the connection's own.
+    body: Option<(Grant, f64)>,
 }
 
 /// Answers on their way to a client: text that is the connection's own, and between it bodies, each with the
@@ -184,6 +186,7 @@
     text: usize,
     spare: Vec<u8>,
     unread: Grant,
+    reader: Rc<Cell<usize>>,
 }
 
 impl Output {
@@ -220,11 +223,21 @@
         }
     }
 
+    /// What is granted for this client's answers and not sent, for whoever decides whether it is to be given more.
+    pub fn reader(&self) -> Rc<Cell<usize>> {
+        self.reader.clone()
+    }
+
+    /// When the body that is being sent is due.
+    pub fn due(&self) -> Option<f64> {
+        self.parts.iter().take(2).find_map(|p| p.body.as_ref()).map(|b| b.1)
+    }
+
     /// Appends a part of a body, which keeps its grant until it is sent.
-    pub fn push_body(&mut self, data: Vec<u8>, left: Range<usize>, grant: Grant) {
+    pub fn push_body(&mut self, data: Vec<u8>, left: Range<usize>, grant: Grant, due: f64) {
         if !left.is_empty() {
             self.len += left.len();
-            self.parts.push_back(Part { data, left, body: Some(grant) });
+            self.parts.push_back(Part { data, left, body: Some((grant, due)) });
         }
     }
 
@@ -329,9 +342,10 @@
         let ((one, first), (two, second)) = (body(3), body(4));
         out.push(b"head ");
         out.push(b"more ");
-        out.push_body(one, 0..3, first);
+        out.push_body(one, 0..3, first, 7.0);
         out.push(b" tail");
-        out.push_body(two, 1..3, second);
+        out.push_body(two, 1..3, second, 8.0);
+        assert_eq!((out.due(), out.reader().get()), (Some(7.0), 0));
         assert_eq!(out.bytes(), b"head more bbb tailbb");
         assert_eq!(ledger.accounts().used(Purpose::Unread), 7);
         out.consume(12);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,7 +7,7 @@
 use crate::config::Classes;
 use crate::interface::*;
 use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
-use rustc_hash::FxHashSet;
+use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
@@ -65,8 +65,6 @@
     pub connections: usize,
     /// Numbers for connections, shared by all fronts.
     pub numbers: Rc<Cell<u64>>,
-    /// Connections that are open.
-    pub open: Rc<Cell<usize>>,
     /// What holds connections, requests and answers.
     pub memory: Ledger,
     /// What a refusal of this front's own says (seconds).
@@ -85,14 +83,15 @@
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
     let serve = |stream, seat, own| Client::new(front.clone(), seat, own).serve(stream);
-    super::accept(listener, front.connections, front.open.clone(), front.memory.clone(), serve).await;
+    super::accept(listener, front.connections, front.memory.clone(), serve).await;
 }
 
 /// One connection's requests and answers, without the socket.
 pub(super) struct Session {
     front: Rc<Front>,
     number: u64,
-    open: FxHashSet<u64>,
+    /// The tags of what is open, with when each answer is due.
+    open: FxHashMap<u64, f64>,
     reply: UnboundedSender<(u64, Answer)>,
     pub(super) output: Output,
     /// It has said something whole that can be used.
@@ -109,7 +108,7 @@
         Session {
             front,
             number,
-            open: FxHashSet::default(),
+            open: FxHashMap::default(),
             reply,
             output: Output::new(unread),
             spoken: false,
@@ -144,14 +143,14 @@
                 say(tag, if self.front.ready.get() { "yes" } else { "no" });
                 None
             }
-            Command::Abort { tag } => self.open.remove(&tag).then(|| Input::Abort(self.caller(tag))),
+            Command::Abort { tag } => self.open.remove(&tag).map(|_| Input::Abort(self.caller(tag))),
             Command::Unusable { tag } => {
                 say(tag, "fault");
                 (cost, usable) = (unusable, false);
                 None
             }
             // Two answers under one tag could not be told apart.
-            Command::Request { tag, .. } if self.open.contains(&tag) => {
+            Command::Request { tag, .. } if self.open.contains_key(&tag) => {
                 return Err(Broken { why: Unreadable("a tag that is in use"), tag: None });
             }
             Command::Request { tag, class, fields, body } => {
@@ -173,9 +172,14 @@
                         cost = refused;
                         None
                     }
-                    Some(Some(ask)) => {
-                        self.open.insert(tag);
-                        Some(Input::Ask { caller: self.caller(tag), ask, reply: self.reply.clone() })
+                    Some(Some(mut ask)) => {
+                        self.open.insert(tag, ask.deadline);
+                        ask.reader = Some(self.output.reader());
+                        Some(Input::Ask {
+                            caller: self.caller(tag),
+                            ask: ask.into(),
+                            reply: self.reply.clone(),
+                        })
                     }
                 }
             }
@@ -194,7 +198,7 @@
         let precious = front.classes.get(class).is_some_and(|c| front.classes.never_kept(c));
         input.set_room(|| front.memory.empty(Holder { precious, ..Holder::of(Purpose::Bodies) }));
         let admitted = self.open.len() < OPEN_MOST && front.memory.admits(body, precious);
-        if admitted && input.reserve(total - input.len()).is_ok() || self.open.contains(&tag) {
+        if admitted && input.reserve(total - input.len()).is_ok() || self.open.contains_key(&tag) {
             return None;
         }
         input.skip(total);
@@ -207,22 +211,20 @@
     /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. The
     /// tags stay open, so that the broker hears that nobody waits any more.
     pub(super) fn broken(&mut self, tag: Option<u64>) {
-        for &tag in self.open.iter().chain(tag.filter(|tag| !self.open.contains(tag)).iter()) {
+        for &tag in self.open.keys().chain(tag.filter(|tag| !self.open.contains_key(tag)).iter()) {
             resp::answer(&mut self.output, tag, "fault", "", None);
         }
     }
 
     pub(super) fn answer(&mut self, tag: u64, answer: Answer) {
         // After an abort none is owed, and one that crossed it is dropped.
-        if !self.open.remove(&tag) {
-            return;
-        }
+        let Some(due) = self.open.remove(&tag) else { return };
         match answer {
             Answer::Served(content) if content.current => {
                 resp::answer(&mut self.output, tag, "ok", "current=1", None);
             }
             Answer::Served(content) => {
-                resp::answer(&mut self.output, tag, "ok", "", Some((content.body, content.grant)));
+                resp::answer(&mut self.output, tag, "ok", "", Some((content.body, content.grant, due)));
             }
             Answer::Refused(wait) | Answer::OverBudget(wait) => self.refuse(tag, wait),
             Answer::Failed | Answer::Late | Answer::Forbidden => {
@@ -266,7 +268,7 @@
         };
         // A connection that ends takes its requests with it: no answer is owed where none can be given.
         let Session { front, open, number, .. } = self.session;
-        for tag in open {
+        for tag in open.into_keys() {
             let caller = Caller { connection: number, tag };
             let _ = front.asks.send(Input::Abort(caller)).await;
         }
@@ -294,10 +296,12 @@
                 stalled_at = clock::now() + STALLED;
             }
             // One that leaves much unread is not read from, and sooner while all do.
-            let full = output.len() > UNSENT
-                || output.crowded()
-                || !memory.hears(output.len(), self.session.front.open.get());
+            let full = output.len() > UNSENT || output.crowded() || !memory.hears(output.len());
             let writable = !output.is_empty();
+            // What is still unread so long after it was due is of no use to its client any more; where memory is scarce,
+            // it has no such time.
+            let slack = if memory.hears(output.len()) { STALLED } else { 0.0 };
+            let stalled_by = output.due().map_or(stalled_at, |due| stalled_at.min(due + slack));
             let quiet = !writable && self.session.open.is_empty();
             match quiet {
                 true => self.seat.quiet(self.session.spoken),
@@ -313,7 +317,7 @@
             };
             // Guards the share of clients' connections against those that never say anything whole.
             let silent = (!self.session.spoken).then_some(made + SPEAK);
-            let idle = if writable { Some(stalled_at) } else { quiet.then_some(idle_at) };
+            let idle = if writable { Some(stalled_by) } else { quiet.then_some(idle_at) };
             let until = [silent, whole_by.filter(|_| !deaf), idle].into_iter().flatten().reduce(f64::min);
             tokio::select! {
                 biased;
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -6,7 +6,9 @@
 use crate::interface::{Note, Outcome};
 use crate::memory::{Grant, Holder, Ledger, Purpose};
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::Cell;
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 /// Bytes that are encoded ahead of the socket. What waits beyond can still be taken back unsent.
 const AHEAD: usize = 16 * 1024;
@@ -14,6 +16,8 @@
 const WITHDRAWN_MOST: usize = 512;
 /// An answer without content is waited for whole up to this length (bytes); of a longer one only the line is read.
 const TOLD: usize = 4096;
+/// A client that has left so much unread is given no more (bytes).
+const UNREAD: usize = 512 * 1024;
 /// Calls that were answered here lately and are remembered, since a second copy of an answer may follow.
 const ANSWERED: usize = 64;
 /// A copy made so much later than now is none; clocks of a site differ by less (seconds).
@@ -34,8 +38,9 @@
     never_kept: bool,
     /// The client holds a copy, so that its tag alone may be answered.
     have: bool,
-    /// Whose request it is, for the accounts.
+    /// Whose request it is, for the accounts, and what its client has left unread.
     team: Option<u16>,
+    reader: Option<Rc<Cell<usize>>>,
 }
 
 impl Sent {
@@ -166,10 +171,10 @@
             self.encoded += (out.len() - had) as u64;
             report(Report::Written(order.ticket));
             let (oldest, never_kept, have) = (order.oldest, order.never_kept, order.ask.have.is_some());
-            let (ticket, team) = (order.ticket, order.ask.team);
+            let (ticket, team, reader) = (order.ticket, order.ask.team, order.ask.reader.clone());
             self.out.insert(
                 order.ask.call.clone(),
-                Sent { ticket, at: now, from, oldest, never_kept, have, team },
+                Sent { ticket, at: now, from, oldest, never_kept, have, team, reader },
             );
         }
     }
@@ -223,11 +228,21 @@
             if let Some(length) = content
                 && self.coming.is_none()
             {
+                // A client that does not read what it has is given no more; that holds up nobody else.
+                let reads = |r: &Rc<Cell<usize>>| r.get() <= UNREAD && self.memory.hears(r.get());
+                if !sent.never_kept && !sent.reader.as_ref().is_none_or(reads) {
+                    self.give_up(buffer, &mut report);
+                    continue;
+                }
                 let Ok(grant) = self.memory.ask(sent.holder(Purpose::Unread), line + length) else {
                     return Ok(Progress::Held);
                 };
                 let partial = sent.holder(Purpose::Partial);
-                self.coming = Some(grant);
+                let reader = sent.reader.clone();
+                self.coming = Some(match reader {
+                    Some(reader) => grant.counted_in(reader),
+                    None => grant,
+                });
                 if total > buffer.len() {
                     buffer.set_room(|| self.memory.empty(partial));
                     if buffer.reserve(total - buffer.len()).is_err() {
@@ -262,7 +277,7 @@
 
     /// There was no memory for the answer at the head of the buffer, for too long: it is passed over, and its
     /// request hears that at once. What else is out here, and is still to come behind it, is not touched.
-    pub fn give_up(&mut self, buffer: &mut Buffer, mut report: impl FnMut(Report)) {
+    pub fn give_up(&mut self, buffer: &mut Buffer, report: &mut impl FnMut(Report)) {
         let Ok(Some(head)) = lines::head(buffer.bytes()) else { return };
         let (line, length) = (head.line, head.length);
         if let Some((call, sent)) = self.out.remove_entry(head.answer.id) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -164,13 +164,12 @@
 pub async fn accept<F>(
     listener: TcpListener,
     most: usize,
-    open: Rc<Cell<usize>>,
     memory: Ledger,
     serve: impl Fn(TcpStream, Seat, Grant) -> F,
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let lobby = Rc::new(Lobby::default());
+    let (open, lobby) = (Rc::new(Cell::new(0usize)), Rc::new(Lobby::default()));
     let own = || memory.ask(Holder::of(Purpose::Clients), OWN + TEXT);
     let mut relief_at = clock::now();
     loop {
@@ -206,6 +205,8 @@
                     log!("client {peer} is turned away: no memory for another connection");
                     continue;
                 };
+                memory.clients(1);
+                let memory = memory.clone();
                 let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone()), granted));
                 open.set(open.get() + 1);
                 tokio::task::spawn_local(async move {
@@ -221,6 +222,7 @@
                         _ => {}
                     }
                     open.set(open.get() - 1);
+                    memory.clients(-1);
                 });
             }
             Err(e) => {
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -378,7 +378,6 @@
         ready: Rc::default(),
         connections: 1,
         numbers: Rc::default(),
-        open: Rc::default(),
         memory,
         wait: 0.5,
     };
@@ -531,7 +530,7 @@
     assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Held));
     assert_eq!((used(Purpose::Unread), used(Purpose::Partial)), (0, 0));
     let mut reports = Vec::new();
-    x.give_up(&mut input, |r| reports.push(r));
+    x.give_up(&mut input, &mut |r| reports.push(r));
     assert_eq!(reports, [Report::NoMemory(Ticket { request: RequestId(1), attempt: 0 })]);
     input.arrive(&large[100..]);
     input.arrive(&small[..60]);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -390,7 +390,7 @@
                     if now < *give_up_at.get_or_insert(now + HELD_UP) {
                         break;
                     }
-                    state.give_up(&mut input, |r| self.report(r));
+                    state.give_up(&mut input, &mut |r| self.report(r));
                     give_up_at = None;
                     progress = state.decode(now, &mut input, |r| self.report(r));
                 }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -156,9 +156,15 @@
     }
 }
 
-/// Writes an answer: tag, word, fields, body.
-pub fn answer(out: &mut super::Output, tag: u64, word: &str, fields: &str, body: Option<(Vec<u8>, Grant)>) {
-    let (body, grant) = body.unwrap_or_default();
+/// Writes an answer: tag, word, fields, body with its memory and when it is due.
+pub fn answer(
+    out: &mut super::Output,
+    tag: u64,
+    word: &str,
+    fields: &str,
+    body: Option<(Vec<u8>, Grant, f64)>,
+) {
+    let (body, grant, due) = body.unwrap_or_default();
     let mut digits = [0; DECIMAL];
     out.push(b"*4\r\n");
     let mut own = [0; DECIMAL];
@@ -174,6 +180,6 @@
     out.push(b"$");
     out.push(decimal(length as u64, &mut digits).as_bytes());
     out.push(b"\r\n");
-    out.push_body(body, 0..length, grant);
+    out.push_body(body, 0..length, grant, due);
     out.push(b"\r\n");
 }
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -60,8 +60,6 @@
     pub connections: usize,
     /// Numbers for connections, shared by all fronts.
     pub numbers: Rc<Cell<u64>>,
-    /// Connections that are open.
-    pub open: Rc<Cell<usize>>,
     /// What holds connections, requests and answers.
     pub memory: Ledger,
     /// What a refusal of this front's own says (seconds).
@@ -111,7 +109,7 @@
 /// Accepts clients until the program ends.
 pub async fn accept(listener: TcpListener, front: Rc<Front>) {
     let serve = |stream, seat, own| Connection::new(front.clone(), seat, own).serve(stream);
-    crate::net::accept(listener, front.connections, front.open.clone(), front.memory.clone(), serve).await;
+    crate::net::accept(listener, front.connections, front.memory.clone(), serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
@@ -364,7 +362,7 @@
         self.tag += 1;
         let caller = Caller { connection: self.number, tag: self.tag };
         let ended = |_| io::Error::other("the broker has ended");
-        let input = Input::Ask { caller, ask, reply: self.reply.clone() };
+        let input = Input::Ask { caller, ask: ask.into(), reply: self.reply.clone() };
         self.front.asks.send(input).await.map_err(ended)?;
         loop {
             tokio::select! {
@@ -435,7 +433,7 @@
         }
         http::respond(&mut self.output, status, &fields, part.len());
         if request.method != "HEAD" {
-            self.output.push_body(content.body, part, content.grant);
+            self.output.push_body(content.body, part, content.grant, f64::INFINITY);
         }
     }
 
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,19 +1,26 @@
 //! Looks at the process's memory some ten times a second and hands what it sees to the accounts; what they find is
 //! logged. The only place that asks the system.
 
-use crate::memory::{Finding, Ledger, Notice};
+use crate::memory::{Finding, Ledger, Notice, Seen};
 use crate::{clock, log};
 use tokio::time::sleep_until;
 
 /// Between two looks (seconds).
 const EVERY: f64 = 0.1;
 
+/// What the system and the allocator say. Where one does not tell, it counts as nothing, and the accounts alone hold.
+fn seen() -> Seen {
+    use tikv_jemalloc_ctl::{epoch, stats};
+    let resident = memory_stats::memory_stats().map_or(0, |s| s.physical_mem);
+    let heap = epoch::advance().and_then(|_| Ok((stats::active::read()?, stats::resident::read()?)));
+    let (active, heap) = heap.unwrap_or((0, 0));
+    Seen { resident, active, heap }
+}
+
 /// Looks for ever.
 pub async fn memory(ledger: Ledger) {
     loop {
-        // Where the system does not tell, the rest counts as nothing, and the accounts alone hold.
-        let resident = memory_stats::memory_stats().map_or(0, |s| s.physical_mem);
-        let (finding, notices) = ledger.turn(resident);
+        let (finding, notices) = ledger.turn(seen());
         match finding {
             Finding::Usual => {}
             Finding::Grew(rest) => log!("memory: {rest} bytes are in no account, more than when last told"),
