Fill each account in a real process; never cut a client for a frame that is not read here

Need: that each cap refuses cleanly, leaves others unharmed and recovers was shown by unit tests only. Change: tests/memory.rs fills unread answers, bodies, waiting requests, connections and half heads, and cuts caps by SIGHUP.

--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Mutex;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -360,7 +360,10 @@
     }
 
     async fn misbehave(&self, kind: Bad, random: &mut StdRng) -> io::Result<()> {
-        let mut stream = TcpStream::connect(self.front).await?;
+        // What the system buffers for a client that does not read is kept small, so that the front must.
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(8 * 1024)?;
+        let mut stream = socket.connect(self.front).await?;
         let fresh = || self.fresh.replace(self.fresh.get() + 1);
         match kind {
             Bad::Slow | Bad::Flood => {
--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -21,6 +21,14 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64()
 }
 
+/// A connection for whose unread bytes the system keeps little room, so that they stay where they come from.
+pub fn narrow(address: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(8 * 1024).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
+
 /// Tries again until it is so.
 pub fn eventually(what: &str, mut so: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -310,6 +310,10 @@
             let now = clock::now();
             let hears_at = self.session.hears_at(now);
             let deaf = hears_at > now;
+            if full || deaf {
+                // What is not read here cannot become whole.
+                whole_by = whole_by.map(|_| now + WHOLE);
+            }
             let interest = match (full || deaf, writable) {
                 (true, _) => Interest::WRITABLE,
                 (false, true) => Interest::READABLE | Interest::WRITABLE,
@@ -318,7 +322,7 @@
             // Guards the share of clients' connections against those that never say anything whole.
             let silent = (!self.session.spoken).then_some(made + SPEAK);
             let idle = if writable { Some(stalled_by) } else { quiet.then_some(idle_at) };
-            let until = [silent, whole_by.filter(|_| !deaf), idle].into_iter().flatten().reduce(f64::min);
+            let until = [silent, whole_by, idle].into_iter().flatten().reduce(f64::min);
             tokio::select! {
                 biased;
                 Some((tag, answer)) = self.answers.recv() => {
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -122,6 +122,8 @@
     why: &'static str,
 }
 
+/// What a whole head takes may come out of the reserve: half heads, however many, must not keep it out.
+const WHOLE_HEAD: Holder = Holder { purpose: Purpose::Signed, team: None, precious: true };
 /// There is no memory for it.
 const BUSY: Denied = Denied { status: 503, why: "busy; try again" };
 /// What a header line takes beside its text (bytes).
@@ -137,7 +139,7 @@
             return denied(403, "no contract covers the path");
         };
         let Some(rules) = self.classes.get(usize::from(class.0)) else { return denied(403, "no class") };
-        let Ok(_check) = self.memory.ask(Holder::of(Purpose::Signed), token::CHECK) else {
+        let Ok(_check) = self.memory.ask(WHOLE_HEAD, token::CHECK) else {
             return Err(BUSY);
         };
         let cookie = request.field("cookie").and_then(uri::cookie).map(str::to_owned);
@@ -254,7 +256,7 @@
             // What was read of its head is held while it is served.
             let text =
                 request.fields.iter().map(|(name, value)| name.len() + value.len() + FIELD).sum::<usize>();
-            let held = self.front.memory.ask(Holder::of(Purpose::Signed), text + 2 * request.target.len());
+            let held = self.front.memory.ask(WHOLE_HEAD, text + 2 * request.target.len());
             let bare = request.method == "HEAD";
             let admitted = match &held {
                 Ok(_) => self.front.admit(arrived, &request).and_then(|ask| self.hold(ask, request.length)),
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,281 @@
+//! Each account of a front's memory, filled in a real process: the refusal is clean, the others are unharmed, and
+//! when it is over all is back.
+
+mod stand_ins;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::mpsc::Receiver;
+use std::thread;
+
+/// A front with this table of memory, and its cache node, which answers each request with as many KB as its part's
+/// number says, until the front ends.
+fn front(name: &str, memory_mb: usize, memory: Value) -> Node {
+    let (cache, served) = cache_node();
+    thread::spawn(move || serve(&served));
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    Node::start(name, members, |c| {
+        c["limits"]["memory_mb"] = json!(memory_mb);
+        c["memory"] = memory.clone();
+        // Nothing here is to hang on how quick the machine is.
+        c["settings"]["profiles"][0]["deadline"] = json!(60.0);
+    })
+}
+
+fn serve(served: &Receiver<Served>) {
+    for mut one in served {
+        if one.verb == "serve" {
+            let kb: usize = one.field("slice").unwrap().parse().unwrap();
+            let made = (unix() * 1000.0) as u64;
+            // A front that has closed meanwhile is none of its business.
+            let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+                one.answer("HIT", &format!("n=TCP_HIT,etag=e1,made={made}"), &vec![b'x'; kb * 1000]);
+            }));
+        }
+    }
+}
+
+/// What the counters say of the accounts.
+fn accounts(node: &Node) -> BTreeMap<String, f64> {
+    node.signal("-USR1");
+    let line = node.logged("memory total=");
+    line.split(' ')
+        .filter_map(|w| w.split_once('='))
+        .filter_map(|(k, v)| Some((k.into(), v.parse().ok()?)))
+        .collect()
+}
+
+fn request(tag: u64, class: &str, kb: u64, body: usize) -> Vec<u8> {
+    let fields = format!(
+        "call={:016x},ttl=60000,row={tag:016x},slice={kb},set=1,heap=10,dedupe=k{tag}",
+        tag + 1000 * kb
+    );
+    let words = ["REQ", &tag.to_string(), class, &fields, &"b".repeat(body)];
+    let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*5\r\n{words}").into_bytes()
+}
+
+impl Client {
+    fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Asks for so many KB and reads the answer: its word and length.
+    fn get(&mut self, tag: u64, kb: u64) -> (String, usize) {
+        self.write(&request(tag, "media", kb, 0));
+        let words = self.answer();
+        (words[1].clone(), words[3].len())
+    }
+}
+
+/// Asks on a connection of its own, and on another where that was closed before it was heard: a front may close what
+/// nothing is open on, and does so while memory is scarce.
+fn get(node: &Node, tag: u64, kb: u64) -> (String, usize) {
+    for again in 0..5 {
+        let mut c = node.connect();
+        let bytes = request(tag + 100_000 * again, "media", kb, 0);
+        if c.stream.write_all(&bytes).is_ok() && c.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
+            let words = c.answer();
+            return (words[1].clone(), words[3].len());
+        }
+    }
+    panic!("closed five times");
+}
+
+/// Has clients that read nothing ask on, until the system's buffers are full and this much lies in the front; how many
+/// answers each is still owed.
+fn fill(node: &Node, slow: &mut [Client], unread: f64) -> u64 {
+    let (mut sent, mut read) = (0, 0);
+    eventually("answers lie unread", || {
+        for (i, c) in slow.iter_mut().enumerate() {
+            (1..=6).for_each(|n| c.write(&request(10_000 * i as u64 + sent + n, "media", 240, 0)));
+            // Whoever takes nothing for long is closed: one answer is read in a round.
+            c.answer();
+        }
+        (sent, read) = (sent + 6, read + 1);
+        // Twice, since what the system takes up is not the front's any more.
+        (0..2).all(|_| accounts(node)["unread.now"] > unread)
+    });
+    sent - read
+}
+
+/// Reads what is still owed, in turns, so that nobody is closed for taking nothing.
+fn read_on(slow: &mut [Client], owed: u64) -> Vec<Vec<Vec<String>>> {
+    let mut answers = vec![Vec::new(); slow.len()];
+    for _ in 0..owed {
+        slow.iter_mut().zip(&mut answers).for_each(|(c, all)| all.push(c.answer()));
+    }
+    answers
+}
+
+#[test]
+fn unread_answers_are_bounded_and_those_who_read_are_served() {
+    let node = front("unread", 32, json!({"unread": {"cap_mb": 3}}));
+    let mut slow: Vec<Client> = (0..4).map(|_| Client::new(narrow(node.address))).collect();
+    let sent = fill(&node, &mut slow, 1e6);
+    // The account holds its cap, and whoever reads has its answers.
+    for tag in 1..=30 {
+        let (word, length) = get(&node, 5000 + tag, 20);
+        assert!((word == "ok" && length == 20_000) || word == "full", "{word} {length}");
+    }
+    let now = accounts(&node);
+    assert!(now["unread.peak"] <= 3e6, "{now:?}");
+    // Every one of the slow clients' requests has its one answer: whole, or refused with the time to stay away.
+    for answers in read_on(&mut slow, sent) {
+        let refused = answers.iter().filter(|a| a[1] == "full" && a[2] == "pushback=500").count();
+        let whole = answers.iter().filter(|a| a[1] == "ok" && a[3].len() == 240_000).count();
+        assert!(whole > 0 && whole + refused == sent as usize, "{whole} whole, {refused} refused of {sent}");
+    }
+    assert_eq!(get(&node, 6000, 20), ("ok".into(), 20_000));
+    eventually("all is back", || accounts(&node)["unread.now"] == 0.0);
+}
+
+#[test]
+fn bodies_are_refused_by_their_announcement_and_holds_have_the_reserve() {
+    let node =
+        front("bodies", 32, json!({"bodies": {"cap_mb": 0.4, "guarantee_mb": 0.4, "reserve_mb": 0.15}}));
+    let whole = request(1, "media", 1, 45_000);
+    let mut half: Vec<Client> = (0..8).map(|_| node.connect()).collect();
+    half.iter_mut().for_each(|c| c.write(&whole[..30_000]));
+    eventually("some are refused", || accounts(&node)["bodies.refused"] > 0.0);
+    // Those that were refused hear at once, though their bodies are not whole, and go on behind them.
+    let mut refused = 0;
+    for c in &mut half {
+        c.stream.set_read_timeout(Some(std::time::Duration::from_millis(300))).unwrap();
+        if c.stream.peek(&mut [0]).is_ok() {
+            refused += 1;
+            assert_eq!(c.answer(), ["1", "full", "pushback=500", ""]);
+            c.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            c.write(&whole[30_000..]);
+            assert_eq!(c.get(2, 3), ("ok".into(), 3000));
+        }
+    }
+    assert!((1..8).contains(&refused), "{refused}");
+    let mut c = node.connect();
+    c.write(&request(7, "holds", 1, 45_000));
+    assert_eq!(c.answer()[1], "ok", "a hold with its body");
+    let now = accounts(&node);
+    assert!(now["bodies.peak"] <= 0.4e6, "{now:?}");
+    drop(half);
+    eventually("all is back", || accounts(&node)["bodies.now"] == 0.0);
+    c.write(&request(8, "media", 1, 45_000));
+    assert_eq!(c.answer()[1], "ok", "and they are taken again");
+}
+
+#[test]
+fn waiting_requests_are_bounded_and_holds_have_the_reserve() {
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let memory = json!({"waiting": {"cap_mb": 0.08, "guarantee_mb": 0.08, "reserve_mb": 0.03}});
+    let node = Node::start("waiting", members, |c| c["memory"] = memory.clone());
+    let mut clients: Vec<Client> = (0..3).map(|_| node.connect()).collect();
+    for (i, c) in clients.iter_mut().enumerate() {
+        (1..=16).for_each(|tag| c.write(&request(100 * i as u64 + tag, "media", 1, 0)));
+    }
+    // Nothing is answered by the cache node: what comes back now are refusals, at once.
+    let c = &mut clients[2];
+    assert_eq!(c.answer()[1..3], ["full", "pushback=500"]);
+    assert!(node.logged("'waiting' refuses").contains("cap 80000"));
+    let c = &mut clients[2];
+    c.write(&request(900, "holds", 1, 0));
+    eventually("the hold goes out", || {
+        served.try_iter().any(|s| s.verb == "serve" && s.field("sort") == Some("holds"))
+    });
+    let now = accounts(&node);
+    assert!(now["waiting.peak"] <= 0.08e6 && now["waiting.refused"] > 0.0, "{now:?}");
+    drop(clients);
+    eventually("all is back but the tables", || accounts(&node)["waiting.now"] < 0.02e6);
+    thread::spawn(move || serve(&served));
+    assert_eq!(node.connect().get(1, 2), ("ok".into(), 2000));
+}
+
+#[test]
+fn connections_without_memory_take_the_place_of_silent_ones() {
+    let node = front("seats", 32, json!({"clients": {"cap_mb": 0.17, "guarantee_mb": 0.17}}));
+    let silent: Vec<Client> = (0..30).map(|_| node.connect()).collect();
+    let mut c = node.connect();
+    assert_eq!(c.get(1, 5), ("ok".into(), 5000));
+    let now = accounts(&node);
+    assert!(now["clients.peak"] <= 0.17e6 && now["clients.refused"] > 0.0, "{now:?}");
+    drop(silent);
+    eventually("all is back but one", || accounts(&node)["clients.now"] < 0.02e6);
+}
+
+/// Caps are cut and restored by a reload while they are in use: nothing is dropped, nothing more is granted until use
+/// has fallen. A table that does not fit together changes nothing, and its keys are named.
+#[test]
+fn caps_change_in_service() {
+    let node = front("caps", 32, json!({"unread": {"cap_mb": 3}}));
+    let file = node.folder.join("config.json");
+    let reload = |memory: Value| {
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+        config["memory"] = memory;
+        std::fs::write(&file, config.to_string()).unwrap();
+        node.signal("-HUP");
+    };
+    let mut slow: Vec<Client> = (0..2).map(|_| Client::new(narrow(node.address))).collect();
+    let sent = fill(&node, &mut slow, 250_000.0);
+    reload(json!({"unread": {"cap_mb": 0.1}}));
+    node.logged("the settings are in force");
+    let now = accounts(&node);
+    assert!(now["unread.cap"] == 100_000.0 && now["unread.now"] > 100_000.0, "{now:?}");
+    assert_eq!(get(&node, 5000, 20).0, "full", "nothing more is granted");
+    // Nothing was dropped: what was granted comes whole.
+    for answers in read_on(&mut slow, sent) {
+        assert!(answers.iter().any(|a| a[3].len() == 240_000));
+    }
+    assert_eq!(get(&node, 5001, 20), ("ok".into(), 20_000), "use has fallen");
+    reload(json!({"unread": {"guarantee_mb": 1, "cap_mb": 0.5}, "bodies": {}}));
+    let line = node.logged("the old settings stay");
+    assert!(
+        line.contains("'memory.unread.guarantee' (1000000) is over 'memory.unread.cap' (500000)"),
+        "{line}"
+    );
+    reload(json!({"unred": {"cap_mb": 1}}));
+    assert!(node.logged("the old settings stay").contains("'memory.unred' is not known: there are"));
+    reload(json!({"unread": {"cap": 3}}));
+    assert!(node.logged("the old settings stay").contains("'memory.unread.cap' is not a share"));
+    assert_eq!(accounts(&node)["unread.cap"], 100_000.0);
+}
+
+fn resident(pid: u32) -> f64 {
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap();
+    statm.split(' ').nth(1).unwrap().parse::<f64>().unwrap() * 4096.0
+}
+
+/// Hundreds of half heads: they hold what the account of the second front allows, whoever sends a whole one is served,
+/// and what they took is given back to the system when they are gone.
+#[test]
+fn half_heads_do_not_keep_others_out_and_leave_nothing_behind() {
+    let signer = Signer::new("t1", "talks.example.org", b"the talks team's secret, 32 byte");
+    let (cache, served) = cache_node();
+    let (server, asked) = discovery(vec![("standard", cache), ("origin", cache)]);
+    let front = stand_ins::Front::start("heads", &[&signer], server, |text| {
+        text.replace(
+            "[xds]",
+            "[memory]\nsigned = { cap_mb = 4, guarantee_mb = 1, reserve_mb = 0.7 }\n\n[xds]",
+        )
+    });
+    (0..7).for_each(|_| drop(asked.recv_timeout(PATIENCE).unwrap()));
+    thread::spawn(move || {
+        for mut one in served {
+            one.hit(b"the object");
+        }
+    });
+    let get = || front.get(&signer.link("/talks/1")).0;
+    assert_eq!(get(), 200);
+    let before = resident(front.child.id());
+    let head = format!("GET /talks/1 HTTP/1.1\r\nHost: h\r\nX-Long: {}", "x".repeat(15_000));
+    let half: Vec<TcpStream> = (0..400).map(|_| front.send(&head)).collect();
+    assert_eq!(get(), 200, "while they wait");
+    let during = resident(front.child.id());
+    // 400 of them would hold 4.8 MB beyond their connections' own.
+    assert!(during - before < 4e6 + 400.0 * 20_000.0, "{before} {during}");
+    drop(half);
+    eventually("it is given back", || {
+        resident(front.child.id()) < before + 0.35 * (during - before).max(1e6)
+    });
+    assert_eq!(get(), 200);
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -2,11 +2,14 @@
 #![allow(dead_code)]
 
 pub use onyxyoke_stand_ins::scripted::*;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::Child;
-use std::sync::mpsc::Receiver;
+use std::process::{Child, Command};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Instant;
 
 /// Starts the program with this file alone; where it listens, and what else it logs.
 pub fn start(variable: &str, file: &Path) -> (Child, SocketAddr, Receiver<String>) {
@@ -69,3 +72,156 @@
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
+
+pub const EDGE: u32 = 7;
+pub const OTHER: u32 = 8;
+pub const ORIGIN: u32 = 9;
+pub const OBJECT: &str = "7f3a9c21e0b4d655";
+
+/// The settings of the operator's example, which have the platform's form.
+pub fn settings() -> Value {
+    let operator: Value = toml::from_str(include_str!("../../deploy/operator.toml")).unwrap();
+    operator["settings"].clone()
+}
+
+pub fn member(id: u32, kind: &str, address: SocketAddr) -> Value {
+    json!({"id": format!("s-{id:08x}"), "host_port": address, "cell": 0, "phase": "active", "size": 8,
+        "locality": if kind == "origin" { "hub" } else { "branch" }, "flavor": kind, "up_since_ms": 0})
+}
+
+/// A coordinator: hands each connection of a front to the test, with the number it asked from.
+pub fn coordinator() -> (SocketAddr, Receiver<(u64, TcpStream)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, feeds) = channel();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut last = [0; 8];
+            if stream.read_exact(&mut last).is_err()
+                || sender.send((u64::from_be_bytes(last), stream)).is_err()
+            {
+                return;
+            }
+        }
+    });
+    (address, feeds)
+}
+
+pub struct Node {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Receiver<String>,
+    pub folder: PathBuf,
+    /// The coordinator: each connection of the front, with the number it asked from.
+    pub feeds: Receiver<(u64, TcpStream)>,
+}
+
+impl Node {
+    pub fn start(name: &str, members: Vec<Value>, change: impl Fn(&mut Value)) -> Self {
+        let (coordinator, feeds) = coordinator();
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "coordinator": coordinator,
+            "known": {"index": 3, "updates": [{"index": 3, "endpoints":
+                {"revision": 1, "complete": true, "members": members}}]}, "settings": settings()});
+        change(&mut config);
+        let folder = std::env::temp_dir().join(format!("onyxyoke-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+        let (child, address, log) = start("NODE_CONFIG", &folder.join("config.json"));
+        Node { child, address, log, folder, feeds }
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(
+            Command::new("sh")
+                .args(["-c", &format!("kill {name} {}", self.child.id())])
+                .status()
+                .unwrap()
+                .success()
+        );
+    }
+
+    /// Reads the log until a line has this in it.
+    pub fn logged(&self, what: &str) -> String {
+        // Whatever else is logged meanwhile does not make the wait longer.
+        let by = Instant::now() + PATIENCE;
+        loop {
+            let left = by.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("'{what}' was never logged"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn connect(&self) -> Client {
+        Client::new(TcpStream::connect(self.address).unwrap())
+    }
+}
+
+impl Client {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn send(&mut self, words: &[&str]) {
+        let mut out = format!("*{}\r\n", words.len());
+        words.iter().for_each(|w| out += &format!("${}\r\n{w}\r\n", w.len()));
+        self.stream.write_all(out.as_bytes()).unwrap();
+    }
+
+    pub fn ask(&mut self, tag: &str, call: u64, more: &str) {
+        let fields = format!("call={call:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,novel=1{more}");
+        self.send(&["REQ", tag, "media", &fields, ""]);
+    }
+
+    pub fn number(&mut self, mark: char) -> usize {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        line.strip_prefix(mark).unwrap_or_else(|| panic!("{line:?}")).trim_end().parse().unwrap()
+    }
+
+    /// An answer's words.
+    pub fn answer(&mut self) -> Vec<String> {
+        let count = self.number('*');
+        let word = |c: &mut Self| {
+            let mut bytes = vec![0; c.number('$') + 2];
+            c.reader.read_exact(&mut bytes).unwrap();
+            bytes.truncate(bytes.len() - 2);
+            String::from_utf8(bytes).unwrap()
+        };
+        (0..count).map(|_| word(self)).collect()
+    }
+
+    pub fn closed(&mut self) -> bool {
+        self.reader.read(&mut [0]).map_or(true, |n| n == 0)
+    }
+}
+
+pub fn one_cache(name: &str) -> (Node, Receiver<Served>) {
+    let (cache, served) = cache_node();
+    (
+        Node::start(name, vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)], |_| ()),
+        served,
+    )
+}
+
+pub fn next(served: &Receiver<Served>) -> Served {
+    served.recv_timeout(PATIENCE).expect("a command at the cache node")
+}
