--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `onyxyoke-lab`: brings a real front up between stand-ins on loopback, loads it, and judges what it did.
 #![forbid(unsafe_code)]
 
+mod compare;
 mod soak;
 
 use clap::{Parser, Subcommand};
@@ -20,11 +21,16 @@
     ///
     /// Exit codes: 0 all held, 1 something did not, 2 it could not be run.
     Soak(soak::Options),
+    /// Compares the processor time that an ordinary request takes of two builds of the front
+    Compare(compare::Options),
 }
 
 fn main() -> ExitCode {
-    let Arguments { command: Command::Soak(options) } = Arguments::parse();
-    match soak::run(&options) {
+    let done = match Arguments::parse().command {
+        Command::Soak(options) => soak::run(&options),
+        Command::Compare(options) => compare::run(&options),
+    };
+    match done {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
--- a/crates/lab/src/soak/front.rs
+++ b/crates/lab/src/soak/front.rs
@@ -182,6 +182,12 @@
         Some(look)
     }
 
+    /// Processor time that it has taken (nanoseconds).
+    pub fn processor_ns(&self) -> Result<u64, Box<dyn Error>> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid))?;
+        Ok(stat.split(' ').next().ok_or("an empty schedstat")?.parse()?)
+    }
+
     /// The last lines that it logged.
     pub fn last_lines(&self) -> Vec<String> {
         self.last.borrow().iter().cloned().collect()
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! A long run of one front under a small memory limit, while all goes wrong in turn.
 
-mod clients;
-mod front;
+pub mod clients;
+pub mod front;
 mod schedule;
 mod verdict;
 
@@ -72,15 +72,15 @@
 }
 
 /// Everything outside of the front.
-struct World {
+pub struct World {
     caches: Vec<Rc<Cache>>,
-    members: Vec<Member>,
-    coordinator: Rc<Coordinator>,
+    pub members: Vec<Member>,
+    pub coordinator: Rc<Coordinator>,
     random: StdRng,
 }
 
 impl World {
-    async fn start(seed: u64) -> std::io::Result<World> {
+    pub async fn start(seed: u64) -> std::io::Result<World> {
         let (mut caches, mut members) = (Vec::new(), Vec::new());
         for i in 0..CACHES + PARENTS + 1 {
             let origin = i == CACHES + PARENTS;
