--- a/benches/beliefs.rs
+++ b/benches/beliefs.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// What one round measured of both.
+type Row = ([f64; 3], [f64; 3]);
+
 fn compare(nodes: u64) {
     let mut rows = Vec::new();
     for _ in 0..ROUNDS {
@@ -104,7 +107,7 @@
         );
         rows.push((made, plain));
     }
-    let median = |of: &dyn Fn(&([f64; 3], [f64; 3])) -> f64| {
+    let median = |of: &dyn Fn(&Row) -> f64| {
         let mut all: Vec<f64> = rows.iter().map(of).collect();
         all.sort_by(f64::total_cmp);
         all[all.len() / 2]
--- a/src/memory/accounts.rs
+++ b/src/memory/accounts.rs
@@ -216,7 +216,7 @@
         }
     }
 
-    /// A turn of the clock, some ten a second: which accounts began to refuse since the last, and which have
+    /// A turn of the clock, two to ten a second: which accounts began to refuse since the last, and which have
     /// refused nothing for `QUIET` turns and count as recovered.
     pub fn turn(&mut self) -> Vec<Notice> {
         let mut notices = Vec::new();
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,12 +1,12 @@
-//! Looks at the process's memory some ten times a second and hands what it sees to the accounts; what they find is
+//! Looks at the process's memory, ten times a second while it is scarce and else twice, and hands what it sees to the accounts; what they find is
 //! logged. The only place that asks the system.
 
-use crate::memory::{Finding, Ledger, Notice, Seen};
+use crate::memory::{Finding, Ledger, Level, Notice, Seen};
 use crate::{clock, log};
 use tokio::time::sleep_until;
 
-/// Between two looks (seconds).
-const EVERY: f64 = 0.1;
+/// Between two looks while memory is scarce, and while it is not: a look costs some hundred microseconds (seconds).
+const EVERY: (f64, f64) = (0.1, 0.5);
 
 /// What the system and the allocator say. Where one does not tell, it counts as nothing, and the accounts alone hold.
 fn seen() -> Seen {
@@ -51,6 +51,7 @@
                 }
             }
         }
-        sleep_until(clock::instant(clock::now() + EVERY)).await;
+        let pause = if ledger.level() == Level::Calm { EVERY.1 } else { EVERY.0 };
+        sleep_until(clock::instant(clock::now() + pause)).await;
     }
 }
