--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -13,6 +13,16 @@
 const DOUBLED: usize = 64 * 1024;
 const STEP: usize = 16 * 1024;
 
+/// How much a socket took of a write; `None` if it takes nothing just now.
+fn taken(written: io::Result<usize>) -> io::Result<Option<usize>> {
+    match written {
+        Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+        Ok(n) => Ok(Some(n)),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
 /// Bytes in order: appended at the tail, taken from the head; one allocation, compacted in place. The first
 /// `keep` bytes are the connection's own, what lies beyond is granted by an account, and given back as soon as
 /// the buffer is empty: most connections wait most of the time, and are many.
@@ -150,15 +160,9 @@
     pub fn write_to(&mut self, stream: &TcpStream) -> io::Result<usize> {
         let mut sent = 0;
         while !self.is_empty() {
-            match stream.try_write(self.bytes()) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    self.consume(n);
-                    sent += n;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
-            }
+            let Some(n) = taken(stream.try_write(self.bytes()))? else { break };
+            self.consume(n);
+            sent += n;
         }
         Ok(sent)
     }
@@ -250,15 +254,9 @@
             for (piece, part) in pieces.iter_mut().zip(&self.parts) {
                 *piece = IoSlice::new(&part.data[part.left.clone()]);
             }
-            match stream.try_write_vectored(&pieces[..count]) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    self.consume(n);
-                    sent += n;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
-            }
+            let Some(n) = taken(stream.try_write_vectored(&pieces[..count]))? else { break };
+            self.consume(n);
+            sent += n;
         }
         // Shown, not asked: the connection has paid for it. A refusal leaves the sum as it was.
         let _ = self.unread.resize(self.text);
