--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -189,9 +189,11 @@
         peer.links.retain(|l| !l.jobs.is_closed());
         let usable = |l: &&Link| l.state.borrow().takes(&order.ask.call) && l.load() < self.limits.streams;
         let least = peer.links.iter().filter(usable).min_by_key(|l| l.load());
-        let own = || self.memory.ask(Holder::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
         let room = peer.links.len() < PER_NODE && total < self.limits.connections;
-        let own = if least.is_some_and(|link| link.load() < CROWD) || !room { None } else { own() };
+        // A further one is opened where none is free, if there is room for it and memory.
+        let further = room && least.is_none_or(|link| link.load() >= CROWD);
+        let ask = || self.memory.ask(Holder::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
+        let own = further.then(ask).flatten();
         let link = match least {
             Some(link) if own.is_none() => link,
             _ if let (Some(own), Some(address)) = (own, peer.address) => {
