--- a/src/config.rs
+++ b/src/config.rs
@@ -253,6 +253,8 @@
     pub keepalive: f64,
     /// Most requests on one connection to a cache node.
     pub streams: usize,
+    /// What a new connection to a cache node costs (points for each of a first try's); 0: nothing is charged.
+    pub handshake: f64,
     /// The second front, if it is on.
     pub signed: Option<Signed>,
     /// Discovery in xDS form, if it is used.
@@ -397,6 +399,10 @@
         connect_within: or(&caps, "connect-timeout", 0.4)?,
         keepalive: or(&caps, "keepalive", 15.0)?,
         streams: or(&caps, "max-streams", 100.0)? as usize,
+        handshake: match inner.opt("prices").and_then(|prices| prices.opt("handshake")) {
+            Some(price) => price.number()?,
+            None => 0.0,
+        },
         signed,
         xds,
         contracts,
--- a/src/main.rs
+++ b/src/main.rs
@@ -175,6 +175,7 @@
             idle: config.keepalive / 2.0,
             streams: config.streams,
             connections: (config.sockets / SHARE).max(1),
+            handshake: config.handshake,
         },
         memory.clone(),
     ));
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -17,9 +17,10 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep_until, timeout_at};
 
-/// A further connection to a node is opened once each has so many requests. Whatever spoils an answer ends
-/// its connection, and with it what else is out there.
-const CROWD: usize = 1;
+/// A further connection to a node is opened once each has so many requests: where a connection costs nothing, since
+/// whatever spoils an answer ends its connection and with it what else is out there; and where it has a price, as in a
+/// fleet whose fronts together hold most of what a node accepts.
+const CROWD: [usize; 2] = [1, 8];
 /// While there is no memory for an answer, it is asked for again after this; after that the answer is given up,
 /// and its request refused, so that its client hears in time (seconds).
 const RELIEF: f64 = 0.005;
@@ -47,6 +48,15 @@
     pub streams: usize,
     /// Most connections in all.
     pub connections: usize,
+    /// What each new one costs; 0: nothing.
+    pub handshake: f64,
+}
+
+impl Limits {
+    /// So many requests on each connection to a node are worth a further one.
+    fn crowd(&self) -> usize {
+        CROWD[usize::from(self.handshake > 0.0)].min(self.streams)
+    }
 }
 
 /// To a connection's task.
@@ -191,7 +201,7 @@
         let least = peer.links.iter().filter(usable).min_by_key(|l| l.load());
         let room = peer.links.len() < PER_NODE && total < self.limits.connections;
         // A further one is opened where none is free, if there is room for it and memory.
-        let further = room && least.is_none_or(|link| link.load() >= CROWD);
+        let further = room && least.is_none_or(|link| link.load() >= self.limits.crowd());
         let ask = || self.memory.ask(Holder::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
         let own = further.then(ask).flatten();
         let link = match least {
@@ -406,3 +416,62 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::broker::Ask;
+    use crate::interface::{FillOptions, Node, RequestId};
+    use std::time::Duration;
+    use tokio::net::TcpListener;
+
+    /// Connections that a node that answers nothing has taken once it was sent so many requests at once.
+    fn opened(handshake: f64, requests: u32) -> usize {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (send, commands) = unbounded_channel();
+            let (reports, mut written) = unbounded_channel();
+            let limits = Limits { connect_within: 5.0, idle: 5.0, streams: 100, connections: 64, handshake };
+            tokio::task::spawn_local(run(commands, reports, limits, Ledger::unlimited()));
+            let node = Node { id: NodeId(1), ..Node::default() };
+            let members = vec![Member { node, address: listener.local_addr().unwrap() }];
+            send.send(Command::Roster { full: true, members }).unwrap();
+            for request in 1..=requests {
+                let ask = Ask { call: format!("{request:016x}").into(), ..Ask::default() };
+                send.send(Command::Send(Order {
+                    ticket: Ticket { request: RequestId(request), attempt: 0 },
+                    ask: ask.into(),
+                    class: "media".into(),
+                    node: NodeId(1),
+                    source: None,
+                    rank: 1,
+                    age: 0.0,
+                    options: FillOptions::default(),
+                    due: clock::now() + 60.0,
+                    oldest: 0.0,
+                    never_kept: false,
+                    returned: 0,
+                }))
+                .unwrap();
+            }
+            for _ in 0..requests {
+                assert!(matches!(written.recv().await, Some(Report::Written(_))));
+            }
+            // All was written, so whatever connection there is waits to be accepted.
+            let (mut open, none) = (Vec::new(), Duration::ZERO);
+            while let Ok(accepted) = tokio::time::timeout(none, listener.accept()).await {
+                open.push(accepted.unwrap());
+            }
+            open.len()
+        })
+    }
+
+    /// Guards against a fleet that together holds all that a node accepts, and pays for each handshake.
+    #[test]
+    fn requests_share_a_connection_where_one_has_a_price() {
+        assert_eq!(opened(0.0, 12), 12, "a spoilt answer takes nothing with it");
+        assert_eq!(opened(0.08, CROWD[1] as u32), 1);
+        assert_eq!(opened(0.08, CROWD[1] as u32 + 1), 2, "nor is one connection the bottleneck");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -317,4 +317,8 @@
         &|c| c["known"]["updates"][0]["endpoints"]["members"] = json!([{"id": 7}]),
         "members.0.id'",
     );
+    let price = |c: &mut Value| c["settings"]["prices"] = json!({"handshake": "high"});
+    refused("bad5", &price, "'prices.handshake' is not a number");
+    // A price of nothing is one, as most installations have it.
+    Node::start("free", Vec::new(), |c| c["settings"]["prices"] = json!({"handshake": 0.0}));
 }
