--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! entry point, then the ordinary path (beliefs, exclusion probabilities, cost rule), then the guards.
 
 use crate::interface::*;
-use crate::routing::{Beliefs, Purges};
+use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, fade, smooth};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -26,6 +26,10 @@
 const SMOOTH: f64 = 1.0 / 20.0;
 /// The same for fills from above, of which each source sees few.
 const SMOOTH_FILL: f64 = 1.0 / 5.0;
+/// Its most, where the last was long ago.
+const FRESH: f64 = 0.5;
+/// For so long what was learned of a source holds; then it fades (seconds).
+const LAG_KEPT: f64 = 2.0;
 /// Latency of a hit beyond its sending time before anything is known (seconds).
 const BASE: f64 = 0.03;
 /// What a fill takes beyond a hit is counted per sending time plus this: a jam above slows large ones most.
@@ -43,10 +47,6 @@
 const LINK_IN_GUESS: f64 = 3.0;
 /// The same on the safe side, for cold nodes.
 const LINK_SAFE: f64 = 2.0;
-/// An answer that took more than this multiple of its sending time shows a full link.
-const STRETCHED: f64 = 1.25;
-/// Weight of the newest window in a link's estimate.
-const LINK_STEP: f64 = 0.1;
 /// Holders slower than this multiple let one more cache into the choice (hot objects spread).
 const SPREAD_AT: f64 = 1.2;
 /// Refuse what would take more than this multiple of its aim: the first where a link is `CROWDED` times full
@@ -55,8 +55,6 @@
 const CROWDED: f64 = 1.8;
 /// Mean sending time of a class before anything is known (seconds).
 const WORK_GUESS: f64 = 0.5;
-/// Span of the mean of this director's transfers, from which those of its peers are taken (seconds).
-const LOAD_MEMORY: f64 = 5.0;
 /// Share of a cold node's budget that is used.
 const COLD_SHARE: f64 = 0.6;
 /// Where it is spent in turns, this many deviations of chance stay within it.
@@ -84,6 +82,9 @@
 const DRAWS: u64 = 8;
 /// So many of the first draws are among the parents of the own hub: each hub on the way costs time and bytes.
 const NEAR_DRAWS: u64 = 2;
+/// One of another hub is asked where those of the own are slower than it by this (as their lag counts): all
+/// fronts of a hub that has few parents left lean on the same ones.
+const FAR: f64 = 0.2;
 /// Points of each parent on the ring from which they are drawn.
 const RING: u64 = 16;
 /// So many times what the origin answers may be asked of it; more only while it answers.
@@ -112,49 +113,6 @@
     absent: u32,
 }
 
-/// A link that the transfers of all directors share evenly: a node's link out, or the zone's link in. One
-/// that stands for a whole tier counts the transfers at all its nodes, and the link of a mean one.
-#[derive(Clone, Copy, Default)]
-struct Pipe {
-    /// Transfers of this director that are out, their mean over time, and when that was taken.
-    out: f64,
-    usual: f64,
-    at: f64,
-    /// Work done for this director in a second, in the mean.
-    carried: f64,
-    /// Estimate of what fits at full pace, from all directors; 0 until known.
-    fits: f64,
-    told: bool,
-    /// Sums of a window: time taken, work, transfers out, outcomes.
-    seen: [f64; 4],
-}
-
-impl Pipe {
-    /// Counts a transfer in or out, with the work that is done by it.
-    fn book(&mut self, now: f64, step: f64, work: f64) {
-        let fade = ((self.at - now) / LOAD_MEMORY).exp();
-        self.usual = self.out + (self.usual - self.out) * fade;
-        self.carried = self.carried * fade + work / LOAD_MEMORY;
-        self.at = now;
-        self.out = (self.out + step).max(0.0);
-    }
-    /// Learns from a transfer that took `took` for work of `sending` while `out` shared the link. Windows of
-    /// outcomes are judged, not single ones: sizes may be unknown.
-    fn saw(&mut self, took: f64, sending: f64, out: f64) {
-        self.seen = [self.seen[0] + took, self.seen[1] + sending, self.seen[2] + out, self.seen[3] + 1.0];
-        let [took, sending, out, n] = self.seen;
-        if n < f64::from(WINDOW) {
-            return;
-        }
-        self.seen = [0.0; 4];
-        let pace = (took / sending.max(0.001)).max(1.0);
-        let carried = out / n / pace;
-        if !self.told && (pace > STRETCHED || carried > self.fits) {
-            self.fits += LINK_STEP * (carried.max(1.0) - self.fits);
-        }
-    }
-}
-
 /// A cache node as this director sees it.
 #[derive(Default)]
 struct Known {
@@ -163,8 +121,10 @@
     /// Attempts of this director that are out.
     out: f64,
     /// Smoothed latency beyond the sending time; at a parent or the origin: what its fills take
-    /// beyond hits, by the sending time plus `FILL_BASE`.
+    /// beyond hits, by the sending time plus `FILL_BASE`. When it was learned.
     lag: f64,
+    lag_at: f64,
+    pace: Pace,
     last_answer: f64,
     /// When the newest attempt went that it has answered.
     answered: f64,
@@ -228,6 +188,8 @@
     ring: Vec<(u64, NodeId)>,
     near: Vec<(u64, NodeId)>,
     origin: Option<NodeId>,
+    /// When the event came that is handled.
+    now: f64,
     open: FxHashMap<RequestId, Open>,
     /// Edge caches seen to hold an object's part, and when.
     held: Beliefs,
@@ -271,6 +233,7 @@
             ring: Vec::new(),
             near: Vec::new(),
             origin: None,
+            now: 0.0,
             open: FxHashMap::default(),
             held: Beliefs::new(seed, BELIEF_AGE),
             purges: Purges::default(),
@@ -281,8 +244,8 @@
             origin_calls: [(0.0, 0.0); 2],
             losses: [(0.0, 0.0); 2],
             sibling_extra: BASE,
-            link_in: Pipe { fits: told.unwrap_or(0.0), told: told.is_some(), ..Pipe::default() },
-            caches: Pipe { fits: LINK_GUESS, ..Pipe::default() },
+            link_in: Pipe::new(told.unwrap_or(0.0), told.is_some()),
+            caches: Pipe::new(LINK_GUESS, false),
             above: Pipe::default(),
             last_answer: 0.0,
         }
@@ -312,6 +275,7 @@
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
         match event {
             Event::List { kind, nodes } => self.list(now, kind, &nodes, actions),
             Event::Request(request) => {
@@ -356,9 +320,20 @@
 
     /// Expected slowdown of one more transfer from a cache, and over the link in.
     fn stretch(&self, k: &Known) -> f64 {
+        self.crowding(k) * self.pace(k)
+    }
+
+    fn crowding(&self, k: &Known) -> f64 {
         ((self.transfers(k) + 1.0) / self.caches.fits).max(1.0)
     }
 
+    /// How much slower a cache is than the others of its zone, beyond what its load explains. A front sees too
+    /// few answers of each for more than sums, which fade, so that a slow one is tried again.
+    fn pace(&self, k: &Known) -> f64 {
+        let others = self.edges.iter().filter(|e| **e != k.info.id).map(|e| &self.nodes[e].pace);
+        k.pace.against(self.now, others)
+    }
+
     fn jam(&self) -> f64 {
         ((self.fills() + 1.0) / self.link_in.fits.max(1.0)).max(1.0)
     }
@@ -510,7 +485,7 @@
         }
         // Miss penalty M: what a fill from above takes beyond a hit, and what it takes of the link in.
         let jam = self.jam() - 1.0;
-        let extra = upper.map_or(PENALTY_MOST, |u| self.nodes[&u].lag * (sending + FILL_BASE));
+        let extra = upper.map_or(PENALTY_MOST, |u| self.nodes[&u].fill_lag(now) * (sending + FILL_BASE));
         let penalty = (extra + sending * (jam + LINK_SHARE)).min(PENALTY_MOST);
         let siblings = self.settings.sources != SiblingScope::None && !never_kept;
         let mut best: Option<Choice> = None;
@@ -524,7 +499,7 @@
             });
             let siblings = holders.iter().filter(|&&h| siblings && h != node && fit(h));
             let from_siblings = siblings.map(|s| {
-                let through = access + self.sibling_extra;
+                let through = access + self.sibling_extra + sending * (self.pace(&self.nodes[s]) - 1.0);
                 (*s, true, through + penalty * rho * self.rho[1][n].value, through)
             });
             for (source, sibling, cost, latency) in from_upper.into_iter().chain(from_siblings) {
@@ -554,14 +529,18 @@
     fn upper(&self, now: f64, id: RequestId, work: f64) -> Option<NodeId> {
         let open = &self.open[&id];
         let mut best: Option<NodeId> = None;
+        let lag = |id: NodeId| self.nodes[&id].fill_lag(now);
         for draw in 0..DRAWS {
-            if draw >= 2 && best.is_some() || self.ring.is_empty() {
+            // A jam of its link shows in how its fills flow; the origin's, which is everybody's, in their wait.
+            let jammed = |b: NodeId| self.nodes[&b].pace.alone(now) > STRETCHED;
+            let slow = draw == NEAR_DRAWS && self.near.len() < self.ring.len() && best.is_some_and(jammed);
+            if draw >= NEAR_DRAWS && best.is_some() && !slow || self.ring.is_empty() {
                 break;
             }
             let point = xxh3_64_with_seed(&draw.to_le_bytes(), open.request.object.0);
             let ring = if draw < NEAR_DRAWS && !self.near.is_empty() { &self.near } else { &self.ring };
             let p = ring[ring.partition_point(|r| r.0 < point) % ring.len()].1;
-            let better = best.is_none_or(|b| self.nodes[&p].lag < self.nodes[&b].lag);
+            let better = best.is_none_or(|b| lag(p) + if slow { FAR } else { 0.0 } < lag(b));
             if better && self.fit(now, open, p, work) {
                 best = Some(p);
             }
@@ -585,7 +564,9 @@
         // refused 4% of a day on which 1% were late.
         let full = self.stretch(&self.nodes[&choice.node]).max(self.jam());
         let admit = ADMIT.1 - (ADMIT.1 - ADMIT.0) * ((full - 1.0) / (CROWDED - 1.0)).min(1.0);
-        if full > 1.0 && spent + choice.latency > admit * aim && self.may_refuse(open) {
+        // Nor is the answer worth a full link for which the client will not wait.
+        let limit = (admit * aim).min(open.request.expires - open.came);
+        if full > 1.0 && spent + choice.latency > limit && self.may_refuse(open) {
             return self.give_up(id, actions);
         }
         self.send(now, id, choice, actions);
@@ -747,11 +728,13 @@
         self.losses[1] = (self.losses[1].0 * fade(self.losses[1].1, now) + 1.0, now);
         self.held.believe(now, request.object, request.part, node, seen.sent_at);
         let jam = self.jam();
-        let Some(slow) = self.nodes.get(&node).map(|k| self.stretch(k)) else { return };
+        let load = self.nodes.get(&node).map(|k| (self.stretch(k), self.crowding(k)));
+        let Some((slow, crowding)) = load else { return };
         let Some(k) = self.nodes.get_mut(&node) else { return };
         let expected = k.lag + sending * slow;
         if hit {
             let flowing = (end.took - k.lag).max(0.0);
+            k.pace.saw(now, flowing, sending * crowding);
             if request.kb == 0.0 {
                 // The plain mean at first: a guess that fades slowly makes pages look like films (ibf0141).
                 let (hits, work) = (&mut self.hits[usize::from(request.class.0)], &mut self.work);
@@ -762,6 +745,8 @@
             // Signed: where sizes are unknown the mean is right though each one is not.
             smooth(&mut k.lag, (end.took - sending * slow).clamp(-0.5, 0.5), SMOOTH);
         } else if filled {
+            let flowed = end.took - end.source_wait - k.lag;
+            k.pace.saw(now, flowed, sending * crowding);
             let extra = end.took - expected - sending * (jam - slow).max(0.0);
             if !sibling && slow < STRETCHED && end.source_wait > 0.0 {
                 let flowing = (end.took - end.source_wait - k.lag).max(0.0);
@@ -770,7 +755,10 @@
             if sibling {
                 smooth(&mut self.sibling_extra, extra, SMOOTH);
             } else if let Some(s) = self.nodes.get_mut(&source) {
-                smooth(&mut s.lag, extra / (sending + FILL_BASE), SMOOTH_FILL);
+                let weight = SMOOTH_FILL.max(FRESH.min(1.0 - fade(s.lag_at, now)));
+                (s.lag, s.lag_at) = (s.fill_lag(now), now);
+                s.pace.saw(now, flowed, sending * slow.max(jam));
+                smooth(&mut s.lag, extra / (sending + FILL_BASE), weight);
             }
         }
     }
@@ -836,7 +824,7 @@
 
     /// How long an answer may take before it is held to be lost.
     fn lost_after(&self, now: f64, choice: &Choice, attempt: usize) -> f64 {
-        let full = self.nodes.get(&choice.node).map_or(1.0, |k| self.stretch(k)).max(self.jam()) > 1.0;
+        let full = self.nodes.get(&choice.node).map_or(1.0, |k| self.crowding(k)).max(self.jam()) > 1.0;
         let [lost, answered] = self.losses.map(|c| c.0 * fade(c.1, now));
         let mode = if full { 0 } else { 1 + usize::from(attempt == 0 && lost > LOSING * answered) };
         let expected = if mode == 2 && choice.believed { choice.latency } else { choice.worst };
@@ -870,6 +858,13 @@
         if let Some(k) = guilty.and_then(|g| self.nodes.get_mut(&g)) {
             k.blame(now);
         }
+        // It has flowed for so long at least.
+        let sending = self.sending(&self.open[&id].request);
+        let slow = self.nodes.get(&node).map_or((1.0, 1.0), |k| (self.stretch(k), self.crowding(k)));
+        let flowed = now - a.sent_at - (a.choice.latency - sending * slow.0).max(0.0);
+        if let Some(k) = self.nodes.get_mut(&node) {
+            k.pace.saw(now, flowed, sending * slow.1);
+        }
         // Where only one attempt may be out, the next goes when the withdrawn one has ended.
         let repeats = match self.settings.classes[class].effect {
             Effect::Safe => true,
@@ -932,16 +927,6 @@
     }
 }
 
-/// What is left by now of a count that fades.
-fn fade(at: f64, now: f64) -> f64 {
-    ((at - now) / LOAD_MEMORY).exp()
-}
-
-/// Moves a smoothed value, never under 0, towards what was seen.
-fn smooth(value: &mut f64, seen: f64, weight: f64) {
-    *value = (*value + weight * (seen - *value)).max(0.0);
-}
-
 /// An outcome as it came.
 struct End {
     outcome: Outcome,
@@ -957,6 +942,11 @@
         Known { info, lag: BASE, last_answer: never, answered: never, struck: never, ..Known::default() }
     }
 
+    /// What fills from it take beyond hits, as far as that still counts: a jam long ago is no jam now.
+    fn fill_lag(&self, now: f64) -> f64 {
+        BASE + (self.lag - BASE) * fade(self.lag_at + LAG_KEPT, now).min(1.0)
+    }
+
     fn blame(&mut self, now: f64) {
         let pause = self.blamed.map_or(TRIAL.0, |(_, pause)| (2.0 * pause).min(TRIAL.1));
         self.blamed = Some((now + pause, pause));
--- /dev/null
+++ b/src/routing/load.rs
@@ -0,0 +1,144 @@
+//! How busy links are and how quick caches are, as one front can tell from its own few transfers: sums and means that
+//! fade. Times in seconds; work in seconds of sending at full pace.
+
+/// Span over which what was seen fades (seconds).
+const MEMORY: f64 = 5.0;
+/// An answer that took more than this multiple of its sending time shows a full link.
+pub const STRETCHED: f64 = 1.25;
+/// Outcomes in a window after which a link is estimated anew, and the weight of the newest one.
+const WINDOW: f64 = 20.0;
+const LINK_STEP: f64 = 0.1;
+/// What a cache's pace is taken to be worth beside what was seen of it (seconds of sending).
+const PACE_PRIOR: f64 = 0.3;
+
+/// What is left by now of a count that fades.
+pub fn fade(at: f64, now: f64) -> f64 {
+    ((at - now) / MEMORY).exp()
+}
+
+/// Moves a smoothed value, never under 0, towards what was seen.
+pub fn smooth(value: &mut f64, seen: f64, weight: f64) {
+    *value = (*value + weight * (seen - *value)).max(0.0);
+}
+
+/// A link that the transfers of all directors share evenly: a node's link out, or the zone's link in. One
+/// that stands for a whole tier counts the transfers at all its nodes, and the link of a mean one.
+#[derive(Clone, Copy, Default)]
+pub struct Pipe {
+    /// Transfers of this director that are out.
+    pub out: f64,
+    /// Their mean over time, and when it was taken.
+    pub usual: f64,
+    at: f64,
+    /// Work done for this director in a second, in the mean.
+    pub carried: f64,
+    /// Estimate of what fits at full pace, from all directors; 0 until known.
+    pub fits: f64,
+    /// It is told and not estimated.
+    pub told: bool,
+    /// Sums of a window: time taken, work, transfers out, outcomes.
+    seen: [f64; 4],
+}
+
+impl Pipe {
+    /// Nothing is on it, and so much fits.
+    pub fn new(fits: f64, told: bool) -> Self {
+        Pipe { fits, told, ..Pipe::default() }
+    }
+
+    /// Counts a transfer in or out, with the work that is done by it.
+    pub fn book(&mut self, now: f64, step: f64, work: f64) {
+        let fade = fade(self.at, now);
+        self.usual = self.out + (self.usual - self.out) * fade;
+        self.carried = self.carried * fade + work / MEMORY;
+        self.at = now;
+        self.out = (self.out + step).max(0.0);
+    }
+
+    /// Learns from a transfer that took `took` for work of `sending` while `out` shared the link. Windows of
+    /// outcomes are judged, not single ones: sizes may be unknown.
+    pub fn saw(&mut self, took: f64, sending: f64, out: f64) {
+        self.seen = [self.seen[0] + took, self.seen[1] + sending, self.seen[2] + out, self.seen[3] + 1.0];
+        let [took, sending, out, n] = self.seen;
+        if n < WINDOW {
+            return;
+        }
+        self.seen = [0.0; 4];
+        let pace = (took / sending.max(0.001)).max(1.0);
+        let carried = out / n / pace;
+        if !self.told && (pace > STRETCHED || carried > self.fits) {
+            self.fits += LINK_STEP * (carried.max(1.0) - self.fits);
+        }
+    }
+}
+
+/// The pace of one cache beside the others of its zone. A front sees too few answers of each for more than sums; they
+/// fade, so that a cache that was slow is tried again.
+#[derive(Clone, Copy, Default)]
+pub struct Pace {
+    /// Time that its answers flowed, what they should have taken, and when these sums were brought up to date.
+    flowed: f64,
+    due: f64,
+    at: f64,
+}
+
+impl Pace {
+    /// An answer flowed for so long (so far, if it is not whole) that should have taken `due`.
+    pub fn saw(&mut self, now: f64, flowed: f64, due: f64) {
+        let (f, d) = self.by(now);
+        *self = Pace { flowed: f + flowed.max(0.0), due: d + due, at: now };
+    }
+
+    fn by(&self, now: f64) -> (f64, f64) {
+        let left = fade(self.at, now);
+        (self.flowed * left, self.due * left)
+    }
+
+    /// How many times as long as they should its answers take; under 1 where they are quicker.
+    pub fn alone(&self, now: f64) -> f64 {
+        let (flowed, due) = self.by(now);
+        (flowed + PACE_PRIOR) / (due + PACE_PRIOR)
+    }
+
+    /// How many times as long as those of the others its answers take, 1 at least. What slows all of them is no sign of
+    /// this one; nor is there any where it is alone.
+    pub fn against<'a>(&self, now: f64, others: impl Iterator<Item = &'a Pace>) -> f64 {
+        let ratio = |(flowed, due): (f64, f64)| (flowed + PACE_PRIOR) / (due + PACE_PRIOR);
+        let all = others.map(|o| o.by(now)).reduce(|a, b| (a.0 + b.0, a.1 + b.1));
+        all.map_or(1.0, |all| (ratio(self.by(now)) / ratio(all).max(1.0)).max(1.0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_slow_cache_is_told_from_slow_times_and_is_forgiven_in_time() {
+        let [mut one, mut other, mut third] = [Pace::default(); 3];
+        assert_eq!(one.against(100.0, [other, third].iter()), 1.0, "nothing is known");
+        for i in 0..10 {
+            let now = 100.0 + f64::from(i) * 0.2;
+            one.saw(now, 1.0, 0.1);
+            other.saw(now, 0.1, 0.1);
+        }
+        let slow = one.against(102.0, [other, third].iter());
+        assert!((4.0..10.0).contains(&slow), "a little is held back for want of evidence: {slow}");
+        assert!(one.against(106.0, [other, third].iter()) < slow);
+        assert!(one.against(130.0, [other, third].iter()) < 1.1);
+        for now in [102.0, 102.1] {
+            other.saw(now, 6.0, 0.3);
+            third.saw(now, 8.0, 0.4);
+        }
+        assert!(one.against(102.2, [other, third].iter()) < 1.2, "all are slow");
+    }
+
+    #[test]
+    fn one_answer_of_a_small_object_condemns_nobody() {
+        let mut one = Pace::default();
+        one.saw(100.0, 0.05, 0.005);
+        assert!(one.against(100.0, [Pace::default()].iter()) < 1.2);
+        one.saw(100.0, 50.0, 0.5);
+        assert_eq!(one.against(100.0, [].into_iter()), 1.0);
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,7 +1,9 @@
 //! What routes are decided by: tables made for the director, each bounded in bytes and without I/O or clock.
 
 mod beliefs;
+mod load;
 mod purges;
 
 pub use beliefs::Beliefs;
+pub use load::{Pace, Pipe, STRETCHED, fade, smooth};
 pub use purges::Purges;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,6 +53,8 @@
 pub struct Stage {
     pub director: Director,
     pub now: f64,
+    /// How long clients wait (seconds).
+    pub patience: f64,
     next: u32,
 }
 
@@ -73,7 +75,7 @@
     }
 
     pub fn seeded(seed: u64, settings: Settings, nodes: &[Node]) -> Self {
-        let mut stage = Stage { director: Director::new(seed, settings), now: 100.0, next: 0 };
+        let mut stage = Stage { director: Director::new(seed, settings), now: 100.0, patience: 5.0, next: 0 };
         stage.list(ListKind::Cached, nodes);
         stage
     }
@@ -95,7 +97,7 @@
             id: RequestId(self.next),
             object: ObjectId(object),
             group: GroupId(object as u32 % 4),
-            expires: self.now + 5.0,
+            expires: self.now + self.patience,
             kb,
             ..Request::default()
         };
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,103 @@
+//! What a whole fleet of directors does that see the same news and share nothing: harmless alone, harmful together.
+
+mod common;
+use common::*;
+use onyxyoke::interface::*;
+
+const DIRECTORS: u16 = 50;
+
+/// Directors of one location that has three caches, each with a seed and a number of its own.
+fn directors(settings: &Settings, nodes: &[Node]) -> Vec<Stage> {
+    let one = |me| {
+        let here = Settings { me, directors: DIRECTORS, ..settings.clone() };
+        Stage::seeded(u64::from(me) + 1, here, nodes)
+    };
+    (0..DIRECTORS).map(one).collect()
+}
+
+fn caches() -> Vec<Node> {
+    vec![edge(10), edge(11), edge(12), parent(20), parent(21), origin(30)]
+}
+
+/// Each director asks for objects that nobody asked for before; cache 10 takes `slower` times as long as the others.
+/// Returns how many went there.
+fn round(fleet: &mut [Stage], first: u64, count: u64, slower: f64) -> u64 {
+    let mut there = 0;
+    for s in fleet {
+        for object in first..first + count {
+            s.now += 0.3;
+            let sent = s.fetch(object, 100.0);
+            let took = 0.1 * if sent.node == 10 { slower } else { 1.0 };
+            there += u64::from(sent.node == 10);
+            s.end(sent, 0, Outcome::Ok, Note::Hit, took);
+        }
+    }
+    there
+}
+
+/// Guards against a cache that answers everything, ten times too late: none of its answers is a failure, so nobody was
+/// blamed, and each of the fronts kept a third of its requests there.
+#[test]
+fn a_cache_that_turns_slow_is_left_by_all_and_asked_again_once_it_is_quick() {
+    let mut fleet = directors(&settings(), &caches());
+    let calm = round(&mut fleet, 1, 40, 1.0);
+    let slow = round(&mut fleet, 1000, 40, 10.0);
+    assert!(slow * 3 < calm, "{slow} of {calm}");
+    assert!(slow >= u64::from(DIRECTORS), "each finds out for itself: {slow}");
+    round(&mut fleet, 2000, 40, 1.0);
+    let again = round(&mut fleet, 3000, 40, 1.0);
+    assert!(again * 10 > calm * 9, "{again} of {calm}");
+}
+
+/// Guards the parents of a hub that has few: all fronts of its locations lean on the same ones, whose fills then crawl
+/// while those of the next hub have room. And guards the memory of it: when the jam is over, they are asked again.
+#[test]
+fn a_slow_parent_of_the_own_hub_is_relieved_by_others_until_its_jam_is_over() {
+    let far = Node { zone: ZoneId(1), ..parent(21) };
+    let mut fleet = directors(&settings(), &[edge(10), parent(20), far, origin(30)]);
+    let mut fills = |first: u64, jam: f64| {
+        let mut near = 0;
+        for s in &mut fleet {
+            for object in first..first + 30 {
+                s.now += 0.2;
+                let sent = s.fetch(object, 100.0);
+                near += u64::from(sent.source == 20);
+                let took = 0.15 + if sent.source == 20 { jam } else { 0.02 };
+                s.end(sent, 0, Outcome::Ok, Note::Filled, took);
+            }
+            s.now += 20.0;
+        }
+        near
+    };
+    let all = 30 * u64::from(DIRECTORS);
+    assert_eq!(fills(1, 0.0), all);
+    let jammed = fills(100, 0.4);
+    assert!(jammed * 3 < all * 2, "{jammed} of {all}");
+    assert_eq!(fills(200, 0.0), all, "a jam long ago is no jam now");
+}
+
+/// Guards the link in against transfers that nobody will wait for: with many fronts it fills, and a client that
+/// gives up before its answer can be whole has only taken a part of it from the others.
+#[test]
+fn what_its_client_will_not_wait_for_is_refused_on_a_full_link() {
+    let mut settings = Settings { zone_link: vec![0.0, 0.0, 2000.0], ..settings() };
+    settings.classes[0].aim_stretch = 1.6;
+    let mut fleet = directors(&settings, &caches());
+    for s in &mut fleet {
+        for object in 1..=2 {
+            s.fetch(object, 100.0);
+        }
+        let mut ask = |id, patience| {
+            let request = Request {
+                id: RequestId(id),
+                object: ObjectId(u64::from(id)),
+                expires: s.now + patience,
+                kb: 4000.0,
+                ..Request::default()
+            };
+            s.event(Event::Request(request))
+        };
+        assert!(refused(&ask(1000, 3.0)), "four seconds of sending");
+        assert_eq!(sent(&ask(1001, 30.0)).len(), 1);
+    }
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -715,6 +715,7 @@
     let mut settings = Settings { zone_link: vec![0.0, 0.0, 2000.0], ..settings() };
     settings.classes[0].aim_stretch = 1.6;
     let mut s = Stage::new(settings, &fleet());
+    s.patience = 30.0;
     s.fetch(1, 100.0);
     s.fetch(2, 100.0);
     let (_, actions) = s.ask(3, 5000.0);
