Spread reconnections to the coordinator over the fleet

Cause: coordinator.rs paused exactly 0.05 s after every session that had brought something, and exactly doubled after each that had not.

Change: Backoff draws each pause from 0.5 to 1.5 of its mean with the front's own seed; the means and their bounds stay, so news are no later in the mean. Test: of 100 fronts at most 25 come within a tenth of the pause, at every count of failures; with the old pause all 100 do.

--- a/src/main.rs
+++ b/src/main.rs
@@ -181,8 +181,9 @@
     ));
     spawn_local(watch::memory(memory.clone()));
 
+    let seed = config.seed;
     let mut broker = Broker::new(Setup {
-        seed: config.seed,
+        seed,
         settings: config.settings,
         class_names: classes.names.clone(),
         contracts,
@@ -203,7 +204,7 @@
     if let Some(server) = &feed.discovery {
         spawn_local(xds::follow(server.clone(), config.name, config.names, news_in, memory.clone()));
     } else if let Some(address) = &feed.coordinator {
-        spawn_local(coordinator::follow(address.clone(), last, news_in, memory.clone()));
+        spawn_local(coordinator::follow(address.clone(), last, seed, news_in, memory.clone()));
     }
     let inputs = Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -18,9 +18,32 @@
 const CONNECT_WITHIN: f64 = 1.0;
 /// An empty frame comes each second; without any for so long the connection is dead (seconds).
 const SILENT_AFTER: f64 = 2.5;
-/// Pause before connecting again (seconds), longer after each failure up to the second.
+/// Mean pause before connecting again (seconds), longer after each failure up to the second.
 const PAUSE: (f64, f64) = (0.05, 0.5);
 
+/// When to connect again. A coordinator that ends cuts all fronts at the same instant: each comes back at one of its own.
+struct Backoff {
+    mean: f64,
+    random: fastrand::Rng,
+}
+
+impl Backoff {
+    fn new(seed: u64) -> Self {
+        Backoff { mean: PAUSE.0, random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Another coordinator is asked: nothing is held against it.
+    fn reset(&mut self) {
+        self.mean = PAUSE.0;
+    }
+
+    /// The pause after a session that brought something, or that did not (seconds).
+    fn pause(&mut self, brought: bool) -> f64 {
+        self.mean = if brought { PAUSE.0 } else { (2.0 * self.mean).min(PAUSE.1) };
+        self.mean * (0.5 + self.random.f64())
+    }
+}
+
 /// What is read of the feed at once (bytes).
 const OWN: usize = 16 * 1024;
 
@@ -75,9 +98,15 @@
 
 /// Follows the coordinator for ever, also to another address: from the last number had, so that no event is
 /// missed or heard twice. A session that the change cuts hands on an event at once or not at all.
-pub async fn follow(address: Rc<Live<SocketAddr>>, last: u64, news: UnboundedSender<News>, memory: Ledger) {
+pub async fn follow(
+    address: Rc<Live<SocketAddr>>,
+    last: u64,
+    seed: u64,
+    news: UnboundedSender<News>,
+    memory: Ledger,
+) {
     let mut feed = Feed::new(last);
-    let mut pause = PAUSE.0;
+    let mut backoff = Backoff::new(seed);
     loop {
         let (before, now) = (feed.last, address.get());
         let why = tokio::select! {
@@ -93,17 +122,17 @@
         }
         let Some(why) = why else {
             feed.moved();
-            pause = PAUSE.0;
+            backoff.reset();
             log!("coordinator {} is followed from {}, no longer {now}", address.get(), feed.last);
             continue;
         };
         log!("coordinator {now}: {why}; again from {}", feed.last);
-        pause = if feed.last > before { PAUSE.0 } else { (2.0 * pause).min(PAUSE.1) };
+        let pause = backoff.pause(feed.last > before);
         tokio::select! {
             biased;
             () = address.changed() => {
                 feed.moved();
-                pause = PAUSE.0;
+                backoff.reset();
             }
             () = sleep_until(clock::instant(clock::now() + pause)) => {}
         }
@@ -157,3 +186,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards a coordinator that has just come up against all fronts in the same instant, and news against pauses that
+    /// are long.
+    #[test]
+    fn a_fleet_that_was_cut_together_comes_back_spread_out() {
+        let mut fleet: Vec<Backoff> = (0..100).map(Backoff::new).collect();
+        for failures in 0..8 {
+            let mut at: Vec<f64> = fleet.iter_mut().map(|b| b.pause(failures == 0)).collect();
+            at.sort_by(f64::total_cmp);
+            let mean = (PAUSE.0 * f64::from(1 << failures)).min(PAUSE.1);
+            assert!(at[0] >= 0.5 * mean && at[99] <= 1.5 * mean, "{at:?}");
+            let crowd = |t: f64| at.iter().filter(|&&x| x >= t && x < t + 0.1 * mean).count();
+            let most = at.iter().map(|&t| crowd(t)).max().unwrap();
+            assert!(most <= 25, "{most} of 100 within a tenth of the pause");
+        }
+        assert!(fleet.iter_mut().all(|b| b.pause(true) <= 1.5 * PAUSE.0), "soon again once it spoke");
+    }
+}
