--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,6 +53,9 @@
 /// or more, the second where it is just full, between them in proportion.
 const ADMIT: (f64, f64) = (0.9, 1.3);
 const CROWDED: f64 = 1.8;
+/// Of that, so much less where so many peers share the links. How busy they are is taken from the own transfers: the
+/// more peers, the rougher, and whoever takes a full link for an empty one fills it further for all.
+const UNSEEN: (f64, f64) = (0.17, 8.0);
 /// Mean sending time of a class before anything is known (seconds).
 const WORK_GUESS: f64 = 0.5;
 /// Share of a cold node's budget that is used.
@@ -564,6 +567,7 @@
         // refused 4% of a day on which 1% were late.
         let full = self.stretch(&self.nodes[&choice.node]).max(self.jam());
         let admit = ADMIT.1 - (ADMIT.1 - ADMIT.0) * ((full - 1.0) / (CROWDED - 1.0)).min(1.0);
+        let admit = admit * (1.0 - UNSEEN.0 * ((self.sharers() - 1.0) / UNSEEN.1).min(1.0));
         // Nor is the answer worth a full link for which the client will not wait.
         let limit = (admit * aim).min(open.request.expires - open.came);
         if full > 1.0 && spent + choice.latency > limit && self.may_refuse(open) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -101,3 +101,22 @@
         assert_eq!(sent(&ask(1001, 30.0)).len(), 1);
     }
 }
+
+/// Guards full links against fronts that see little of them: what one of two fronts still sends is refused by one of
+/// many, though both take the links to be as full.
+#[test]
+fn many_peers_make_the_overload_guard_strict() {
+    let sends = |peers: u16| {
+        // Its own transfers and those that it takes its peers to have come to the same.
+        let link = 20_000.0 * f64::from(peers);
+        let here = Settings { directors: peers, directors_by_zone: vec![0, 0, peers], ..settings() };
+        let mut s = Stage::new(Settings { zone_link: vec![0.0, 0.0, link], ..here }, &caches()[..2]);
+        s.list(ListKind::Delta, &[parent(20), origin(30)]);
+        s.patience = 60.0;
+        let mut sizes = (0..).map(|i| 100.0 * 1.1f64.powi(i));
+        (0..12).for_each(|object| drop(s.ask(object, 100.0)));
+        sizes.find(|&kb| refused(&s.ask(1000 + kb as u64, kb).1)).unwrap()
+    };
+    let (few, many) = (sends(2), sends(9));
+    assert!(many < few, "{many} and {few} KB are the first to be refused");
+}
