--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,8 +53,9 @@
 /// or more, the second where it is just full, between them in proportion.
 const ADMIT: (f64, f64) = (0.9, 1.3);
 const CROWDED: f64 = 1.8;
-/// Of that, so much less where so many peers share the links. How busy they are is taken from the own transfers: the
-/// more peers, the rougher, and whoever takes a full link for an empty one fills it further for all.
+/// Of that, so much less where so many peers share the links. How busy they are is taken from the own
+/// transfers: the more peers, the rougher, and whoever takes a full link for an empty one fills it further
+/// for all.
 const UNSEEN: (f64, f64) = (0.17, 8.0);
 /// Mean sending time of a class before anything is known (seconds).
 const WORK_GUESS: f64 = 0.5;
@@ -330,8 +331,8 @@
         ((self.transfers(k) + 1.0) / self.caches.fits).max(1.0)
     }
 
-    /// How much slower a cache is than the others of its zone, beyond what its load explains. A front sees too
-    /// few answers of each for more than sums, which fade, so that a slow one is tried again.
+    /// How much slower a cache is than the others of its zone, beyond what its load explains. A front sees
+    /// too few answers of each for more than sums, which fade, so that a slow one is tried again.
     fn pace(&self, k: &Known) -> f64 {
         let others = self.edges.iter().filter(|e| **e != k.info.id).map(|e| &self.nodes[e].pace);
         k.pace.against(self.now, others)
@@ -534,7 +535,8 @@
         let mut best: Option<NodeId> = None;
         let lag = |id: NodeId| self.nodes[&id].fill_lag(now);
         for draw in 0..DRAWS {
-            // A jam of its link shows in how its fills flow; the origin's, which is everybody's, in their wait.
+            // A jam of its link shows in how its fills flow; the origin's, which is everybody's, in their
+            // wait.
             let jammed = |b: NodeId| self.nodes[&b].pace.alone(now) > STRETCHED;
             let slow = draw == NEAR_DRAWS && self.near.len() < self.ring.len() && best.is_some_and(jammed);
             if draw >= NEAR_DRAWS && best.is_some() && !slow || self.ring.is_empty() {
