--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -137,9 +137,9 @@
     let mut sends: Vec<(u64, f64)> = Vec::new();
     let mut refusals = 0;
     for (me, mut s) in directors(&here, &all).into_iter().enumerate() {
-        s.now += me as f64 * 0.4 / f64::from(DIRECTORS);
+        s.now += me as f64 * 0.1 / f64::from(DIRECTORS);
         let mut told = 0;
-        for step in 0..40 {
+        for step in 0..160 {
             while told < fresh.len() && s.now >= fresh[told].ready_at + 0.5 {
                 let gone = Node { state: NodeState::Draining, ..old[told] };
                 s.list(ListKind::Delta, &[gone, fresh[told]]);
@@ -152,14 +152,14 @@
                 sends.push((x.node, s.now));
                 s.end(x, 0, Outcome::Ok, Note::Filled, 0.0);
             }
-            s.now += 0.4;
+            s.now += 0.1;
         }
     }
     for node in &fresh {
         let mut at: Vec<f64> = sends.iter().filter(|x| x.0 == node.id.0).map(|x| x.1).collect();
         at.sort_by(f64::total_cmp);
         assert!(at.len() > 20, "it gets something to warm by: {}", at.len());
-        for &t in &at {
+        for &t in at.iter().filter(|&&t| t < node.ready_at + 10.0) {
             // Multiple 2, window 1 s, cold from 0.2 of its link for 10 s.
             let part = 0.2 + 0.8 * (t - node.ready_at) / 10.0;
             let within = |span: f64| at.iter().filter(|&&x| x > t - span && x <= t).count() as f64 * 0.05;
