--- a/src/brain.rs
+++ b/src/brain.rs
@@ -327,6 +327,13 @@
         self.crowding(k) * self.pace(k)
     }
 
+    /// The slowdown expected of a cache, and the part of it that its load explains.
+    fn loaded(&self, id: NodeId) -> Option<(f64, f64)> {
+        let k = self.nodes.get(&id)?;
+        let crowding = self.crowding(k);
+        Some((crowding * self.pace(k), crowding))
+    }
+
     fn crowding(&self, k: &Known) -> f64 {
         ((self.transfers(k) + 1.0) / self.caches.fits).max(1.0)
     }
@@ -734,8 +741,7 @@
         self.losses[1] = (self.losses[1].0 * fade(self.losses[1].1, now) + 1.0, now);
         self.held.believe(now, request.object, request.part, node, seen.sent_at);
         let jam = self.jam();
-        let load = self.nodes.get(&node).map(|k| (self.stretch(k), self.crowding(k)));
-        let Some((slow, crowding)) = load else { return };
+        let Some((slow, crowding)) = self.loaded(node) else { return };
         let Some(k) = self.nodes.get_mut(&node) else { return };
         let expected = k.lag + sending * slow;
         if hit {
@@ -866,10 +872,10 @@
         }
         // It has flowed for so long at least.
         let sending = self.sending(&self.open[&id].request);
-        let slow = self.nodes.get(&node).map_or((1.0, 1.0), |k| (self.stretch(k), self.crowding(k)));
-        let flowed = now - a.sent_at - (a.choice.latency - sending * slow.0).max(0.0);
-        if let Some(k) = self.nodes.get_mut(&node) {
-            k.pace.saw(now, flowed, sending * slow.1);
+        let loaded = self.loaded(node);
+        if let Some((k, (slow, crowding))) = self.nodes.get_mut(&node).zip(loaded) {
+            let flowed = now - a.sent_at - (a.choice.latency - sending * slow).max(0.0);
+            k.pace.saw(now, flowed, sending * crowding);
         }
         // Where only one attempt may be out, the next goes when the withdrawn one has ended.
         let repeats = match self.settings.classes[class].effect {
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// How many times as long as it should what flowed took; little evidence says little.
+fn ratio((flowed, due): (f64, f64)) -> f64 {
+    (flowed + PACE_PRIOR) / (due + PACE_PRIOR)
+}
+
 /// The pace of one cache beside the others of its zone. A front sees too few answers of each for more than sums; they
 /// fade, so that a cache that was slow is tried again.
 #[derive(Clone, Copy, Default)]
@@ -96,14 +101,12 @@
 
     /// How many times as long as they should its answers take; under 1 where they are quicker.
     pub fn alone(&self, now: f64) -> f64 {
-        let (flowed, due) = self.by(now);
-        (flowed + PACE_PRIOR) / (due + PACE_PRIOR)
+        ratio(self.by(now))
     }
 
     /// How many times as long as those of the others its answers take, 1 at least. What slows all of them is no sign of
     /// this one; nor is there any where it is alone.
     pub fn against<'a>(&self, now: f64, others: impl Iterator<Item = &'a Pace>) -> f64 {
-        let ratio = |(flowed, due): (f64, f64)| (flowed + PACE_PRIOR) / (due + PACE_PRIOR);
         let all = others.map(|o| o.by(now)).reduce(|a, b| (a.0 + b.0, a.1 + b.1));
         all.map_or(1.0, |all| (ratio(self.by(now)) / ratio(all).max(1.0)).max(1.0))
     }
