Judge all answers of a slow client in the memory test, not those that come last

Cause: tests/memory.rs reads eight answers of each slow client as it goes, throws them away, and asks that one of the rest is whole.

Change: the eight are kept and judged with the rest. Each request still has its one answer, whole or refused with the time to stay away, and one at least is whole; now that holds for eight more answers of each client.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -114,19 +114,23 @@
 fn unread_answers_are_bounded_and_those_who_read_are_served() {
     let node = front("unread", 32, json!({"unread": {"cap_mb": 3}}));
     let mut slow: Vec<Client> = (0..4).map(|_| Client::new(narrow(node.address))).collect();
-    let mut sent = fill(&node, &mut slow, 1e6);
+    let sent = fill(&node, &mut slow, 1e6);
+    let mut answers = vec![Vec::new(); slow.len()];
+    let mut read = |slow: &mut [Client], count| {
+        answers.iter_mut().zip(read_on(slow, count)).for_each(|(all, some)| all.extend(some));
+        answers.clone()
+    };
     // The account holds its cap, and whoever reads has its answers.
     for tag in 1..=8 {
         let (word, length) = get(&node, 5000 + tag, 20);
         assert!((word == "ok" && length == 20_000) || word == "full", "{word} {length}");
         // Whoever takes nothing for 5 s would be closed.
-        read_on(&mut slow, 1);
-        sent -= 1;
+        read(&mut slow, 1);
     }
     let now = accounts(&node);
     assert!(now["unread.peak"] <= 3e6, "{now:?}");
     // Every one of the slow clients' requests has its one answer: whole, or refused with the time to stay away.
-    for answers in read_on(&mut slow, sent) {
+    for answers in read(&mut slow, sent - 8) {
         let refused = answers.iter().filter(|a| a[1] == "full" && a[2] == "pushback=500").count();
         let whole = answers.iter().filter(|a| a[1] == "ok" && a[3].len() == 240_000).count();
         assert!(whole > 0 && whole + refused == sent as usize, "{whole} whole, {refused} refused of {sent}");
