Listen for clients with SO_REUSEPORT so that a second run can start beside the first

Change: net::listen binds with SO_REUSEADDR and SO_REUSEPORT, backlog 1024, for both fronts; a test binds one address twice and sees a plain bind still kept out.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{channel, unbounded_channel};
@@ -125,7 +124,7 @@
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
     if let Some(listen) = config.listen {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = onyxyoke::net::listen(listen)?;
         let front = clients::Front {
             asks: asks_in.clone(),
             classes: classes.clone(),
@@ -140,7 +139,7 @@
         spawn_local(clients::accept(listener, Rc::new(front)));
     }
     if let Some(signed) = config.signed {
-        let listener = TcpListener::bind(signed.listen).await?;
+        let listener = onyxyoke::net::listen(signed.listen)?;
         let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,8 +19,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout_at};
 
@@ -35,6 +36,19 @@
 /// While memory is scarce, idle connections are looked at this often (seconds).
 const RELIEF: f64 = 0.1;
 
+/// Connections that the system holds for a listener before they are accepted.
+const BACKLOG: u32 = 1024;
+
+/// Listens for clients at an address that a second process of the same front may listen at too (SO_REUSEPORT):
+/// during a replacement both take connections, and the one that ends hands over without a refused one.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Why input cannot be read; the connection that it came on is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Unreadable(pub &'static str);
@@ -241,3 +255,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod listening {
+    use super::listen;
+
+    /// A second process of the front binds the address that the first one serves on.
+    #[tokio::test]
+    async fn two_listen_at_one_address() {
+        let first = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = first.local_addr().unwrap();
+        let second = listen(address).expect("a second listener at the same address");
+        assert_eq!(second.local_addr().unwrap(), address);
+        let plain = std::net::TcpListener::bind(address);
+        assert!(plain.is_err(), "one without SO_REUSEPORT is still kept out");
+    }
+}
