Answer health and counters on the operators' socket, apart from the broker's turn

Change: net/admin.rs: a listener at admin_addr or NODE_ADMIN_ADDR, one task a caller, 16 at most, 5 s for the line; broker/figures.rs: counts by class (success, busy, failure, backend_calls) in cells that the broker and the client connections bump, gauges (inflight, hosts_listed, hosts_down) published every 0.2 s; Director::avoids tells which nodes are blamed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -277,6 +277,11 @@
         self.nodes.len()
     }
 
+    /// Does it keep away from a node now, having blamed it?
+    pub fn avoids(&self, now: f64, id: NodeId) -> bool {
+        self.nodes.get(&id).is_some_and(|k| k.blamed.is_some_and(|(trial, _)| now < trial))
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -2,6 +2,7 @@
 //! cache connections and the coordinator reach it by queue and hear of it by queue.
 
 mod counters;
+mod figures;
 #[cfg(test)]
 mod model;
 mod run;
@@ -9,6 +10,7 @@
 mod timers;
 
 pub use counters::Counters;
+pub use figures::{Count, Figures, Gauges};
 pub use run::{Close, Inputs, run};
 pub use tenants::{Contracts, Team, TeamId};
 
@@ -127,6 +129,17 @@
     Forbidden,
 }
 
+impl Answer {
+    /// What operators count it as.
+    pub fn count(&self) -> Count {
+        match self {
+            Answer::Served(_) => Count::Success,
+            Answer::Refused(_) | Answer::OverBudget(_) => Count::Busy,
+            Answer::Failed | Answer::Late | Answer::Forbidden => Count::Failure,
+        }
+    }
+}
+
 /// What a cache node made.
 #[derive(Debug, Default, PartialEq)]
 pub struct Content {
@@ -306,6 +319,8 @@
     effects: Vec<Effect>,
     /// What was taken in, sent and answered.
     pub counters: Counters,
+    /// What operators read.
+    figures: Rc<Figures>,
 }
 
 /// What the core is set up with.
@@ -320,6 +335,8 @@
     pub contracts: Rc<Contracts>,
     /// What holds requests, tables and learned state.
     pub memory: Ledger,
+    /// What operators read.
+    pub figures: Rc<Figures>,
 }
 
 impl Broker {
@@ -344,6 +361,25 @@
             actions: Vec::new(),
             effects: Vec::new(),
             counters: Counters::default(),
+            figures: setup.figures,
+        }
+    }
+
+    /// Publishes the gauges for operators; `waiting` requests are taken and still queued for the core.
+    pub fn publish(&self, now: f64, waiting: usize) {
+        let mut gauges = self.gauges(now);
+        gauges.inflight += waiting as u64;
+        self.figures.publish(gauges);
+    }
+
+    /// The gauges as they are now.
+    pub fn gauges(&self, now: f64) -> Gauges {
+        let avoided =
+            |(id, state): (&NodeId, &NodeState)| *state != NodeState::Ready || self.director.avoids(now, *id);
+        Gauges {
+            inflight: self.callers.len() as u64,
+            hosts_listed: self.roster.len() as u64,
+            hosts_down: self.roster.iter().filter(|&n| avoided(n)).count() as u64,
         }
     }
 
@@ -446,22 +482,22 @@
             ask.deadline = ask.deadline.min(self.closes);
         }
         if ask.deadline <= now {
-            return self.turn_away(caller, Answer::Late);
+            return self.turn_away(caller, ask.class, Answer::Late);
         }
         if !self.contracts.covers(&ask) {
-            return self.turn_away(caller, Answer::Forbidden);
+            return self.turn_away(caller, ask.class, Answer::Forbidden);
         }
         if !self.has_room() || self.callers.contains_key(&caller) {
             let wait = self.director.settings().max_wait;
-            return self.turn_away(caller, Answer::Refused(wait));
+            return self.turn_away(caller, ask.class, Answer::Refused(wait));
         }
         if let Err(wait) = self.budgets.admit(now, ask.team) {
-            return self.turn_away(caller, Answer::OverBudget(wait));
+            return self.turn_away(caller, ask.class, Answer::OverBudget(wait));
         }
         // Guards whoever asked first: under one name, one's answer could be taken for the other's.
         if !self.calls.insert(ask.call.clone()) {
             self.budgets.release(now, ask.team, 0);
-            return self.turn_away(caller, Answer::Failed);
+            return self.turn_away(caller, ask.class, Answer::Failed);
         }
         let id = self.fresh_id();
         let request = Request {
@@ -517,7 +553,8 @@
     }
 
     /// Answers a request that the director never hears of.
-    fn turn_away(&mut self, caller: Caller, answer: Answer) {
+    fn turn_away(&mut self, caller: Caller, class: ClassId, answer: Answer) {
+        self.figures.count(class, answer.count());
         self.counters.answered(&answer);
         self.counters.turned_away += 1;
         self.effects.push(Effect::Answer { caller, answer });
@@ -568,6 +605,7 @@
     fn answer(&mut self, now: f64, id: RequestId, answer: Answer) {
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         let (caller, team) = (open.caller, open.ask.team);
+        self.figures.count(open.ask.class, answer.count());
         let bytes = if let Answer::Served(content) = &answer { content.body.len() } else { 0 };
         self.budgets.release(now, team, bytes);
         self.callers.remove(&caller);
@@ -580,9 +618,12 @@
     pub fn report(&mut self, now: f64, report: Report) {
         match report {
             Report::Written(ticket) => {
-                if let Some(a) = self.attempt(ticket) {
+                if let Some(open) = self.open.get_mut(&ticket.request)
+                    && let Some(a) = open.attempts.get_mut(usize::from(ticket.attempt))
+                {
                     a.written = true;
                     self.counters.written += 1;
+                    self.figures.count(open.ask.class, Count::BackendCall);
                 }
             }
             Report::Ended { ticket, outcome, note, source_wait, content } => {
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -46,8 +46,14 @@
         ..Settings::default()
     };
     let (class_names, contracts) = (vec!["safe".into(), "unsafe".into()], Rc::new(contracts));
-    let mut broker =
-        Broker::new(Setup { seed: 7, settings, class_names, contracts, memory: Ledger::unlimited() });
+    let mut broker = Broker::new(Setup {
+        seed: 7,
+        settings,
+        figures: super::Figures::new(class_names.clone()),
+        class_names,
+        contracts,
+        memory: Ledger::unlimited(),
+    });
     let members = (0..NODES).map(|id| member(id, NodeState::Ready)).collect();
     broker.news(1000.0, News::Roster { full: true, members }, true);
     broker
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -12,6 +12,8 @@
 
 /// Messages taken from one queue before the others and the timers get their turn.
 const TURN: usize = 32;
+/// Gauges for operators are published this often; they may be half a second old (seconds).
+const PUBLISH: f64 = 0.2;
 
 /// The queues that lead to the core, by rank: news first, so that what is decided after them knows of them.
 pub struct Inputs {
@@ -42,7 +44,13 @@
 pub async fn run(mut broker: Broker, mut inputs: Inputs, commands: UnboundedSender<Command>) {
     let mut replies: FxHashMap<Caller, UnboundedSender<(u64, Answer)>> = FxHashMap::default();
     let (mut closing, mut started) = (false, false);
+    let mut published = f64::MIN;
     loop {
+        let now = clock::now();
+        if now >= published + PUBLISH {
+            broker.publish(now, inputs.asks.len());
+            published = now;
+        }
         if !started && broker.has_nodes() {
             started = true;
             inputs.ready.set(true);
@@ -79,6 +87,7 @@
                 }
             }
             () = timer => {}
+            () = sleep_until(clock::instant(published + PUBLISH)) => {}
             Some(report) = inputs.reports.recv() => {
                 broker.report(clock::now(), report);
                 for _ in 1..TURN {
--- a/src/config.rs
+++ b/src/config.rs
@@ -233,6 +233,8 @@
     pub name: String,
     /// Where the platform's clients connect, if that front is on.
     pub listen: Option<SocketAddr>,
+    /// Where operators call, if anywhere: `admin_addr`, or `NODE_ADMIN_ADDR`, which counts over it.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What memory is held to, in all and by purpose.
@@ -332,6 +334,16 @@
     pub refresh: f64,
 }
 
+/// The operators' address that `NODE_ADMIN_ADDR` gives, where it is set: it counts over the file's, since a process
+/// that replaces another is told its own there.
+pub fn admin(variable: Option<&str>, config: &mut Config) -> Result<(), String> {
+    if let Some(text) = variable {
+        let wrong = |_| format!("NODE_ADMIN_ADDR: '{text}' is not an address and a port");
+        config.admin = Some(text.trim().parse().map_err(wrong)?);
+    }
+    Ok(())
+}
+
 /// Reads the platform's JSON and the operator's TOML, either of which may be missing. The operator's tables
 /// stand beside the platform's; where both have a key, the operator's counts.
 pub fn read(platform: Option<&[u8]>, operator: Option<&str>) -> Result<Config, String> {
@@ -389,6 +401,7 @@
     Ok(Config {
         name: top.get("name")?.text()?.to_owned(),
         listen: needed("listen", signed.is_some())?.map(|v| v.address()).transpose()?,
+        admin: top.opt("admin_addr").map(|v| v.address()).transpose()?,
         seed,
         memory: memory(&top, (limits.get("memory_mb")?.above_zero()? * 1e6) as usize, contracts.0.len())?,
         sockets: limits.get("sockets")?.above_zero()? as usize,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,16 +1,17 @@
 //! One real front: reads its configuration, listens, wires the tasks together, and ends when it is told to.
 #![forbid(unsafe_code)]
 
-use onyxyoke::broker::{self, Broker, Close, Contracts, Inputs, News, Setup};
+use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
 use onyxyoke::memory::{Holder, Ledger, Purpose};
-use onyxyoke::net::{Live, clients, coordinator, pool};
+use onyxyoke::net::{Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{channel, unbounded_channel};
@@ -65,7 +66,9 @@
     }
     let operator = operator.map(String::from_utf8).transpose();
     let operator = operator.map_err(|_| "ONYXYOKE_OPERATOR: the file is no text".to_owned())?;
-    config::read(platform.as_deref(), operator.as_deref())
+    let mut config = config::read(platform.as_deref(), operator.as_deref())?;
+    config::admin(std::env::var("NODE_ADMIN_ADDR").ok().as_deref(), &mut config)?;
+    Ok(config)
 }
 
 /// Where news comes from: what a reload may change.
@@ -117,6 +120,7 @@
     let memory = Ledger::new(config.memory, config.contracts.0.len());
     let contracts: Rc<Contracts> = Rc::new(config.contracts);
     let classes = Rc::new(config.classes);
+    let figures = Figures::new(classes.names.clone());
     let wait = config.settings.max_wait;
     let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
@@ -134,6 +138,7 @@
             numbers: numbers.clone(),
             memory: memory.clone(),
             wait,
+            figures: figures.clone(),
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
         spawn_local(clients::accept(listener, Rc::new(front)));
@@ -166,6 +171,12 @@
         spawn_local(signed::accept(listener, Rc::new(front)));
     }
     drop(asks_in);
+    if let Some(address) = config.admin {
+        let listener = TcpListener::bind(address).await?;
+        log!("{} answers operators on {}", config.name, listener.local_addr()?);
+        let desk = admin::Desk { ready: ready.clone(), figures: figures.clone() };
+        spawn_local(admin::serve(listener, Rc::new(desk)));
+    }
     spawn_local(pool::run(
         commands,
         reports_in,
@@ -187,6 +198,7 @@
         class_names: classes.names.clone(),
         contracts,
         memory: memory.clone(),
+        figures,
     });
     let (last, events) = config.known;
     let mut first = true;
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,168 @@
+//! The operators' socket: each connection carries one line, gets one line back (the figures run on to a line `eof`)
+//! and ends. It decides nothing: health and the figures are read where they are published, and cordons go to the
+//! broker by queue, which answers once they are in force.
+
+use crate::broker::Figures;
+use crate::interface::NodeId;
+use crate::{clock, log};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep_until, timeout_at};
+
+/// The longest line (bytes).
+pub const LINE: usize = 256;
+/// A caller has so long for its line, and callers that say nothing are closed then (seconds).
+const SPEAK: f64 = 5.0;
+/// Callers at once; beyond, the one that came first gives way, so that those who say nothing keep nobody out.
+const CALLERS: usize = 16;
+/// The answer is to be taken within so long (seconds).
+const TAKE: f64 = 1.0;
+/// After the answer, what the caller still sends is read for so long, up to so many bytes, so that closing does
+/// not reset the connection before the answer is read (seconds, bytes).
+const PARTING: (f64, usize) = (0.2, 4096);
+/// After a failed accept the next is tried this much later (seconds).
+const ACCEPT_PAUSE: f64 = 0.01;
+
+/// What an operator asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Call {
+    /// Does this process take clients?
+    Health,
+    /// The figures.
+    Counters,
+    /// Nothing more to this cache node until it is uncordoned.
+    Cordon(NodeId),
+    /// Put this cache node back.
+    Uncordon(NodeId),
+}
+
+/// Reads one line, without its end. The error is the reply's reason.
+pub fn parse(line: &[u8]) -> Result<Call, String> {
+    let text = std::str::from_utf8(line).map_err(|_| "the line is not text".to_owned())?;
+    let words: Vec<&str> = text.split_ascii_whitespace().take(3).collect();
+    const CALLS: &str = "calls are health, counters, cordon ID, uncordon ID";
+    match words[..] {
+        ["health"] => Ok(Call::Health),
+        ["counters"] => Ok(Call::Counters),
+        ["cordon", id] => Ok(Call::Cordon(node(id)?)),
+        ["uncordon", id] => Ok(Call::Uncordon(node(id)?)),
+        [word @ ("cordon" | "uncordon")] => Err(format!("'{word}' needs a node id")),
+        [] => Err(format!("the line is empty; {CALLS}")),
+        ["health" | "counters" | "cordon" | "uncordon", ..] => Err("too many words".into()),
+        _ => Err(format!("unknown call; {CALLS}")),
+    }
+}
+
+/// A node's id as the coordinator writes it: `s-` and 8 hexadecimal digits.
+pub fn node(word: &str) -> Result<NodeId, String> {
+    let digits = word.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()));
+    let digits = digits.ok_or_else(|| format!("'{word}' is no node id ('s-' and 8 hexadecimal digits)"))?;
+    u32::from_str_radix(digits, 16).map(|id| NodeId(id.into())).map_err(|e| e.to_string())
+}
+
+/// What the socket reads from and hands on to.
+pub struct Desk {
+    /// Whether this process takes clients.
+    pub ready: Rc<Cell<bool>>,
+    /// The figures.
+    pub figures: Rc<Figures>,
+}
+
+impl Desk {
+    /// The whole reply to a line.
+    pub async fn reply(&self, line: &[u8]) -> String {
+        let call = match parse(line) {
+            Ok(call) => call,
+            Err(why) => return format!("fail {why}\n"),
+        };
+        match call {
+            Call::Health if self.ready.get() => "ok yes\n".into(),
+            Call::Health => "fail no: this process takes no clients now\n".into(),
+            Call::Counters => format!("ok\n{}eof\n", self.figures.render()),
+            Call::Cordon(_) | Call::Uncordon(_) => "fail cordons are not served by this version\n".into(),
+        }
+    }
+}
+
+/// Serves operators until the program ends.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                callers.retain(|caller| !caller.is_finished());
+                if callers.len() >= CALLERS
+                    && let Some(first) = callers.pop_front()
+                {
+                    first.abort();
+                }
+                callers.push_back(spawn_local(call(stream, desk.clone())));
+            }
+            Err(e) => {
+                log!("cannot accept an operator: {e}");
+                sleep_until(clock::instant(clock::now() + ACCEPT_PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// One caller: its line, the reply, the end.
+async fn call(mut stream: TcpStream, desk: Rc<Desk>) {
+    let mut line = [0u8; LINE];
+    let heard = timeout_at(clock::instant(clock::now() + SPEAK), async {
+        let mut len = 0;
+        loop {
+            let n = stream.read(&mut line[len..]).await?;
+            len += n;
+            if let Some(end) = line[..len].iter().position(|&b| b == b'\n') {
+                return std::io::Result::Ok(Some(end));
+            }
+            if n == 0 || len == LINE {
+                // A last line without its end counts; one that does not fit does not.
+                return Ok((n == 0 && len > 0).then_some(len).or((len == LINE).then_some(LINE + 1)));
+            }
+        }
+    })
+    .await;
+    let reply = match heard {
+        Ok(Ok(Some(end))) if end <= LINE => desk.reply(line[..end].trim_ascii()).await,
+        Ok(Ok(Some(_))) => format!("fail the line is longer than {LINE} bytes\n"),
+        _ => return,
+    };
+    let _ = timeout_at(clock::instant(clock::now() + TAKE), stream.write_all(reply.as_bytes())).await;
+    let _ = stream.shutdown().await;
+    let _ = timeout_at(clock::instant(clock::now() + PARTING.0), async {
+        let (mut rest, mut passed) = ([0u8; 512], 0);
+        while passed < PARTING.1 {
+            match stream.read(&mut rest).await {
+                Ok(0) | Err(_) => break,
+                Ok(n) => passed += n,
+            }
+        }
+    })
+    .await;
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reads_the_four_calls_and_names_what_is_wrong() {
+        assert_eq!(parse(b"health"), Ok(Call::Health));
+        assert_eq!(parse(b"counters"), Ok(Call::Counters));
+        assert_eq!(parse(b"cordon s-00c41f7a"), Ok(Call::Cordon(NodeId(0x00c4_1f7a))));
+        assert_eq!(parse(b"uncordon  s-00C41F7A"), Ok(Call::Uncordon(NodeId(0x00c4_1f7a))));
+        assert!(parse(b"cordon").unwrap_err().contains("needs a node id"));
+        assert!(parse(b"cordon s-123").unwrap_err().contains("'s-123' is no node id"));
+        assert!(parse(b"cordon 00c41f7a").is_err());
+        assert!(parse(b"health now").unwrap_err().contains("too many"));
+        assert!(parse(b"drain s-00c41f7a").unwrap_err().contains("unknown call"));
+        assert!(parse(b"").is_err());
+        assert!(parse(&[0xff, 0xfe]).is_err());
+    }
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::resp::{self, Broken, Command};
 use super::{Buffer, INPUT, Output, Seat, Unreadable, amount, number};
-use crate::broker::{Answer, Ask, Caller, Contracts, Input};
+use crate::broker::{Answer, Ask, Caller, Contracts, Count, Figures, Input};
 use crate::clock;
 use crate::config::Classes;
 use crate::interface::*;
@@ -69,6 +69,8 @@
     pub memory: Ledger,
     /// What a refusal of this front's own says (seconds).
     pub wait: f64,
+    /// What operators read: the answers that this front gives of its own are counted here.
+    pub figures: Rc<Figures>,
 }
 
 impl Front {
@@ -90,8 +92,8 @@
 pub(super) struct Session {
     front: Rc<Front>,
     number: u64,
-    /// The tags of what is open, with when each answer is due.
-    open: FxHashMap<u64, f64>,
+    /// The tags of what is open, with when each answer is due and the class.
+    open: FxHashMap<u64, (f64, ClassId)>,
     reply: UnboundedSender<(u64, Answer)>,
     pub(super) output: Output,
     /// It has said something whole that can be used.
@@ -164,16 +166,20 @@
                 match ask {
                     None => {
                         say(tag, "fault");
+                        if let Some(class) = class {
+                            front.figures.count(class, Count::Failure);
+                        }
                         (cost, usable) = (unusable, false);
                         None
                     }
                     Some(None) => {
+                        front.figures.count(class.unwrap_or_default(), Count::Busy);
                         self.refuse(tag, self.front.wait);
                         cost = refused;
                         None
                     }
                     Some(Some(mut ask)) => {
-                        self.open.insert(tag, ask.deadline);
+                        self.open.insert(tag, (ask.deadline, ask.class));
                         ask.reader = Some(self.output.reader());
                         Some(Input::Ask {
                             caller: self.caller(tag),
@@ -195,13 +201,17 @@
     fn announced(&mut self, input: &mut Buffer) -> Option<Option<Input>> {
         let resp::Pending { tag, class, body, total } = resp::pending(input.bytes())?;
         let front = &self.front;
-        let precious = front.classes.get(class).is_some_and(|c| front.classes.never_kept(c));
+        let class = front.classes.get(class);
+        let precious = class.is_some_and(|c| front.classes.never_kept(c));
         input.set_room(|| front.memory.empty(Holder { precious, ..Holder::of(Purpose::Bodies) }));
         let admitted = self.open.len() < OPEN_MOST && front.memory.admits(body, precious);
         if admitted && input.reserve(total - input.len()).is_ok() || self.open.contains_key(&tag) {
             return None;
         }
         input.skip(total);
+        if let Some(class) = class {
+            front.figures.count(class, Count::Busy);
+        }
         self.refuse(tag, self.front.wait);
         self.credit.0 -= COSTS[1];
         self.spoken = true;
@@ -211,14 +221,18 @@
     /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. The
     /// tags stay open, so that the broker hears that nobody waits any more.
     pub(super) fn broken(&mut self, tag: Option<u64>) {
-        for &tag in self.open.keys().chain(tag.filter(|tag| !self.open.contains_key(tag)).iter()) {
+        for (&tag, &(_, class)) in &self.open {
+            self.front.figures.count(class, Count::Failure);
+            resp::answer(&mut self.output, tag, "fault", "", None);
+        }
+        if let Some(tag) = tag.filter(|tag| !self.open.contains_key(tag)) {
             resp::answer(&mut self.output, tag, "fault", "", None);
         }
     }
 
     pub(super) fn answer(&mut self, tag: u64, answer: Answer) {
         // After an abort none is owed, and one that crossed it is dropped.
-        let Some(due) = self.open.remove(&tag) else { return };
+        let Some((due, _)) = self.open.remove(&tag) else { return };
         match answer {
             Answer::Served(content) if content.current => {
                 resp::answer(&mut self.output, tag, "ok", "current=1", None);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's wires: RESP clients, the line protocol to cache nodes, the coordinator's feed. Nothing is
 //! decided here: what arrives is handed to the broker by queue, and what it orders is carried out.
 
+pub mod admin;
 mod buffer;
 pub mod clients;
 pub mod coordinator;
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -380,6 +380,7 @@
         numbers: Rc::default(),
         memory,
         wait: 0.5,
+        figures: crate::broker::Figures::new(vec!["media".into(), "holds".into()]),
     };
     Session::new(front.into(), tokio::sync::mpsc::unbounded_channel().0)
 }
