Cordon and uncordon nodes by hand, kept under TMPDIR over a replacement

Change: membership/: one view of the nodes, the list with cordons over it (draining in the view until the call back, then a start at that moment, so the cold budget holds it); the broker sends and tells the director by the view and takes calls right after news; state/: the set in TMPDIR/onyxyoke-NAME.cordons, written whole before ok, read at start and looked at every 0.25 s.

--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -220,10 +220,22 @@
 
 /// Starts the program with this file alone; where it listens, and what else it logs.
 pub fn start(program: &str, variable: &str, file: &Path) -> (Child, SocketAddr, Receiver<String>) {
+    start_with(program, variable, file, &[])
+}
+
+/// The same, with these further variables.
+pub fn start_with(
+    program: &str,
+    variable: &str,
+    file: &Path,
+    more: &[(&str, &Path)],
+) -> (Child, SocketAddr, Receiver<String>) {
     let mut child = Command::new(program)
         .env_remove("NODE_CONFIG")
         .env_remove("ONYXYOKE_OPERATOR")
+        .env_remove("NODE_ADMIN_ADDR")
         .env(variable, file)
+        .envs(more.iter().copied())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -11,10 +11,11 @@
 
 pub use counters::Counters;
 pub use figures::{Count, Figures, Gauges};
-pub use run::{Close, Inputs, run};
+pub use run::{Close, Inputs, Operator, run};
 pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
+use crate::membership::{Hand, Kept, Membership};
 use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
 use crate::{Director, log};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -304,7 +305,7 @@
     contracts: Rc<Contracts>,
     budgets: tenants::Budgets,
     /// Nodes in their last told state.
-    roster: FxHashMap<NodeId, NodeState>,
+    members: Membership,
     timers: Timers,
     /// All that is taken is answered by then, in Unix seconds, once the program is told to end.
     closes: f64,
@@ -350,7 +351,7 @@
             open: FxHashMap::default(),
             callers: FxHashMap::default(),
             calls: FxHashSet::default(),
-            roster: FxHashMap::default(),
+            members: Membership::default(),
             timers: Timers::default(),
             closes: f64::INFINITY,
             next_id: 0,
@@ -374,12 +375,11 @@
 
     /// The gauges as they are now.
     pub fn gauges(&self, now: f64) -> Gauges {
-        let avoided =
-            |(id, state): (&NodeId, &NodeState)| *state != NodeState::Ready || self.director.avoids(now, *id);
+        let avoided = |n: &Node| n.state != NodeState::Ready || self.director.avoids(now, n.id);
         Gauges {
             inflight: self.callers.len() as u64,
-            hosts_listed: self.roster.len() as u64,
-            hosts_down: self.roster.iter().filter(|&n| avoided(n)).count() as u64,
+            hosts_listed: self.members.len() as u64,
+            hosts_down: self.members.nodes().filter(avoided).count() as u64,
         }
     }
 
@@ -403,7 +403,7 @@
 
     /// Has it heard of any node?
     pub fn has_nodes(&self) -> bool {
-        !self.roster.is_empty()
+        !self.members.is_empty()
     }
 
     /// What is to be done outside, in order.
@@ -432,12 +432,8 @@
                     fine
                 };
                 let members: Vec<Member> = members.iter().filter(known).copied().collect();
-                if full {
-                    self.roster.clear();
-                }
-                self.roster.extend(members.iter().map(|m| (m.node.id, m.node.state)));
-                self.roster.retain(|_, state| *state != NodeState::Gone);
-                let nodes = members.iter().map(|m| m.node).collect();
+                let told: Vec<Node> = members.iter().map(|m| m.node).collect();
+                let nodes = self.members.told(full, &told).into();
                 let kind = match (cached, full) {
                     (true, _) => ListKind::Cached,
                     (false, true) => ListKind::Full,
@@ -445,10 +441,7 @@
                 };
                 self.effects.push(Effect::Command(Command::Roster { full, members }));
                 self.feed(now, Event::List { kind, nodes });
-                self.recall(|roster, _, a| {
-                    let ready = |id| roster.get(&id) == Some(&NodeState::Ready);
-                    !ready(a.node) || a.source.is_some_and(|s| !ready(s))
-                });
+                self.recall_unready();
             }
             News::Purge { object, group, at } => {
                 self.counters.purges += 1;
@@ -459,11 +452,53 @@
         self.settle(now);
     }
 
+    /// Carries out an operator's call: a cordon is in force, and the director has heard of it, before anything
+    /// later is decided. What is to be said, or why it is refused.
+    pub fn hand(&mut self, now: f64, hand: Hand) -> Result<String, String> {
+        let (said, changed) = self.members.hand(now, hand)?;
+        log!("by hand: {said}");
+        self.seen(now, changed.into_iter().collect());
+        Ok(said)
+    }
+
+    /// Takes in what another process of this front kept, or its predecessor.
+    pub fn take_kept(&mut self, now: f64, kept: &Kept) {
+        let changed = self.members.take(now, kept);
+        if !changed.is_empty() {
+            log!("cordons as kept: {} cordoned, {} nodes changed", kept.cordoned.len(), changed.len());
+        }
+        self.seen(now, changed);
+    }
+
+    /// What is kept for a successor: cordons, and nodes put back while they may still be cold.
+    pub fn kept(&self, now: f64) -> Kept {
+        let s = self.director.settings();
+        self.members.kept(now, s.cold_for.max(s.parent_cold_for))
+    }
+
+    /// Tells the director of nodes whose view changed, and takes back what waits for one that is no longer ready.
+    fn seen(&mut self, now: f64, changed: Vec<Node>) {
+        if changed.is_empty() {
+            return;
+        }
+        self.feed(now, Event::List { kind: ListKind::Delta, nodes: changed.into() });
+        self.recall_unready();
+        self.settle(now);
+    }
+
+    /// Takes back unwritten attempts to a node, or with a source, that is not ready in the view (rule 3).
+    fn recall_unready(&mut self) {
+        self.recall(|members, _, a| {
+            let ready = |id| members.state(id) == Some(NodeState::Ready);
+            !ready(a.node) || a.source.is_some_and(|s| !ready(s))
+        });
+    }
+
     /// Takes back unwritten attempts that `bears` names.
-    fn recall(&mut self, bears: impl Fn(&FxHashMap<NodeId, NodeState>, &Ask, &Attempt) -> bool) {
+    fn recall(&mut self, bears: impl Fn(&Membership, &Ask, &Attempt) -> bool) {
         for (&request, open) in &mut self.open {
             for (i, a) in open.attempts.iter_mut().enumerate() {
-                if a.out && !a.written && !a.recalled && bears(&self.roster, &open.ask, a) {
+                if a.out && !a.written && !a.recalled && bears(&self.members, &open.ask, a) {
                     a.recalled = true;
                     self.counters.recalled += 1;
                     let ticket = Ticket { request, attempt: i as u16 };
@@ -539,7 +574,7 @@
     /// Books what the director has learned, and has it forget what is worth least where there is no memory for it.
     fn book_learned(&mut self) {
         let (fixed, beliefs) = self.director.footprint();
-        let fixed = fixed + self.roster.capacity() * (size_of::<(NodeId, NodeState)>() + 1);
+        let fixed = fixed + self.members.footprint();
         let cap = self.memory.accounts().plan().limits[Purpose::Learned as usize].cap;
         let wanted = (fixed + beliefs).min(cap);
         if wanted == self.learned.bytes() {
@@ -780,7 +815,7 @@
         let last = open.ask.deadline.min(self.closes);
         let due = if within > 0.0 { (now + within).min(last) } else { last };
         // Never two attempts out for one request, none for one that is over, none to a node that drains.
-        let ready = |id: &NodeId| self.roster.get(id) == Some(&NodeState::Ready);
+        let ready = |id: &NodeId| self.members.state(*id) == Some(NodeState::Ready);
         let may = !open.done
             && open.attempts.iter().all(|a| !a.out)
             && now < due
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -2,12 +2,14 @@
 
 use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
 use crate::clock;
+use crate::membership::{Hand, Kept};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 use tokio::time::sleep_until;
 
 /// Messages taken from one queue before the others and the timers get their turn.
@@ -19,6 +21,8 @@
 pub struct Inputs {
     /// From the coordinator, or a discovery document.
     pub news: UnboundedReceiver<News>,
+    /// From the operators' socket, whose callers have one call each at most, which bounds it.
+    pub operators: UnboundedReceiver<Operator>,
     /// From cache connections; each attempt has two reports at most, which bounds it.
     pub reports: UnboundedReceiver<Report>,
     /// From fronts.
@@ -31,6 +35,21 @@
     pub close: UnboundedReceiver<Close>,
 }
 
+/// From the operators' socket.
+#[derive(Debug)]
+pub enum Operator {
+    /// A call. The answer says what was done, with what is now to be kept and the number of the call, so that
+    /// of two answers the later is kept; or why it was refused.
+    Call {
+        /// What.
+        hand: Hand,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Result<(String, Kept, u64), String>>,
+    },
+    /// What another process of this front kept.
+    Kept(Kept),
+}
+
 /// How the program ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Close {
@@ -45,6 +64,7 @@
     let mut replies: FxHashMap<Caller, UnboundedSender<(u64, Answer)>> = FxHashMap::default();
     let (mut closing, mut started) = (false, false);
     let mut published = f64::MIN;
+    let mut calls = 0;
     loop {
         let now = clock::now();
         if now >= published + PUBLISH {
@@ -86,6 +106,14 @@
                     broker.news(clock::now(), news, false);
                 }
             }
+            Some(call) = inputs.operators.recv() => match call {
+                Operator::Call { hand, reply } => {
+                    let now = clock::now();
+                    calls += 1;
+                    let _ = reply.send(broker.hand(now, hand).map(|said| (said, broker.kept(now), calls)));
+                }
+                Operator::Kept(kept) => broker.take_kept(clock::now(), &kept),
+            },
             () = timer => {}
             () = sleep_until(clock::instant(published + PUBLISH)) => {}
             Some(report) = inputs.reports.recv() => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,10 +31,12 @@
 pub mod config;
 pub mod interface;
 pub mod log;
+pub mod membership;
 pub mod memory;
 pub mod net;
 pub mod routing;
 pub mod signed;
+pub mod state;
 pub mod watch;
 pub mod xds;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use onyxyoke::memory::{Holder, Ledger, Purpose};
 use onyxyoke::net::{Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
+use onyxyoke::state::Keeper;
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -109,6 +110,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let told = config.told;
     let (news_in, news) = unbounded_channel();
+    let (operators_in, operators) = unbounded_channel();
     let (reports_in, reports) = unbounded_channel();
     let (commands_in, commands) = unbounded_channel();
     let waiting = config.memory.limits[Purpose::Waiting as usize].cap;
@@ -171,12 +173,24 @@
         spawn_local(signed::accept(listener, Rc::new(front)));
     }
     drop(asks_in);
+    // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
+    let mut kept = None;
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        let desk = admin::Desk { ready: ready.clone(), figures: figures.clone() };
+        let (keeper, found) = Keeper::open(std::env::temp_dir(), &config.name);
+        kept = found;
+        let operators = operators_in.clone();
+        let desk = admin::Desk {
+            ready: ready.clone(),
+            figures: figures.clone(),
+            operators,
+            keeper,
+            kept: Cell::new(0),
+        };
         spawn_local(admin::serve(listener, Rc::new(desk)));
     }
+    drop(operators_in);
     spawn_local(pool::run(
         commands,
         reports_in,
@@ -200,6 +214,10 @@
         memory: memory.clone(),
         figures,
     });
+    // Before the first list: a node that was cordoned is never seen ready.
+    if let Some(kept) = kept {
+        broker.take_kept(clock::now(), &kept);
+    }
     let (last, events) = config.known;
     let mut first = true;
     for event in events {
@@ -217,7 +235,8 @@
     } else if let Some(address) = &feed.coordinator {
         spawn_local(coordinator::follow(address.clone(), last, seed, news_in, memory.clone()));
     }
-    let inputs = Inputs { news, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
+    let (health, asked) = (ready.clone(), print.clone());
+    let inputs = Inputs { news, operators, reports, asks, ready: health, print: asked, close: closes };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
 
     loop {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,14 +2,18 @@
 //! and ends. It decides nothing: health and the figures are read where they are published, and cordons go to the
 //! broker by queue, which answers once they are in force.
 
-use crate::broker::Figures;
+use crate::broker::{Figures, Operator};
 use crate::interface::NodeId;
+use crate::membership::Hand;
+use crate::state::Keeper;
 use crate::{clock, log};
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep_until, timeout_at};
 
@@ -26,6 +30,8 @@
 const PARTING: (f64, usize) = (0.2, 4096);
 /// After a failed accept the next is tried this much later (seconds).
 const ACCEPT_PAUSE: f64 = 0.01;
+/// The file of the cordons is looked at this often, for what the other process of the front was told (seconds).
+const LOOK: f64 = 0.25;
 
 /// What an operator asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +76,12 @@
     pub ready: Rc<Cell<bool>>,
     /// The figures.
     pub figures: Rc<Figures>,
+    /// To the broker.
+    pub operators: UnboundedSender<Operator>,
+    /// The file of the cordons.
+    pub keeper: Keeper,
+    /// The number of the last call whose cordons were kept.
+    pub kept: Cell<u64>,
 }
 
 impl Desk {
@@ -79,11 +91,38 @@
             Ok(call) => call,
             Err(why) => return format!("fail {why}\n"),
         };
-        match call {
-            Call::Health if self.ready.get() => "ok yes\n".into(),
-            Call::Health => "fail no: this process takes no clients now\n".into(),
-            Call::Counters => format!("ok\n{}eof\n", self.figures.render()),
-            Call::Cordon(_) | Call::Uncordon(_) => "fail cordons are not served by this version\n".into(),
+        let hand = match call {
+            Call::Health if self.ready.get() => return "ok yes\n".into(),
+            Call::Health => return "fail no: this process takes no clients now\n".into(),
+            Call::Counters => return format!("ok\n{}eof\n", self.figures.render()),
+            Call::Cordon(node) => Hand::Cordon(node),
+            Call::Uncordon(node) => Hand::Uncordon(node),
+        };
+        // What the other process of the front was told counts first, so that this one does not write back less.
+        self.look();
+        let (reply, answer) = oneshot::channel();
+        if self.operators.send(Operator::Call { hand, reply }).is_err() {
+            return "fail the front is ending\n".into();
+        }
+        let (said, kept, number) = match answer.await {
+            Ok(Ok(done)) => done,
+            Ok(Err(why)) => return format!("fail {why}\n"),
+            Err(_) => return "fail the front is ending\n".into(),
+        };
+        if number > self.kept.get() {
+            if let Err(e) = self.keeper.keep(&kept) {
+                log!("cordons: cannot be kept: {e}");
+                return format!("fail {said} in this process, but not kept for the next: {e}\n");
+            }
+            self.kept.set(number);
+        }
+        format!("ok {said}\n")
+    }
+
+    /// Hands the broker what the file says, if another process changed it.
+    fn look(&self) {
+        if let Some(kept) = self.keeper.look() {
+            let _ = self.operators.send(Operator::Kept(kept));
         }
     }
 }
@@ -91,8 +130,17 @@
 /// Serves operators until the program ends.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut look_at = clock::now() + LOOK;
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = sleep_until(clock::instant(look_at)) => {
+                look_at = clock::now() + LOOK;
+                desk.look();
+                continue;
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
                 if callers.len() >= CALLERS
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,87 @@
+//! What survives the process: the cordons that operators set, in a file under `$TMPDIR`, which the two processes
+//! of one front share during a replacement. The file's form is `membership::Kept`'s; here it is read and written.
+
+use crate::log;
+use crate::membership::Kept;
+use std::cell::RefCell;
+use std::io;
+use std::path::PathBuf;
+
+/// The file of the cordons, with its text as this process last wrote or read it.
+pub struct Keeper {
+    path: PathBuf,
+    last: RefCell<String>,
+}
+
+impl Keeper {
+    /// The file of the front of this name in the folder; what it holds, if there is one.
+    pub fn open(folder: PathBuf, name: &str) -> (Self, Option<Kept>) {
+        let name: String =
+            name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+        let keeper =
+            Keeper { path: folder.join(format!("onyxyoke-{name}.cordons")), last: RefCell::default() };
+        let kept = keeper.look();
+        (keeper, kept)
+    }
+
+    /// What the file says, if that changed since this process last wrote or read it.
+    pub fn look(&self) -> Option<Kept> {
+        let text = match std::fs::read_to_string(&self.path) {
+            Ok(text) => text,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+            Err(e) => {
+                log!("cordons: cannot read '{}': {e}", self.path.display());
+                return None;
+            }
+        };
+        if *self.last.borrow() == text {
+            return None;
+        }
+        let (kept, wrong) = Kept::read(&text);
+        for line in wrong {
+            log!("cordons: '{}', {line}; passed over", self.path.display());
+        }
+        *self.last.borrow_mut() = text;
+        Some(kept)
+    }
+
+    /// Writes the file whole: a new one, renamed over the old, so that a reader finds the one or the other.
+    pub fn keep(&self, kept: &Kept) -> io::Result<()> {
+        let text = kept.text();
+        if *self.last.borrow() == text {
+            return Ok(());
+        }
+        let new = self.path.with_extension(format!("new-{}", std::process::id()));
+        std::fs::write(&new, &text)?;
+        std::fs::rename(&new, &self.path).inspect_err(|_| {
+            let _ = std::fs::remove_file(&new);
+        })?;
+        *self.last.borrow_mut() = text;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::NodeId;
+
+    #[test]
+    fn what_one_process_keeps_the_other_reads_once() {
+        let folder = std::env::temp_dir().join(format!("onyxyoke-state-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (old, none) = Keeper::open(folder.clone(), "n0");
+        assert_eq!(none, None);
+        let kept = Kept { cordoned: vec![NodeId(7)], woke: vec![(NodeId(8), 1_764_576_000.25)] };
+        old.keep(&kept).unwrap();
+        assert_eq!(old.look(), None, "its own writing is no news to it");
+        let (new, found) = Keeper::open(folder.clone(), "n0");
+        assert_eq!(found, Some(kept));
+        assert_eq!(new.look(), None);
+        new.keep(&Kept::default()).unwrap();
+        assert_eq!(old.look(), Some(Kept::default()));
+        let (other, _) = Keeper::open(folder.clone(), "n1/x");
+        assert_eq!(other.look(), None, "another front's file is another");
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -54,10 +54,14 @@
     assert_eq!(figure(&after, "front_failure{tier=\"media\"}"), 1);
     assert_eq!(figure(&after, "front_busy{tier=\"media\"}"), 1);
     assert!(figure(&after, "front_backend_calls{tier=\"media\"}") >= 2, "{after}");
-    // The gauges are published within half a second.
+    settles(admin, "front_inflight", 32);
+}
+
+/// A gauge has this value within half a second.
+fn settles(admin: SocketAddr, series: &str, value: u64) {
     let by = Instant::now() + Duration::from_millis(500);
-    while figure(&call(admin, "counters"), "front_inflight") != 32 {
-        assert!(Instant::now() < by, "inflight is not 32 after 0.5 s");
+    while figure(&call(admin, "counters"), series) != value {
+        assert!(Instant::now() < by, "{series} is not {value} after 0.5 s");
     }
 }
 
@@ -72,3 +76,76 @@
     assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
     drop(silent);
 }
+
+/// A request for an object of its own; the node whose stand-in took it answers it.
+fn ask(c: &mut Client, tag: u64, caches: &[&std::sync::mpsc::Receiver<Served>]) -> usize {
+    let fields = format!("call={tag:016x},ttl=3000,row={tag:016x},slice=0,set=17,heap=10.5");
+    c.send(&["REQ", &tag.to_string(), "media", &fields, ""]);
+    let by = Instant::now() + PATIENCE;
+    loop {
+        for (i, cache) in caches.iter().enumerate() {
+            if let Ok(mut served) = cache.try_recv() {
+                served.hit(b"x");
+                assert_eq!(c.answer()[..2], [tag.to_string().as_str(), "ok"]);
+                return i;
+            }
+        }
+        assert!(Instant::now() < by, "request {tag} reached no cache");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn a_cordon_holds_until_the_call_back_and_over_a_replacement() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-tmp-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let ((edge, at_edge), (other, at_other), (origin, _)) = (cache_node(), cache_node(), cache_node());
+    let members = || {
+        vec![
+            member(EDGE, "standard", edge),
+            member(OTHER, "standard", other),
+            member(ORIGIN, "origin", origin),
+        ]
+    };
+    let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let old = Node::start_in("operate-cordon-old", members(), admin_on, Some(&tmp));
+    let admin: SocketAddr = old.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    let mut c = old.connect();
+    let caches = [&at_edge, &at_other];
+    // Both take requests at first.
+    let mut seen = [0; 2];
+    (1..=40).for_each(|tag| seen[ask(&mut c, tag, &caches)] += 1);
+    assert!(seen[0] > 0 && seen[1] > 0, "{seen:?}");
+    assert_eq!(call(admin, "cordon s-00000007"), "ok s-00000007 cordoned\n");
+    assert_eq!(call(admin, "cordon s-00000007"), "ok s-00000007 was cordoned already\n");
+    assert!(call(admin, "cordon s-0000abcd").starts_with("fail s-0000abcd is on no list"));
+    settles(admin, "front_hosts_down", 1);
+    for tag in 41..=80 {
+        assert_eq!(ask(&mut c, tag, &caches), 1, "request {tag} went to the cordoned node");
+    }
+    // The process that replaces this one holds the cordon from its start.
+    let new = Node::start_in("operate-cordon-new", members(), admin_on, Some(&tmp));
+    let admin: SocketAddr = new.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    let mut c = new.connect();
+    for tag in 81..=120 {
+        assert_eq!(
+            ask(&mut c, tag, &caches),
+            1,
+            "request {tag} went to the cordoned node after the replacement"
+        );
+    }
+    // Put back at the new process, heard by the old one through the file.
+    assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 uncordoned; it starts cold\n");
+    assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 was not cordoned\n");
+    let back = (121..=400).find(|&tag| ask(&mut c, tag, &caches) == 0);
+    assert!(back.is_some(), "the node put back got nothing");
+    let by = Instant::now() + Duration::from_secs(2);
+    let mut c = old.connect();
+    let mut tag = 1000;
+    while ask(&mut c, tag, &caches) != 0 {
+        assert!(Instant::now() < by, "the old process does not hear of the call back");
+        tag += 1;
+    }
+    drop((old, new));
+    std::fs::remove_dir_all(&tmp).unwrap();
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -118,6 +118,16 @@
 
 impl Node {
     pub fn start(name: &str, members: Vec<Value>, change: impl Fn(&mut Value)) -> Self {
+        Self::start_in(name, members, change, None)
+    }
+
+    /// The same, with `TMPDIR` set to this folder where it is given.
+    pub fn start_in(
+        name: &str,
+        members: Vec<Value>,
+        change: impl Fn(&mut Value),
+        tmp: Option<&Path>,
+    ) -> Self {
         let (coordinator, feeds) = coordinator();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "coordinator": coordinator,
@@ -127,7 +137,14 @@
         let folder = std::env::temp_dir().join(format!("onyxyoke-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-        let (child, address, log) = start("NODE_CONFIG", &folder.join("config.json"));
+        let more: Vec<(&str, &Path)> = tmp.map(|tmp| ("TMPDIR", tmp)).into_iter().collect();
+        let program = env!("CARGO_BIN_EXE_onyxyoke");
+        let (child, address, log) = onyxyoke_stand_ins::scripted::start_with(
+            program,
+            "NODE_CONFIG",
+            &folder.join("config.json"),
+            &more,
+        );
         Node { child, address, log, folder, feeds }
     }
 
