With a successor beside it, shut the old process's door and close idle client connections

Ruled out: the bind (no EADDRINUSE since SO_REUSEPORT) and readiness (both ready after 0.0 s). Change: each process notes its pid in TMPDIR/onyxyoke-NAME.live; at SIGTERM an old one that sees a newer pid takes what waits at its listener, closes it, and has every client connection leave as soon as it is idle (net::Door). Without a successor nothing changes. A process test with a noted successor.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
 use onyxyoke::memory::{Holder, Ledger, Purpose};
-use onyxyoke::net::{Live, admin, clients, coordinator, pool};
+use onyxyoke::net::{Door, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
 use onyxyoke::state::Keeper;
 use onyxyoke::{clock, log, signed, watch, xds};
@@ -129,6 +129,7 @@
     // Clients hold a third at most; what they have just closed may not be gone here yet.
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
+    let door = Door::new();
     if let Some(listen) = config.listen {
         let listener = onyxyoke::net::listen(listen)?;
         let front = clients::Front {
@@ -143,7 +144,7 @@
             figures: figures.clone(),
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
-        spawn_local(clients::accept(listener, Rc::new(front)));
+        spawn_local(clients::accept(listener, Rc::new(front), door.clone()));
     }
     if let Some(signed) = config.signed {
         let listener = onyxyoke::net::listen(signed.listen)?;
@@ -170,22 +171,24 @@
             wait,
         };
         log!("{} serves signed links on {}", config.name, listener.local_addr()?);
-        spawn_local(signed::accept(listener, Rc::new(front)));
+        spawn_local(signed::accept(listener, Rc::new(front), door.clone()));
     }
     drop(asks_in);
     // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
-    let mut kept = None;
+    let (mut kept, mut keeper) = (None, None);
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        let (keeper, found) = Keeper::open(std::env::temp_dir(), &config.name);
-        kept = found;
+        let (mine, found) = Keeper::open(std::env::temp_dir(), &config.name);
+        let mine = Rc::new(mine);
+        mine.live();
+        (kept, keeper) = (found, Some(mine.clone()));
         let operators = operators_in.clone();
         let desk = admin::Desk {
             ready: ready.clone(),
             figures: figures.clone(),
             operators,
-            keeper,
+            keeper: mine,
             kept: Cell::new(0),
         };
         spawn_local(admin::serve(listener, Rc::new(desk)));
@@ -250,6 +253,11 @@
     // Health says no from here on, but whoever comes is still served until the closing window is over and
     // all that was taken is answered; what would take longer is failed before SIGKILL may come.
     ready.set(false);
+    // A successor takes the clients: nothing waits for this process at its listener or on an idle connection.
+    if keeper.is_some_and(|keeper| keeper.succeeded()) {
+        log!("a newer process serves beside this one: the door is shut");
+        door.shut();
+    }
     let told = clock::now();
     let killed = told + longest.min(KILL.0) + KILL.1;
     let _ = close.send(Close::AnswerBy(killed - BEFORE.0));
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -79,7 +79,7 @@
     /// To the broker.
     pub operators: UnboundedSender<Operator>,
     /// The file of the cordons.
-    pub keeper: Keeper,
+    pub keeper: Rc<Keeper>,
     /// The number of the last call whose cordons were kept.
     pub kept: Cell<u64>,
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -82,10 +82,10 @@
     }
 }
 
-/// Accepts clients until the program ends.
-pub async fn accept(listener: TcpListener, front: Rc<Front>) {
+/// Accepts clients until the program ends, or the door is shut.
+pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<super::Door>) {
     let serve = |stream, seat, own| Client::new(front.clone(), seat, own).serve(stream);
-    super::accept(listener, front.connections, front.memory.clone(), serve).await;
+    super::accept(listener, door, front.connections, front.memory.clone(), serve).await;
 }
 
 /// One connection's requests and answers, without the socket.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -101,12 +101,47 @@
     value.is_finite().then_some(value)
 }
 
+/// Where a front takes clients. Shut when another process of the front serves beside this one, which ends: the
+/// listener is closed once what waits at it is taken, and client connections close as soon as they are idle.
+#[derive(Default)]
+pub struct Door {
+    shut: Cell<bool>,
+    shutting: Notify,
+}
+
+impl Door {
+    /// A door that is open.
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    /// Shuts it.
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.shutting.notify_waiters();
+    }
+
+    /// Is it shut?
+    pub fn is_shut(&self) -> bool {
+        self.shut.get()
+    }
+
+    async fn shutting(&self) {
+        let shutting = self.shutting.notified();
+        if !self.shut.get() {
+            shutting.await;
+        }
+    }
+}
+
 /// Connections that wait for their client, in the order in which they are dispensable: those that never said
 /// anything whole, then those without a request, the longest quiet first.
 #[derive(Default)]
 struct Lobby {
     next: Cell<u64>,
     waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
+    /// All leave as soon as they wait for their client.
+    leaving: Cell<bool>,
 }
 
 /// A client connection's place among the connections of its front.
@@ -124,8 +159,12 @@
         seat
     }
 
-    /// It waits for its client from now on, which has asked for something before, or has not.
+    /// It waits for its client from now on, which has asked for something before, or has not. Once all are to leave,
+    /// it is asked to at once.
     pub fn quiet(&self, spoken: bool) {
+        if self.lobby.leaving.get() {
+            self.asked.notify_one();
+        }
         if self.key.get().is_none() {
             let key = (spoken, self.lobby.next.replace(self.lobby.next.get() + 1));
             self.key.set(Some(key));
@@ -172,6 +211,14 @@
         self.waiting.borrow().len()
     }
 
+    /// Asks all to leave as soon as they wait for their client.
+    fn dismiss(&self) {
+        self.leaving.set(true);
+        for asked in self.waiting.borrow().values() {
+            asked.notify_one();
+        }
+    }
+
     /// Asks the most dispensable connection to leave, if there is one.
     fn make_place(&self) -> bool {
         let first = self.waiting.borrow_mut().pop_first();
@@ -182,11 +229,12 @@
     }
 }
 
-/// Accepts until the program ends: a task for each connection, and at most so many of them. Guards against
-/// connections that say nothing, which must not keep out those that would: the newest comer gets the place
-/// of the one that is most dispensable, and is turned away only where all have a request.
+/// Accepts until the program ends or the door is shut: a task for each connection, and at most so many of them.
+/// Guards against connections that say nothing, which must not keep out those that would: the newest comer gets
+/// the place of the one that is most dispensable, and is turned away only where all have a request.
 pub async fn accept<F>(
     listener: TcpListener,
+    door: Rc<Door>,
     most: usize,
     memory: Ledger,
     serve: impl Fn(TcpStream, Seat, Grant) -> F,
@@ -201,6 +249,20 @@
         let closing = memory.closes(lobby.waiting()) > 0;
         let accepted = tokio::select! {
             biased;
+            // What waits at the listener is taken before it is closed, for closing it would reset that.
+            () = door.shutting(), if !lobby.leaving.get() => {
+                lobby.dismiss();
+                continue;
+            }
+            accepted = timeout_at(clock::instant(clock::now()), listener.accept()), if lobby.leaving.get() => {
+                match accepted {
+                    Ok(accepted) => accepted,
+                    Err(_) => {
+                        log!("the door is shut: no more clients here");
+                        return;
+                    }
+                }
+            }
             () = sleep_until(clock::instant(relief_at)), if closing => {
                 relief_at = clock::now() + RELIEF;
                 for _ in 0..memory.closes(lobby.waiting()) {
@@ -208,7 +270,7 @@
                 }
                 continue;
             }
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if !lobby.leaving.get() => accepted,
         };
         match accepted {
             Ok((stream, peer)) => {
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -107,9 +107,9 @@
 }
 
 /// Accepts clients until the program ends.
-pub async fn accept(listener: TcpListener, front: Rc<Front>) {
+pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<crate::net::Door>) {
     let serve = |stream, seat, own| Connection::new(front.clone(), seat, own).serve(stream);
-    crate::net::accept(listener, front.connections, front.memory.clone(), serve).await;
+    crate::net::accept(listener, door, front.connections, front.memory.clone(), serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,10 +7,12 @@
 use std::io;
 use std::path::PathBuf;
 
-/// The file of the cordons, with its text as this process last wrote or read it.
+/// The file of the cordons, with its text as this process last wrote or read it, and the one in which the newest
+/// process of the front notes its pid.
 pub struct Keeper {
     path: PathBuf,
     last: RefCell<String>,
+    live: PathBuf,
 }
 
 impl Keeper {
@@ -18,12 +20,26 @@
     pub fn open(folder: PathBuf, name: &str) -> (Self, Option<Kept>) {
         let name: String =
             name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+        let path = folder.join(format!("onyxyoke-{name}.cordons"));
         let keeper =
-            Keeper { path: folder.join(format!("onyxyoke-{name}.cordons")), last: RefCell::default() };
+            Keeper { path, last: RefCell::default(), live: folder.join(format!("onyxyoke-{name}.live")) };
         let kept = keeper.look();
         (keeper, kept)
     }
 
+    /// Notes that this process is the newest of the front, for the one that it replaces.
+    pub fn live(&self) {
+        if let Err(e) = std::fs::write(&self.live, std::process::id().to_string()) {
+            log!("cannot note this process in '{}': {e}", self.live.display());
+        }
+    }
+
+    /// Does a newer process of the front serve beside this one?
+    pub fn succeeded(&self) -> bool {
+        let noted = std::fs::read_to_string(&self.live).ok().and_then(|pid| pid.trim().parse::<u32>().ok());
+        noted.is_some_and(|pid| pid != std::process::id())
+    }
+
     /// What the file says, if that changed since this process last wrote or read it.
     pub fn look(&self) -> Option<Kept> {
         let text = match std::fs::read_to_string(&self.path) {
@@ -80,6 +96,11 @@
         assert_eq!(new.look(), None);
         new.keep(&Kept::default()).unwrap();
         assert_eq!(old.look(), Some(Kept::default()));
+        assert!(!old.succeeded(), "none is noted");
+        old.live();
+        assert!(!old.succeeded(), "it is the newest itself");
+        std::fs::write(folder.join("onyxyoke-n0.live"), "4294967295").unwrap();
+        assert!(old.succeeded() && new.succeeded());
         let (other, _) = Keeper::open(folder.clone(), "n1/x");
         assert_eq!(other.look(), None, "another front's file is another");
         std::fs::remove_dir_all(folder).unwrap();
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -149,3 +149,28 @@
     drop((old, new));
     std::fs::remove_dir_all(&tmp).unwrap();
 }
+
+#[test]
+fn with_a_successor_the_old_process_closes_its_door_and_idle_connections() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-handover-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let old = Node::start_in("operate-handover", members, admin_on, Some(&tmp));
+    let (mut idle, mut busy) = (old.connect(), old.connect());
+    busy.ask("1", 1, "");
+    let mut asked = next(&served);
+    // A successor has noted itself; the old process is told to end.
+    std::fs::write(tmp.join("onyxyoke-n0.live"), "4294967295").unwrap();
+    old.signal("-TERM");
+    old.logged("the door is shut");
+    assert!(idle.closed(), "an idle connection is closed at once");
+    old.logged("no more clients here");
+    assert!(std::net::TcpStream::connect(old.address).is_err(), "nobody listens any more");
+    // What was taken is still answered, and only then is its connection closed.
+    asked.hit(b"late but whole");
+    assert_eq!(busy.answer(), ["1", "ok", "", "late but whole"]);
+    assert!(busy.closed());
+    std::fs::remove_dir_all(&tmp).unwrap();
+}
