--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -174,3 +174,28 @@
     assert!(busy.closed());
     std::fs::remove_dir_all(&tmp).unwrap();
 }
+
+#[test]
+fn with_every_place_taken_by_idle_and_half_written_clients_operators_and_a_request_get_through() {
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let node = Node::start("operate-crowd", members, |config| {
+        config["admin_addr"] = json!("127.0.0.1:0");
+        config["limits"]["sockets"] = json!(64);
+    });
+    let admin: SocketAddr = node.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    // Two fifths of 64 descriptors are for clients: 25 places, and three times as many come.
+    let mut crowd: Vec<TcpStream> = (0..75).map(|_| TcpStream::connect(node.address).unwrap()).collect();
+    for (i, stream) in crowd.iter_mut().enumerate().filter(|(i, _)| i % 2 == 0) {
+        let _ = stream.write_all(format!("*5\r\n$3\r\nREQ\r\n${}\r\n{i}\r\n", i.to_string().len()).as_bytes());
+    }
+    let started = Instant::now();
+    assert_eq!(call(admin, "health"), "ok yes\n");
+    assert!(figure(&call(admin, "counters"), "front_hosts_listed") == 2);
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    let mut c = node.connect();
+    c.ask("1", 1, "");
+    next(&served).hit(b"through");
+    assert_eq!(c.answer(), ["1", "ok", "", "through"]);
+    drop(crowd);
+}
