Keep a cordon in the file when the old process's core has already ended

Cause: after SIGTERM the core of an old process ends once all it took is answered, and a cordon called at it then was answered 'fail the front is ending' and kept nowhere (net/admin.rs Desk::reply), so its successor would go on sending to the node. Change: state::Keeper::amend applies the call to the file alone; the desk uses it when the broker is gone, and says so ('ok kept for the process that follows'). The state test checks that the other process takes it in.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -101,13 +101,20 @@
         // What the other process of the front was told counts first, so that this one does not write back less.
         self.look();
         let (reply, answer) = oneshot::channel();
-        if self.operators.send(Operator::Call { hand, reply }).is_err() {
-            return "fail the front is ending\n".into();
-        }
+        let sent = self.operators.send(Operator::Call { hand, reply }).is_ok();
         let (said, kept, number) = match answer.await {
-            Ok(Ok(done)) => done,
+            Ok(Ok(done)) if sent => done,
             Ok(Err(why)) => return format!("fail {why}\n"),
-            Err(_) => return "fail the front is ending\n".into(),
+            // The core has ended, and this process sends nothing more: the call is for the one that follows it.
+            _ => {
+                return match self.keeper.amend(hand, clock::now()) {
+                    Ok(()) => format!(
+                        "ok kept for the process that follows: {}\n",
+                        line.trim_ascii().escape_ascii()
+                    ),
+                    Err(e) => format!("fail this process is ending, and the call could not be kept: {e}\n"),
+                };
+            }
         };
         if number > self.kept.get() {
             if let Err(e) = self.keeper.keep(&kept) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,7 +2,7 @@
 //! of one front share during a replacement. The file's form is `membership::Kept`'s; here it is read and written.
 
 use crate::log;
-use crate::membership::Kept;
+use crate::membership::{Hand, Kept};
 use std::cell::RefCell;
 use std::io;
 use std::path::PathBuf;
@@ -61,6 +61,25 @@
         Some(kept)
     }
 
+    /// Carries out a call on the file alone, for a process whose core has ended: the successor takes it in.
+    pub fn amend(&self, hand: Hand, now: f64) -> io::Result<()> {
+        let text = std::fs::read_to_string(&self.path).or_else(|e| match e.kind() {
+            io::ErrorKind::NotFound => Ok(String::new()),
+            _ => Err(e),
+        })?;
+        let mut kept = Kept::read(&text).0;
+        match hand {
+            Hand::Cordon(id) if !kept.cordoned.contains(&id) => kept.cordoned.push(id),
+            Hand::Uncordon(id) if kept.cordoned.contains(&id) => {
+                kept.cordoned.retain(|c| *c != id);
+                kept.woke.retain(|w| w.0 != id);
+                kept.woke.push((id, now));
+            }
+            _ => {}
+        }
+        self.keep(&kept)
+    }
+
     /// Writes the file whole: a new one, renamed over the old, so that a reader finds the one or the other.
     pub fn keep(&self, kept: &Kept) -> io::Result<()> {
         let text = kept.text();
@@ -101,6 +120,10 @@
         assert!(!old.succeeded(), "it is the newest itself");
         std::fs::write(folder.join("onyxyoke-n0.live"), "4294967295").unwrap();
         assert!(old.succeeded() && new.succeeded());
+        new.amend(Hand::Cordon(NodeId(9)), 5.0).unwrap();
+        assert_eq!(old.look().map(|k| k.cordoned), Some(vec![NodeId(9)]));
+        new.amend(Hand::Uncordon(NodeId(9)), 6.0).unwrap();
+        assert_eq!(old.look(), Some(Kept { cordoned: vec![], woke: vec![(NodeId(9), 6.0)] }));
         let (other, _) = Keeper::open(folder.clone(), "n1/x");
         assert_eq!(other.look(), None, "another front's file is another");
         std::fs::remove_dir_all(folder).unwrap();
