Parse node ids in one place, apply calls to the kept set in membership, drop dead code

Need: a reading of the change found pieces written twice or more complicated than they need be. Change: membership::node_id is the one parser of 's-' and 8 hex digits (admin's and the file's; the file's had taken a leading '+'); Kept::apply holds the rule that Keeper::amend had written again; Desk::reply derives from the dropped reply what a 'sent' flag told; the operators' line is read into an explicit outcome, not LINE + 1; gauges are published by one interval (once before the loop, as before) rather than a sleep made anew each turn and a check at its top; Door::is_shut, Figures::get and Figures::gauges were used nowhere; Broker::gauges folds into publish.

--- a/src/broker/figures.rs
+++ b/src/broker/figures.rs
@@ -61,21 +61,11 @@
         }
     }
 
-    /// What is counted so far.
-    pub fn get(&self, class: ClassId, count: Count) -> u64 {
-        self.counts.get(usize::from(class.0)).map_or(0, |cells| cells[count as usize].get())
-    }
-
     /// Publishes the gauges.
     pub fn publish(&self, gauges: Gauges) {
         self.gauges.set(gauges);
     }
 
-    /// The gauges as last published.
-    pub fn gauges(&self) -> Gauges {
-        self.gauges.get()
-    }
-
     /// Prometheus' text format, version 0.0.4: each family with its help and type, one line a series.
     pub fn render(&self) -> String {
         let mut text = String::with_capacity(256 * (self.classes.len() + 1));
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -368,19 +368,12 @@
 
     /// Publishes the gauges for operators; `waiting` requests are taken and still queued for the core.
     pub fn publish(&self, now: f64, waiting: usize) {
-        let mut gauges = self.gauges(now);
-        gauges.inflight += waiting as u64;
-        self.figures.publish(gauges);
-    }
-
-    /// The gauges as they are now.
-    pub fn gauges(&self, now: f64) -> Gauges {
         let avoided = |n: &Node| n.state != NodeState::Ready || self.director.avoids(now, n.id);
-        Gauges {
-            inflight: self.callers.len() as u64,
+        self.figures.publish(Gauges {
+            inflight: (self.callers.len() + waiting) as u64,
             hosts_listed: self.members.len() as u64,
             hosts_down: self.members.nodes().filter(avoided).count() as u64,
-        }
+        });
     }
 
     /// The program ends: whatever is open, or still comes, is answered by then, whatever time its client gives.
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -7,10 +7,11 @@
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
-use tokio::time::sleep_until;
+use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until};
 
 /// Messages taken from one queue before the others and the timers get their turn.
 const TURN: usize = 32;
@@ -63,14 +64,13 @@
 pub async fn run(mut broker: Broker, mut inputs: Inputs, commands: UnboundedSender<Command>) {
     let mut replies: FxHashMap<Caller, UnboundedSender<(u64, Answer)>> = FxHashMap::default();
     let (mut closing, mut started) = (false, false);
-    let mut published = f64::MIN;
+    // True from before the process says it takes clients, then fresh every period.
+    broker.publish(clock::now(), 0);
+    let period = Duration::from_secs_f64(PUBLISH);
+    let mut publish = interval_at(Instant::now() + period, period);
+    publish.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut calls = 0;
     loop {
-        let now = clock::now();
-        if now >= published + PUBLISH {
-            broker.publish(now, inputs.asks.len());
-            published = now;
-        }
         if !started && broker.has_nodes() {
             started = true;
             inputs.ready.set(true);
@@ -115,7 +115,7 @@
                 Operator::Kept(kept) => broker.take_kept(clock::now(), &kept),
             },
             () = timer => {}
-            () = sleep_until(clock::instant(published + PUBLISH)) => {}
+            _ = publish.tick() => broker.publish(clock::now(), inputs.asks.len()),
             Some(report) = inputs.reports.recv() => {
                 broker.report(clock::now(), report);
                 for _ in 1..TURN {
--- a/src/main.rs
+++ b/src/main.rs
@@ -238,8 +238,8 @@
     } else if let Some(address) = &feed.coordinator {
         spawn_local(coordinator::follow(address.clone(), last, seed, news_in, memory.clone()));
     }
-    let (health, asked) = (ready.clone(), print.clone());
-    let inputs = Inputs { news, operators, reports, asks, ready: health, print: asked, close: closes };
+    let inputs =
+        Inputs { news, operators, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
     let mut core = spawn_local(broker::run(broker, inputs, commands_in));
 
     loop {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,13 @@
 /// Cordons held at most: beyond, a further one is refused.
 pub const CORDONS: usize = 1024;
 
+/// A node's id as the coordinator and the log write it: `s-` and 8 hexadecimal digits.
+pub fn node_id(word: &str) -> Option<NodeId> {
+    let digits =
+        word.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()))?;
+    u32::from_str_radix(digits, 16).ok().map(|id| NodeId(id.into()))
+}
+
 /// What an operator does by hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Hand {
@@ -174,6 +181,20 @@
 }
 
 impl Kept {
+    /// Carries out a call on the set alone, as [`Membership::hand`] does on the view: a cordon is added once, and a
+    /// call back takes it away and notes when.
+    pub fn apply(&mut self, hand: Hand, now: f64) {
+        match hand {
+            Hand::Cordon(id) if !self.cordoned.contains(&id) => self.cordoned.push(id),
+            Hand::Uncordon(id) if self.cordoned.contains(&id) => {
+                self.cordoned.retain(|c| *c != id);
+                self.woke.retain(|w| w.0 != id);
+                self.woke.push((id, now));
+            }
+            _ => {}
+        }
+    }
+
     /// The file's text: a line `cordon ID` for each cordon, `woke ID UNIX` for each node put back.
     pub fn text(&self) -> String {
         let cordons = self.cordoned.iter().map(|id| format!("cordon s-{:08x}\n", id.0));
@@ -184,15 +205,13 @@
     /// Reads the file's text; a line that cannot be read is named, and the rest is taken.
     pub fn read(text: &str) -> (Kept, Vec<String>) {
         let (mut kept, mut wrong) = (Kept::default(), Vec::new());
-        let id = |word: &str| {
-            let digits = word.strip_prefix("s-").filter(|d| d.len() == 8)?;
-            u32::from_str_radix(digits, 16).ok().map(|id| NodeId(id.into()))
-        };
         for (i, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
             let words: Vec<&str> = line.split_ascii_whitespace().collect();
             let read = match words[..] {
-                ["cordon", node] => id(node).map(|node| kept.cordoned.push(node)),
-                ["woke", node, at] => id(node).zip(at.parse::<f64>().ok()).map(|woke| kept.woke.push(woke)),
+                ["cordon", node] => node_id(node).map(|node| kept.cordoned.push(node)),
+                ["woke", node, at] => {
+                    node_id(node).zip(at.parse::<f64>().ok()).map(|woke| kept.woke.push(woke))
+                }
                 _ => None,
             };
             if read.is_none() {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,7 +4,7 @@
 
 use crate::broker::{Figures, Operator};
 use crate::interface::NodeId;
-use crate::membership::Hand;
+use crate::membership::{Hand, node_id};
 use crate::state::Keeper;
 use crate::{clock, log};
 use std::cell::Cell;
@@ -63,11 +63,9 @@
     }
 }
 
-/// A node's id as the coordinator writes it: `s-` and 8 hexadecimal digits.
-pub fn node(word: &str) -> Result<NodeId, String> {
-    let digits = word.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()));
-    let digits = digits.ok_or_else(|| format!("'{word}' is no node id ('s-' and 8 hexadecimal digits)"))?;
-    u32::from_str_radix(digits, 16).map(|id| NodeId(id.into())).map_err(|e| e.to_string())
+/// A node's id, or why the word is none.
+fn node(word: &str) -> Result<NodeId, String> {
+    node_id(word).ok_or_else(|| format!("'{word}' is no node id ('s-' and 8 hexadecimal digits)"))
 }
 
 /// What the socket reads from and hands on to.
@@ -101,12 +99,13 @@
         // What the other process of the front was told counts first, so that this one does not write back less.
         self.look();
         let (reply, answer) = oneshot::channel();
-        let sent = self.operators.send(Operator::Call { hand, reply }).is_ok();
+        // A call that the core can no longer take is dropped with its reply, which then says so.
+        let _ = self.operators.send(Operator::Call { hand, reply });
         let (said, kept, number) = match answer.await {
-            Ok(Ok(done)) if sent => done,
+            Ok(Ok(done)) => done,
             Ok(Err(why)) => return format!("fail {why}\n"),
             // The core has ended, and this process sends nothing more: the call is for the one that follows it.
-            _ => {
+            Err(_) => {
                 return match self.keeper.amend(hand, clock::now()) {
                     Ok(()) => format!(
                         "ok kept for the process that follows: {}\n",
@@ -165,6 +164,16 @@
     }
 }
 
+/// What a caller said.
+enum Heard {
+    /// A line of so many bytes.
+    Line(usize),
+    /// More than a line may have, and no end.
+    TooLong,
+    /// Nothing before it closed.
+    Nothing,
+}
+
 /// One caller: its line, the reply, the end.
 async fn call(mut stream: TcpStream, desk: Rc<Desk>) {
     let mut line = [0u8; LINE];
@@ -174,18 +183,21 @@
             let n = stream.read(&mut line[len..]).await?;
             len += n;
             if let Some(end) = line[..len].iter().position(|&b| b == b'\n') {
-                return std::io::Result::Ok(Some(end));
+                return std::io::Result::Ok(Heard::Line(end));
             }
-            if n == 0 || len == LINE {
-                // A last line without its end counts; one that does not fit does not.
-                return Ok((n == 0 && len > 0).then_some(len).or((len == LINE).then_some(LINE + 1)));
+            // A last line without its end counts; one that does not fit does not.
+            match (n, len) {
+                (0, 0) => return Ok(Heard::Nothing),
+                (0, _) => return Ok(Heard::Line(len)),
+                (_, LINE) => return Ok(Heard::TooLong),
+                _ => {}
             }
         }
     })
     .await;
     let reply = match heard {
-        Ok(Ok(Some(end))) if end <= LINE => desk.reply(line[..end].trim_ascii()).await,
-        Ok(Ok(Some(_))) => format!("fail the line is longer than {LINE} bytes\n"),
+        Ok(Ok(Heard::Line(end))) => desk.reply(line[..end].trim_ascii()).await,
+        Ok(Ok(Heard::TooLong)) => format!("fail the line is longer than {LINE} bytes\n"),
         _ => return,
     };
     let _ = timeout_at(clock::instant(clock::now() + TAKE), stream.write_all(reply.as_bytes())).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -121,11 +121,6 @@
         self.shutting.notify_waiters();
     }
 
-    /// Is it shut?
-    pub fn is_shut(&self) -> bool {
-        self.shut.get()
-    }
-
     async fn shutting(&self) {
         let shutting = self.shutting.notified();
         if !self.shut.get() {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -68,15 +68,7 @@
             _ => Err(e),
         })?;
         let mut kept = Kept::read(&text).0;
-        match hand {
-            Hand::Cordon(id) if !kept.cordoned.contains(&id) => kept.cordoned.push(id),
-            Hand::Uncordon(id) if kept.cordoned.contains(&id) => {
-                kept.cordoned.retain(|c| *c != id);
-                kept.woke.retain(|w| w.0 != id);
-                kept.woke.push((id, now));
-            }
-            _ => {}
-        }
+        kept.apply(hand, now);
         self.keep(&kept)
     }
 
