Measure how evenly the load of 200 directors comes out, in virtual time

Need: the issue's table was measured by hand; each cause of uneven load must be confirmed with figures before a change.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod compare;
+mod emulate;
 mod soak;
 
 use clap::{Parser, Subcommand};
@@ -21,6 +22,8 @@
     ///
     /// Exit codes: 0 all held, 1 something did not, 2 it could not be run.
     Soak(soak::Options),
+    /// Plays directors of one location in virtual time and prints how evenly their load comes out
+    Even(emulate::Options),
     /// Compares the processor time that an ordinary request takes of two builds of the front
     Compare(compare::Options),
 }
@@ -28,6 +31,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Soak(options) => soak::run(&options),
+        Command::Even(options) => emulate::run(&options),
         Command::Compare(options) => compare::run(&options),
     };
     match done {
