Spread load by link and heat, with each front's own share kept even (src/spread)

Ruled out: lag and beliefs (unchanged by either), own transfers out (too few to tell). Pipe learns how busy a peer is. Three new policy tests fail on the build before.

--- a/crates/lab/src/emulate/link.rs
+++ b/crates/lab/src/emulate/link.rs
@@ -1,5 +1,5 @@
-//! A link that its transfers share evenly, each at full pace at most: processor sharing in virtual time, so that a
-//! change costs the logarithm of what is on it.
+//! A link that its transfers share evenly, each at full pace at most: processor sharing in virtual time, so
+//! that a change costs the logarithm of what is on it.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -1,5 +1,5 @@
-//! Many directors of one location between caches whose links are shared, in virtual time: the code that ships decides,
-//! the rest of the system is a model. One seed gives one run.
+//! Many directors of one location between caches whose links are shared, in virtual time: the code that ships
+//! decides, the rest of the system is a model. One seed gives one run.
 
 use super::link::Link;
 use onyxyoke::Director;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,9 +4,9 @@
 
 use crate::interface::*;
 use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, fade, smooth};
+use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Turn};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 // ---- Tuned values: the mechanism ----
 
@@ -59,10 +59,6 @@
 const UNSEEN: (f64, f64) = (0.17, 8.0);
 /// Mean sending time of a class before anything is known (seconds).
 const WORK_GUESS: f64 = 0.5;
-/// Share of a cold node's budget that is used.
-const COLD_SHARE: f64 = 0.6;
-/// Where it is spent in turns, this many deviations of chance stay within it.
-const CHANCE: f64 = 1.0;
 
 // ---- Tuned values: health ----
 
@@ -89,8 +85,6 @@
 /// One of another hub is asked where those of the own are slower than it by this (as their lag counts): all
 /// fronts of a hub that has few parents left lean on the same ones.
 const FAR: f64 = 0.2;
-/// Points of each parent on the ring from which they are drawn.
-const RING: u64 = 16;
 /// So many times what the origin answers may be asked of it; more only while it answers.
 const ORIGIN_SPARE: f64 = 2.0;
 /// A node that is not listed is forgotten after this (seconds): longer than a belief or an attempt lasts.
@@ -122,6 +116,8 @@
 struct Known {
     info: Node,
     listed: bool,
+    /// Its link beside the mean one of its zone, as far as weights tell.
+    size: f64,
     /// Attempts of this director that are out.
     out: f64,
     /// Smoothed latency beyond the sending time; at a parent or the origin: what its fills take
@@ -129,6 +125,8 @@
     lag: f64,
     lag_at: f64,
     pace: Pace,
+    /// What this director sent it lately.
+    own: Share,
     last_answer: f64,
     /// When the newest attempt went that it has answered.
     answered: f64,
@@ -188,9 +186,7 @@
     rng: fastrand::Rng,
     nodes: BTreeMap<NodeId, Known>,
     edges: Vec<NodeId>,
-    /// Points of the parents on a ring of hashes, and of those at the zone's own hub on one of their own.
-    ring: Vec<(u64, NodeId)>,
-    near: Vec<(u64, NodeId)>,
+    parents: Ring,
     origin: Option<NodeId>,
     /// When the event came that is handled.
     now: f64,
@@ -199,6 +195,8 @@
     held: Beliefs,
     /// When an object or group was purged, and when this director heard.
     purges: Purges,
+    /// Which objects are hot.
+    heat: Heat,
     /// Mean sending time by class.
     work: Vec<f64>,
     /// Hits by class, where sizes are untold.
@@ -234,13 +232,13 @@
             rng: fastrand::Rng::with_seed(seed),
             nodes: BTreeMap::new(),
             edges: Vec::new(),
-            ring: Vec::new(),
-            near: Vec::new(),
+            parents: Ring::default(),
             origin: None,
             now: 0.0,
             open: FxHashMap::default(),
             held: Beliefs::new(seed, BELIEF_AGE),
             purges: Purges::default(),
+            heat: Heat::default(),
             hits: vec![0.0; work.len()],
             work,
             rho: START.map(|value| [Window { value, asked: 0, absent: 0 }; COUNTS]),
@@ -262,9 +260,8 @@
 
     /// Bytes of what was learned but the beliefs, and what these would like to take in all.
     pub fn footprint(&self) -> (usize, usize) {
-        let points = (self.ring.len() + self.near.len()) * size_of::<(u64, NodeId)>();
-        let nodes = self.nodes.len() * 2 * size_of::<Known>() + points;
-        (nodes + self.purges.footprint(), self.held.wanted())
+        let nodes = self.nodes.len() * 2 * size_of::<Known>() + self.parents.footprint();
+        (nodes + self.purges.footprint() + self.heat.footprint(), self.held.wanted())
     }
 
     /// Beliefs may take so many bytes from now on; what is over that is forgotten, oldest first.
@@ -294,6 +291,7 @@
                 if let Some(sending) = self.sized(&request) {
                     smooth(&mut self.work[usize::from(request.class.0)], sending, SMOOTH);
                 }
+                self.heat.saw(now, request.object, request.part, self.sending(&request));
                 let open = Open { request, came: now, ..Open::default() };
                 self.open.insert(request.id, open);
                 self.decide(now, request.id, actions);
@@ -315,16 +313,11 @@
         }
     }
 
-    /// How many directors share this one's edge caches.
-    fn sharers(&self) -> f64 {
-        let here = self.settings.directors_by_zone.get(usize::from(self.settings.own_zone.0));
-        f64::from(here.copied().unwrap_or(1).max(1))
-    }
-
     /// Transfers of all directors at one cache. Clients are spread over a zone's directors: each peer has as
     /// many out as this one has in the mean; what it sees at a single cache is too little to go by.
     fn transfers(&self, k: &Known) -> f64 {
-        k.out + (self.sharers() - 1.0) * self.caches.usual / self.edges.len().max(1) as f64
+        k.out
+            + (self.settings.sharers() - 1.0) * self.caches.peers() * k.size / self.edges.len().max(1) as f64
     }
 
     /// Expected slowdown of one more transfer from a cache, and over the link in.
@@ -340,7 +333,7 @@
     }
 
     fn crowding(&self, k: &Known) -> f64 {
-        ((self.transfers(k) + 1.0) / self.caches.fits).max(1.0)
+        ((self.transfers(k) + k.size) / (self.caches.fits * k.size)).max(1.0)
     }
 
     /// How much slower a cache is than the others of its zone, beyond what its load explains. A front sees
@@ -356,7 +349,7 @@
 
     /// Fills of all directors over the link in.
     fn fills(&self) -> f64 {
-        self.link_in.out + (self.sharers() - 1.0) * self.link_in.usual
+        self.link_in.out + (self.settings.sharers() - 1.0) * self.link_in.peers()
     }
 
     // ---- The list of nodes ----
@@ -369,11 +362,15 @@
             // Absent from a full list means gone.
             self.nodes.values_mut().for_each(|k| k.listed = false);
         }
+        // What comes new is no emptier than the others, or else all that is free to choose would go there.
+        let own: f64 = self.edges.iter().filter_map(|e| Some(self.nodes.get(e)?.own.by(now))).sum();
+        let level = Share::level(now, own / self.edges.len().max(1) as f64);
         for info in nodes {
-            let known = self.nodes.entry(info.id).or_insert_with(|| Known::new(*info));
+            let known =
+                self.nodes.entry(info.id).or_insert_with(|| Known { own: level, ..Known::new(*info) });
             if known.info.ready_at != info.ready_at {
                 // A new start: an empty cache, and a process that owes nothing of the old one's record.
-                *known = Known { out: known.out, ..Known::new(*info) };
+                *known = Known { out: known.out, own: level, ..Known::new(*info) };
             }
             known.info = *info;
             known.listed = info.state == NodeState::Ready;
@@ -384,20 +381,22 @@
         let (parent_kind, origin_kind) = (self.settings.parent_kind, self.settings.origin_kind);
         let listed = || self.nodes.values().filter(|k| k.listed).map(|k| k.info);
         self.origin = listed().find(|n| n.kind == origin_kind).map(|n| n.id);
-        let parents = listed().filter(|n| Some(n.kind) == parent_kind).map(|n| n.id);
-        let points = |p: NodeId| (0..RING).map(move |i| (xxh3_64_with_seed(&p.0.to_le_bytes(), i), p));
-        self.ring = parents.flat_map(points).collect();
-        self.ring.sort_unstable();
         let hub = self.settings.hub_of_zone.get(usize::from(self.settings.own_zone.0));
-        let at_hub = |p: &&(u64, NodeId)| self.nodes.get(&p.1).map(|k| k.info.zone).as_ref() == hub;
-        self.near = self.ring.iter().filter(at_hub).copied().collect();
+        let parents = listed().filter(|n| Some(n.kind) == parent_kind);
+        self.parents = Ring::new(parents.map(|n| (n.id, Some(&n.zone) == hub)));
         let own = self.settings.own_zone;
         let edge = |n: &Node| Some(n.kind) != parent_kind && n.kind != origin_kind && n.zone == own;
         self.edges = listed().filter(edge).map(|n| n.id).collect();
         // Where weights tell the links, the mean one is known from the start.
-        if self.settings.weights_told && kind == ListKind::Cached && !self.edges.is_empty() {
+        if self.settings.weights_told && !self.edges.is_empty() {
             let sum: f64 = self.edges.iter().map(|e| self.nodes[e].info.weight).sum();
-            self.caches.fits = sum / self.edges.len() as f64;
+            let mean = sum / self.edges.len() as f64;
+            let sized = |k: &mut Known| k.size = if mean > 0.0 { k.info.weight / mean } else { 1.0 };
+            self.edges.iter().for_each(|e| self.nodes.get_mut(e).map_or((), sized));
+            self.caches.told = true;
+            if kind == ListKind::Cached {
+                self.caches.fits = mean;
+            }
         }
         if self.link_in.fits == 0.0 {
             self.link_in.fits = LINK_IN_GUESS * self.edges.len() as f64;
@@ -482,19 +481,24 @@
         let fit = |e: NodeId| self.fit(now, open, e, mean);
         let takes = |e: &NodeId| fit(*e) && self.may_send(now, open, &self.nodes[e].info);
         let usable: Vec<NodeId> = self.edges.iter().copied().filter(takes).collect();
-        // Rendezvous order of the object: the same at all directors of a zone.
-        let pick = |skip: Option<NodeId>| {
-            let score = |e: &NodeId| xxh3_64_with_seed(&e.0.to_le_bytes(), request.object.0);
-            usable.iter().copied().filter(|&e| Some(e) != skip).max_by_key(|e| (score(e), e.0))
+        // Rendezvous order of the object: the same at all directors of a zone. A hot one has several homes,
+        // and what leaves no copy has all.
+        let count = match never_kept {
+            true => usable.len(),
+            false => self.heat.homes(now, request.object, request.part, sending, self.edges.len()),
         };
+        let homes = Homes::new(request.object.0, count, usable.iter().map(|e| self.home(now, *e)));
+        let hashed = homes.pick(count, request.object.0 ^ u64::from(self.settings.me) << 48);
         let holders = self.holders(now, &request);
         let n = holders.len().min(COUNTS - 1);
-        let mut candidates: Vec<NodeId> = holders.iter().copied().filter(|h| usable.contains(h)).collect();
-        let hashed = pick(None);
+        // A hot one is where others of its homes' users had it filled: what this director saw of it counts
+        // for less.
+        let believed = holders.iter().copied().filter(|h| count == 1 && usable.contains(h));
+        let mut candidates: Vec<NodeId> = believed.collect();
         candidates.extend(hashed.filter(|h| !candidates.contains(h)));
         // Exception, spreading: where every candidate's link is full, the next by hash joins the choice.
         if candidates.iter().all(|c| self.stretch(&self.nodes[c]) > SPREAD_AT)
-            && let Some(next) = pick(hashed)
+            && let Some(next) = hashed.and_then(|h| homes.other(h))
             && !candidates.contains(&next)
         {
             candidates.push(next);
@@ -550,13 +554,11 @@
             // A jam of its link shows in how its fills flow; the origin's, which is everybody's, in their
             // wait.
             let jammed = |b: NodeId| self.nodes[&b].pace.alone(now) > STRETCHED;
-            let slow = draw == NEAR_DRAWS && self.near.len() < self.ring.len() && best.is_some_and(jammed);
-            if draw >= NEAR_DRAWS && best.is_some() && !slow || self.ring.is_empty() {
+            let slow = draw == NEAR_DRAWS && self.parents.has_far() && best.is_some_and(jammed);
+            if draw >= NEAR_DRAWS && best.is_some() && !slow || self.parents.is_empty() {
                 break;
             }
-            let point = xxh3_64_with_seed(&draw.to_le_bytes(), open.request.object.0);
-            let ring = if draw < NEAR_DRAWS && !self.near.is_empty() { &self.near } else { &self.ring };
-            let p = ring[ring.partition_point(|r| r.0 < point) % ring.len()].1;
+            let p = self.parents.draw(open.request.object.0, draw, draw < NEAR_DRAWS);
             let better = best.is_none_or(|b| lag(p) + if slow { FAR } else { 0.0 } < lag(b));
             if better && self.fit(now, open, p, work) {
                 best = Some(p);
@@ -581,7 +583,7 @@
         // refused 4% of a day on which 1% were late.
         let full = self.stretch(&self.nodes[&choice.node]).max(self.jam());
         let admit = ADMIT.1 - (ADMIT.1 - ADMIT.0) * ((full - 1.0) / (CROWDED - 1.0)).min(1.0);
-        let admit = admit * (1.0 - UNSEEN.0 * ((self.sharers() - 1.0) / UNSEEN.1).min(1.0));
+        let admit = admit * (1.0 - UNSEEN.0 * ((self.settings.sharers() - 1.0) / UNSEEN.1).min(1.0));
         // Nor is the answer worth a full link for which the client will not wait.
         let limit = (admit * aim).min(open.request.expires - open.came);
         if full > 1.0 && spent + choice.latency > limit && self.may_refuse(open) {
@@ -605,6 +607,10 @@
         let (node, source) = (choice.node, choice.source);
         actions.push(Action::Fetch { request: id, node, within: 0.0, source, rank, age, options });
         self.book(now, &choice, 1.0, self.work[usize::from(request.class.0)]);
+        let sending = self.sending(&request);
+        if let Some(k) = self.nodes.get_mut(&node) {
+            k.own.sent(now, sending);
+        }
         let then = (self.transfers(&self.nodes[&node]), self.fills());
         let attempt = Attempt { choice, sent_at: now, then, out: true, ..Attempt::default() };
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -905,42 +911,36 @@
         !open.avoid.contains(&id) && k.blamed.is_none_or(|(trial, _)| now >= trial) && self.room(now, k, work)
     }
 
+    /// A cache as a home: a cold one has only a part of its link yet.
+    fn home(&self, now: f64, id: NodeId) -> Home {
+        let k = &self.nodes[&id];
+        let part = Cold::of(&self.settings, false).part(now, k.info.ready_at);
+        let weight = if k.size > 0.0 { k.size } else { 1.0 };
+        Home { node: id, weight, load: k.own.by(now) / (weight * part.max(0.01)) }
+    }
+
     /// Does a cold node's budget bear this much more work? What warm nodes of its tier carry in the mean, all
-    /// directors together, stands in for its link where that is not told; each director has an equal part. A
-    /// part below one request is spent in turns: by hash, a director has the turn in so many windows that the
-    /// sum over all stays in the budget but for chance. Turns not used are lost, so that none pile up.
+    /// directors together, stands in for its link where that is not told.
     fn room(&self, now: f64, k: &Known, work: f64) -> bool {
         let s = &self.settings;
-        let (all, zone) = (f64::from(s.directors.max(1)), self.sharers());
-        let (from, time, multiple, sharers, carried) = if Some(k.info.kind) == s.parent_kind {
-            let carried = self.above.carried * RING as f64 / self.ring.len().max(1) as f64;
-            (s.parent_cold_from, s.parent_cold_for, s.parent_fall_multiple, all, carried)
-        } else {
-            (
-                s.cold_from,
-                s.cold_for,
-                s.fall_multiple,
-                zone,
-                self.caches.carried / self.edges.len().max(1) as f64,
-            )
-        };
-        let age = now - k.info.ready_at;
-        if k.info.ready_at <= 0.0 || age >= time {
+        let parent = Some(k.info.kind) == s.parent_kind;
+        let cold = Cold::of(s, parent);
+        let ready_at = k.info.ready_at;
+        if cold.part(now, ready_at) >= 1.0 {
             return true;
         }
-        let link = if s.weights_told { k.info.weight } else { (sharers * carried).max(LINK_SAFE) };
-        let part = from + (1.0 - from) * (age / time).max(0.0);
-        let budget = COLD_SHARE * multiple * part * link * s.fall_window;
-        let lately: f64 = k.sent.iter().filter(|x| x.0 + s.fall_window > now).map(|x| x.1).sum();
-        let mine = budget / sharers;
-        if mine >= work {
-            return lately + work <= mine;
-        }
-        let root = ((CHANCE * CHANCE + 4.0 * budget / work).sqrt() - CHANCE) / 2.0;
+        let (carried, rate) = if parent {
+            (self.above.carried / self.parents.parents().max(1.0), f64::INFINITY)
+        } else {
+            let blamed = |e: &&NodeId| self.nodes[*e].blamed.is_some();
+            let takers = (self.edges.len() - self.edges.iter().filter(blamed).count()).max(1) as f64;
+            let lately = self.caches.carried / work.max(1e-3);
+            (self.caches.carried / self.edges.len().max(1) as f64, self.heat.rate(now).max(lately) / takers)
+        };
+        let link = if s.weights_told { k.info.weight } else { (cold.sharers * carried).max(LINK_SAFE) };
+        let lately = k.sent.iter().filter(|x| x.0 + s.fall_window > now).map(|x| x.1).sum();
         let seed = k.info.id.0 ^ u64::from(s.me) << 32;
-        let unit = |x: u64| xxh3_64_with_seed(&x.to_le_bytes(), seed) as f64 / u64::MAX as f64;
-        let turn = (now / s.fall_window + unit(u64::MAX)) as u64;
-        lately <= mine && unit(turn) * sharers < root * root
+        cold.admits(Turn { now, ready_at, link, work, lately, rate, seed })
     }
 }
 
@@ -956,7 +956,15 @@
 impl Known {
     fn new(info: Node) -> Self {
         let never = f64::MIN;
-        Known { info, lag: BASE, last_answer: never, answered: never, struck: never, ..Known::default() }
+        Known {
+            info,
+            lag: BASE,
+            size: 1.0,
+            last_answer: never,
+            answered: never,
+            struck: never,
+            ..Known::default()
+        }
     }
 
     /// What fills from it take beyond hits, as far as that still counts: a jam long ago is no jam now.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -180,6 +180,14 @@
     pub report_fields: Vec<String>,
 }
 
+impl Settings {
+    /// How many directors share the edge caches of this one's zone.
+    pub fn sharers(&self) -> f64 {
+        let here = self.directors_by_zone.get(usize::from(self.own_zone.0));
+        f64::from(here.copied().unwrap_or(1).max(1))
+    }
+}
+
 /// State of a cache node in the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum NodeState {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod net;
 pub mod routing;
 pub mod signed;
+pub mod spread;
 pub mod state;
 pub mod watch;
 pub mod xds;
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -8,6 +8,11 @@
 /// Outcomes in a window after which a link is estimated anew, and the weight of the newest one.
 const WINDOW: f64 = 20.0;
 const LINK_STEP: f64 = 0.1;
+/// The same for how busy a peer is beside this director, and its bounds.
+const BUSY_STEP: f64 = 0.6;
+const BUSY: (f64, f64) = (0.05, 4.0);
+/// Peers are taken to be as busy as this director where a told link carries so many times what it should.
+const ALIKE: std::ops::Range<f64> = 0.75..1.33;
 /// What a cache's pace is taken to be worth beside what was seen of it (seconds of sending).
 const PACE_PRIOR: f64 = 0.3;
 
@@ -34,8 +39,11 @@
     pub carried: f64,
     /// Estimate of what fits at full pace, from all directors; 0 until known.
     pub fits: f64,
-    /// It is told and not estimated.
+    /// It is told and not estimated: what is estimated is then how busy a peer is beside this director.
     pub told: bool,
+    /// It is told exactly.
+    fixed: bool,
+    busy: f64,
     /// Sums of a window: time taken, work, transfers out, outcomes.
     seen: [f64; 4],
 }
@@ -43,7 +51,7 @@
 impl Pipe {
     /// Nothing is on it, and so much fits.
     pub fn new(fits: f64, told: bool) -> Self {
-        Pipe { fits, told, ..Pipe::default() }
+        Pipe { fits, told, fixed: told, busy: 1.0, ..Pipe::default() }
     }
 
     /// Counts a transfer in or out, with the work that is done by it.
@@ -66,10 +74,23 @@
         self.seen = [0.0; 4];
         let pace = (took / sending.max(0.001)).max(1.0);
         let carried = out / n / pace;
-        if !self.told && (pace > STRETCHED || carried > self.fits) {
+        if pace <= STRETCHED && carried <= self.fits {
+            return;
+        }
+        // What was taken to be out would have gone much slower, or quicker: peers are not as busy as this one. A
+        // little is the link's, or chance.
+        let right = (self.fits / carried.max(0.01)).clamp(0.2, 5.0);
+        if self.told && !ALIKE.contains(&right) {
+            self.busy = (self.busy * (1.0 + BUSY_STEP * (right - 1.0))).clamp(BUSY.0, BUSY.1);
+        } else if !self.fixed {
             self.fits += LINK_STEP * (carried.max(1.0) - self.fits);
         }
     }
+
+    /// Transfers that one peer has out in the mean.
+    pub fn peers(&self) -> f64 {
+        self.usual * self.busy
+    }
 }
 
 /// How many times as long as it should what flowed took; little evidence says little.
--- /dev/null
+++ b/src/spread/homes.rs
@@ -0,0 +1,117 @@
+//! Where an object is at home: an order of the caches that is the same at all fronts (weighted rendezvous),
+//! of which a hot object has several and each front uses the one that its own load leaves emptiest.
+//!
+//! Weighted rendezvous: a cache scores `weight / -ln(u)`, with `u` drawn evenly by hash of cache and object;
+//! the highest score wins, which gives each cache objects in proportion to its weight, and a cache that comes
+//! or goes moves only its own (Schindelhauer and Schomaker, 2005).
+
+use crate::interface::NodeId;
+use std::cmp::Ordering;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A number from 0 to 1, both left out, drawn evenly by hash.
+pub fn unit(value: u64, seed: u64) -> f64 {
+    ((xxh3_64_with_seed(&value.to_le_bytes(), seed) >> 12) as f64 + 0.5) / (1u64 << 52) as f64
+}
+
+/// A cache that can take an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Home {
+    /// Who.
+    pub node: NodeId,
+    /// The size of its link beside those of the others; above 0.
+    pub weight: f64,
+    /// What this front itself sent it lately, per unit of its link.
+    pub load: f64,
+}
+
+/// The caches in the order in which an object is at home with them.
+#[derive(Debug)]
+pub struct Homes {
+    order: Vec<(f64, Home)>,
+}
+
+impl Homes {
+    /// The order of `object`, of which the first `count + 1` are wanted.
+    pub fn new(object: u64, count: usize, caches: impl Iterator<Item = Home>) -> Homes {
+        let score = |home: Home| (home.weight / -unit(home.node.0, object).ln(), home);
+        let mut order: Vec<(f64, Home)> = caches.map(score).collect();
+        let first = |a: &(f64, Home), b: &(f64, Home)| b.0.total_cmp(&a.0).then(b.1.node.cmp(&a.1.node));
+        let wanted = count + 1;
+        if wanted < order.len() {
+            order.select_nth_unstable_by(wanted - 1, first);
+            order.truncate(wanted);
+        }
+        order.sort_unstable_by(first);
+        Homes { order }
+    }
+
+    /// Of the first `count` homes the one with the least load of this front's own; of equals the one that
+    /// `seed` draws, so that fronts with the same news and no load yet are spread over all of them.
+    pub fn pick(&self, count: usize, seed: u64) -> Option<NodeId> {
+        let homes = &self.order[..count.clamp(1, self.order.len().max(1)).min(self.order.len())];
+        let least = |a: &Home, b: &Home| -> Ordering {
+            let own = |h: &Home| unit(h.node.0, seed);
+            a.load.total_cmp(&b.load).then_with(|| own(a).total_cmp(&own(b)))
+        };
+        homes.iter().map(|h| h.1).min_by(least).map(|h| h.node)
+    }
+
+    /// The first home that is not this one.
+    pub fn other(&self, than: NodeId) -> Option<NodeId> {
+        self.order.iter().map(|h| h.1.node).find(|&n| n != than)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    fn caches(weights: &[f64]) -> Vec<Home> {
+        let one = |(i, &weight): (usize, &f64)| Home { node: NodeId(i as u64 * 7919 + 3), weight, load: 0.0 };
+        weights.iter().enumerate().map(one).collect()
+    }
+
+    #[test]
+    fn objects_are_at_home_in_proportion_to_links() {
+        let all = caches(&[1.0, 8.0, 2.0, 5.0]);
+        let mut count = BTreeMap::new();
+        for object in 0..16_000 {
+            *count.entry(Homes::new(object, 1, all.iter().copied()).pick(1, 5)).or_insert(0) += 1;
+        }
+        for cache in &all {
+            let share = f64::from(count[&Some(cache.node)]) / 16_000.0 * 16.0;
+            assert!((share / cache.weight - 1.0).abs() < 0.1, "{share} of {}", cache.weight);
+        }
+    }
+
+    #[test]
+    fn a_cache_that_goes_moves_only_its_own_objects() {
+        let all = caches(&[4.0; 10]);
+        for object in 0..500 {
+            let before = Homes::new(object, 1, all.iter().copied()).pick(1, 5);
+            let left = all.iter().copied().filter(|c| c.node != all[3].node);
+            let after = Homes::new(object, 1, left).pick(1, 5);
+            assert!(before == after || before == Some(all[3].node), "object {object}");
+        }
+    }
+
+    #[test]
+    fn fronts_use_all_homes_of_a_hot_object_and_their_least_loaded_first() {
+        let mut all = caches(&[4.0; 10]);
+        let picks: Vec<_> =
+            (0..200).map(|seed| Homes::new(9, 4, all.iter().copied()).pick(4, seed).unwrap()).collect();
+        let used: std::collections::BTreeSet<_> = picks.iter().collect();
+        assert_eq!(used.len(), 4, "each of the homes is somebody's");
+        for node in used {
+            assert!(picks.iter().filter(|&p| p == node).count() > 25, "and none is nearly left out");
+        }
+        let homes = Homes::new(9, 4, all.iter().copied());
+        let first = homes.pick(1, 1).unwrap();
+        all.iter_mut().filter(|c| c.node != picks[0]).for_each(|c| c.load = 1.0);
+        assert_eq!(Homes::new(9, 4, all.iter().copied()).pick(4, 77), Some(picks[0]));
+        assert!(homes.other(first).is_some_and(|o| o != first));
+        assert_eq!(Homes::new(9, 4, [].into_iter()).pick(4, 77), None);
+    }
+}
--- /dev/null
+++ b/src/spread/mod.rs
@@ -0,0 +1,16 @@
+//! How the load of many fronts comes out even though each sees little of it and none can ask another: where
+//! objects are at home, by the size of links and by heat; how a front keeps its own load even; what a cold
+//! cache may get; how a cache that was left gets back. No I/O, no clock, no randomness of its own: what
+//! differs between fronts is drawn by hash.
+
+mod cold;
+mod heat;
+mod homes;
+mod ring;
+mod share;
+
+pub use cold::{Cold, Turn};
+pub use heat::Heat;
+pub use homes::{Home, Homes, unit};
+pub use ring::Ring;
+pub use share::Share;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -211,6 +211,7 @@
 #[test]
 fn beliefs_age() {
     let mut s = Stage::new(settings(), &[edge(10), parent(20), origin(30)]);
+    s.mixed();
     s.hit(3, 50.0);
     s.list(ListKind::Full, &fleet());
     s.now += 31.0;
@@ -277,6 +278,7 @@
 #[test]
 fn a_reset_is_one_sign_for_all_that_it_took() {
     let mut s = Stage::new(settings(), &[edge(10), edge(11), parent(20), origin(30)]);
+    s.mixed();
     let home = s.hit(1, 50.0).node;
     let out: Vec<Sent> = (0..5).map(|_| s.fetch(1, 50.0)).filter(|x| x.node == home).collect();
     assert!(out.len() > 2);
@@ -340,6 +342,7 @@
 #[test]
 fn a_stall_of_everything_blames_nobody() {
     let mut s = Stage::new(settings(), &fleet());
+    s.mixed();
     let homes: Vec<Sent> = (1..=20).map(|o| s.hit(o, 10.0)).collect();
     let out: Vec<Sent> = (1..=6).map(|o| s.fetch(o, 10.0)).collect();
     s.now += 2.0;
@@ -728,3 +731,43 @@
     let (_, actions) = s.ask(5, 5000.0);
     assert!(refused(&actions), "far over: {actions:?}");
 }
+
+/// Guards small caches against as many objects as large ones get: links differ by a multiple in one location.
+#[test]
+fn objects_are_at_home_in_proportion_to_links() {
+    let sized = |id, weight| Node { weight, ..edge(id) };
+    let nodes = [sized(10, 2.0), sized(11, 6.0), parent(20), origin(30)];
+    let mut s = Stage::new(Settings { weights_told: true, ..settings() }, &nodes);
+    let small = (1..=2_000).filter(|&object| s.hit(object, 10.0).node == 10).count();
+    assert!((430..570).contains(&small), "a quarter of 2000: {small}");
+}
+
+/// Guards the home of an object that all ask for: each front sees too little of its load to find the link full.
+#[test]
+fn a_hot_object_is_asked_of_several_homes_and_a_rare_one_of_one() {
+    let nodes: Vec<Node> = (10..30).map(edge).chain([parent(40), origin(50)]).collect();
+    let homes = |object: u64| {
+        let asked = (0..50).map(|me| {
+            let mut s = Stage::seeded(me, Settings { me: me as u16, ..settings() }, &nodes);
+            (0..30).for_each(|i| drop(s.hit(if i % 3 == 0 { 7 } else { 1_000 + 100 * me + i }, 50.0)));
+            s.fetch(object, 50.0).node
+        });
+        asked.collect::<std::collections::BTreeSet<u64>>().len()
+    };
+    assert_eq!(homes(8), 1, "asked for the first time");
+    assert!(homes(7) > 15, "a third of what each front sees: {} of 20 are used", homes(7));
+}
+
+/// Guards a cache that comes back: what is free to choose would go there all at once if it counted as empty.
+#[test]
+fn a_new_cache_draws_no_more_of_a_hot_object_than_its_part() {
+    let nodes: Vec<Node> = (10..20).map(edge).chain([parent(40), origin(50)]).collect();
+    let mut to_new = 0;
+    for me in 0..50 {
+        let mut s = Stage::seeded(me, Settings { me: me as u16, ..settings() }, &nodes);
+        (0..40).for_each(|_| drop(s.hit(7, 50.0)));
+        s.list(ListKind::Delta, &[Node { ready_at: 0.0, ..edge(20) }]);
+        to_new += (0..10).filter(|_| s.hit(7, 50.0).node == 20).count();
+    }
+    assert!((10..100).contains(&to_new), "a tenth of 500 or so: {to_new}");
+}
