--- /dev/null
+++ b/crates/lab/src/fleet/fronts.rs
@@ -0,0 +1,230 @@
+//! The fronts of a fleet as processes: each with a configuration, a coordinator and a folder of its own.
+
+use super::plan::Plan;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use onyxyoke_stand_ins::coordinator::{Coordinator, Member};
+use onyxyoke_stand_ins::fleet::{Kind, Tier};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// The operator's example holds the settings, which have the platform's form.
+const OPERATOR: &str = include_str!("../../../../deploy/operator.toml");
+/// Longest wait for a process to start, or to end (seconds).
+const PATIENCE: Duration = Duration::from_secs(30);
+/// What a front may have.
+const LIMITS: (usize, usize) = (32, 256);
+
+/// The settings of every front, before it is told who it is.
+pub fn settings(plan: &Plan) -> Result<Value, Box<dyn Error>> {
+    let operator: Value = toml::from_str(OPERATOR)?;
+    let mut settings = operator["settings"].clone();
+    let here = |l: usize| (0..plan.fronts).filter(|f| plan.location(*f) == l).count();
+    let counts = (0..plan.locations).map(here);
+    let names = (0..plan.locations).map(|l| format!("branch{l}"));
+    let links: f64 = (0..plan.nodes).map(|n| plan.link(n)).sum();
+    let flow = settings["specifics"]["one-flow-kb-per-s"].as_f64().ok_or("the example tells no flow")?;
+    let link_in = links / plan.locations as f64 * flow;
+    settings["fleet-size"] = json!(plan.fronts);
+    settings["localities"] = [String::from("hub")].into_iter().chain(names).collect();
+    settings["specifics"]["count-by-zone"] = [0].into_iter().chain(counts).collect();
+    settings["specifics"]["zone-hub"] = json!(vec![0; plan.locations + 1]);
+    settings["specifics"]["pipe-kb-per-s"] =
+        [0.0].into_iter().chain((0..plan.locations).map(|_| link_in)).collect();
+    Ok(settings)
+}
+
+/// A front: its process comes and goes.
+pub struct Front {
+    pub place: usize,
+    pub coordinator: Rc<Coordinator>,
+    /// Where its clients reach it, while it is up.
+    pub address: Cell<Option<SocketAddr>>,
+    path: PathBuf,
+    folder: PathBuf,
+    config: RefCell<Value>,
+    child: RefCell<Option<Child>>,
+    /// It is meant to be up: an end by itself is a crash.
+    pub meant: Cell<bool>,
+    pub crashed: Cell<bool>,
+}
+
+impl Front {
+    /// A front that has not started yet.
+    pub async fn new(
+        plan: &Plan,
+        place: usize,
+        settings: &Value,
+        tier: &Tier,
+        folder: &Path,
+    ) -> Result<Rc<Front>, Box<dyn Error>> {
+        let mut sum = 0.0;
+        let share = (place / plan.locations) as f64 / (plan.fronts / plan.locations).max(1) as f64;
+        let after = |p: &super::plan::Program| {
+            sum += p.share;
+            share < sum - 1e-9
+        };
+        let program = plan.programs.iter().position(after).unwrap_or(plan.programs.len() - 1);
+        let path = match &plan.programs[program].path {
+            Some(path) => path.clone(),
+            None => std::env::current_exe()?.with_file_name("onyxyoke"),
+        };
+        let folder = folder.join(format!("front{place}"));
+        std::fs::create_dir_all(&folder)?;
+        let coordinator = Coordinator::start(1).await?;
+        let mut settings = settings.clone();
+        settings["me"] = json!(place);
+        settings["az"] = json!(plan.location(place) + 1);
+        let config = json!({"name": format!("n{place}"), "listen": "127.0.0.1:0",
+            "limits": {"cores": 1.0, "memory_mb": LIMITS.0, "sockets": LIMITS.1},
+            "coordinator": coordinator.address, "settings": settings, "known": known(place, tier)?});
+        Ok(Rc::new(Front {
+            place,
+            coordinator,
+            address: Cell::new(None),
+            path,
+            folder,
+            config: RefCell::new(config),
+            child: RefCell::new(None),
+            meant: Cell::new(false),
+            crashed: Cell::new(false),
+        }))
+    }
+
+    /// Starts a process, with what is known by now and a seed of its own; the one before is given back.
+    pub async fn start(self: &Rc<Self>, tier: &Tier, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
+        let file = self.folder.join("config.json");
+        {
+            let mut config = self.config.borrow_mut();
+            config["known"] = known(self.place, tier)?;
+            config["known"]["index"] = json!(self.coordinator.told());
+            config["known"]["updates"][0]["index"] = config["known"]["index"].clone();
+            config["seed"] = json!(format!("{seed:016x}"));
+            std::fs::write(&file, config.to_string())?;
+        }
+        let mut child = Command::new(&self.path)
+            .env_remove("ONYXYOKE_OPERATOR")
+            .env_remove("NODE_ADMIN_ADDR")
+            .env("NODE_CONFIG", &file)
+            .env("TMPDIR", &self.folder)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| format!("'{}' does not start: {e}", self.path.display()))?;
+        let stderr = child.stderr.take().ok_or("no standard error")?;
+        let (sender, serves) = oneshot::channel();
+        spawn_local(async move {
+            let mut lines = BufReader::new(stderr).lines();
+            let mut sender = Some(sender);
+            while let Ok(Some(line)) = lines.next_line().await {
+                if let Some(sender) = sender.take_if(|_| line.contains(" serves on ")) {
+                    let _ = sender.send(line);
+                }
+            }
+        });
+        let first = timeout(PATIENCE, serves).await?.map_err(|_| "a front ended before it served")?;
+        let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).ok_or(first)?;
+        self.config.borrow_mut()["listen"] = json!(address);
+        self.address.set(Some(address));
+        self.meant.set(true);
+        Ok(self.child.borrow_mut().replace(child))
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = self.child.borrow().as_ref().and_then(Child::id) {
+            let _ = kill(Pid::from_raw(id as i32), signal);
+        }
+    }
+
+    /// Ends it at once.
+    pub async fn kill(&self) {
+        self.meant.set(false);
+        self.address.set(None);
+        let child = self.child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Ends it by SIGTERM, as the platform does; clients go elsewhere when it has ended. Was its exit 0?
+    pub async fn end(&self) -> bool {
+        self.meant.set(false);
+        let child = self.child.borrow_mut().take();
+        let ended = end(child).await;
+        self.address.set(None);
+        ended
+    }
+
+    /// Looks whether it ended by itself.
+    pub fn look(&self) {
+        if let Some(child) = self.child.borrow_mut().as_mut().filter(|_| self.meant.get())
+            && !matches!(child.try_wait(), Ok(None))
+        {
+            self.crashed.set(true);
+        }
+    }
+
+    /// Processor time that it has taken (seconds).
+    pub fn processor_s(&self) -> f64 {
+        let id = self.child.borrow().as_ref().and_then(Child::id);
+        let stat = id.and_then(|id| std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok());
+        let first = stat.and_then(|s| s.split(' ').next().and_then(|n| n.parse::<f64>().ok()));
+        first.unwrap_or(0.0) / 1e9
+    }
+}
+
+/// Ends a process by SIGTERM; was its exit 0?
+pub async fn end(child: Option<Child>) -> bool {
+    let Some(mut child) = child else { return true };
+    if let Some(id) = child.id() {
+        let _ = kill(Pid::from_raw(id as i32), Signal::SIGTERM);
+    }
+    matches!(timeout(PATIENCE, child.wait()).await, Ok(Ok(status)) if status.success())
+}
+
+/// A node as the list has it.
+pub fn member(tier: &Tier, node: usize, front: usize, location: usize) -> Option<Member> {
+    let n = &tier.nodes[node];
+    let (zone, kind) = match n.kind {
+        Kind::Cache => (location as u8 + 1, 0),
+        Kind::Parent => (0, 1),
+        Kind::Origin => (0, 2),
+    };
+    let address = n.address(front)?;
+    let (state, started) = n.listed();
+    Some(Member { id: n.id(), address, state, zone, kind, weight: n.usual, started_ms: started })
+}
+
+/// The whole list as a front is told it at its start.
+fn known(front: usize, tier: &Tier) -> Result<Value, Box<dyn Error>> {
+    let kinds = ["standard", "parent", "origin"];
+    let mut members = Vec::new();
+    for node in 0..tier.nodes.len() {
+        // The address is there for nodes of the own location alone, and for those above.
+        let Some(m) = member(tier, node, front, 0).filter(|m| m.state != 2) else { continue };
+        members.push((m, tier.nodes[node].zone.clone()));
+    }
+    let members: Vec<Value> = members
+        .iter()
+        .map(|(m, zone)| {
+            json!({"id": format!("s-{:08x}", m.id), "host_port": m.address, "cell": 0,
+                "phase": if m.state == 0 { "active" } else { "leaving" }, "size": m.weight, "locality": zone,
+                "flavor": kinds[usize::from(m.kind)], "up_since_ms": m.started_ms})
+        })
+        .collect();
+    Ok(json!({"index": 1, "updates": [{"index": 1, "endpoints":
+        {"revision": 1, "complete": true, "members": members}}]}))
+}
--- /dev/null
+++ b/crates/lab/src/fleet/plan.rs
@@ -0,0 +1,327 @@
+//! What a fleet is made of, what is asked of it, what fails when, and what must hold: one file, checked as a whole.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
+
+/// A plan. Times are seconds from when all fronts are ready.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Plan {
+    /// How long it is played; what comes before `judged_from` only warms the caches.
+    pub seconds: f64,
+    pub judged_from: f64,
+    /// Locations, each with its own fronts and cache nodes.
+    pub locations: usize,
+    /// Front processes, over all locations.
+    pub fronts: usize,
+    /// Cache nodes, over all locations; parents, for all of them.
+    pub nodes: usize,
+    pub parents: usize,
+    /// Links of the first node, the second and so on in turn, in transfers at full pace.
+    pub links: Vec<f64>,
+    /// Which programs the fronts run, in shares of all fronts.
+    pub programs: Vec<Program>,
+    pub clients: Clients,
+    /// News of the list come so long after what they tell (seconds): of a node that is gone, and of one that is back.
+    pub told_gone_s: f64,
+    pub told_back_s: f64,
+    pub faults: Vec<Fault>,
+    pub bounds: Bounds,
+}
+
+/// A program that a share of the fronts runs.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Program {
+    /// What it is called in the report.
+    pub name: String,
+    /// Its file; without one, the `onyxyoke` beside this program.
+    #[serde(default)]
+    pub path: Option<PathBuf>,
+    /// Share of all fronts.
+    #[serde(default = "one")]
+    pub share: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Clients that ask whether or not they were answered.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// Requests a second of a front, in the mean.
+    pub rate: f64,
+    /// This share of the fronts sees so many times what the others do.
+    pub busy_share: f64,
+    pub busy_times: f64,
+    /// Popularity falls off with this power of the rank.
+    pub zipf: f64,
+    pub objects: u64,
+    /// Mean use of the links, from which the sizes of objects follow.
+    pub load: f64,
+    /// Share of requests that run at the origin, once, and leave no copy.
+    pub holds: f64,
+}
+
+/// What goes wrong, with whom, and from and until when.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    #[serde(rename = "fault")]
+    pub kind: Kind,
+    pub at: f64,
+    pub until: f64,
+    /// The fronts that it concerns, and the cache nodes; all where nothing is said.
+    #[serde(default)]
+    pub fronts: Target,
+    #[serde(default)]
+    pub nodes: Target,
+}
+
+/// Faults by name.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Kind {
+    /// Fronts are killed at once, and started again at the end.
+    FrontKilled,
+    /// Fronts stand still (SIGSTOP), and go on with old news.
+    FrontStopped,
+    /// A second process takes over from each front, one after the other over the span.
+    FrontReplaced,
+    /// Fronts end by SIGTERM, one after the other over the span, and start again once they have.
+    FrontRestarted,
+    /// Nodes are gone: connections are refused; they come back empty and cold.
+    NodeKilled,
+    /// Nodes are gone, and others with new ids listen at their addresses after the span.
+    NodeReplaced,
+    /// Nodes drain by the list, and come back cold.
+    NodeDrained,
+    /// Nodes take everything and say nothing.
+    NodeSilent,
+    /// Links are so many times as thin.
+    NodeSlow { times: f64 },
+    /// This share of requests is answered at once with an error.
+    NodeFailing { share: f64 },
+    /// Nothing passes between these fronts and these nodes.
+    PathSilent,
+    /// Connections between these fronts and these nodes end.
+    PathReset,
+    /// Everything between these fronts and these nodes takes longer.
+    PathDelayed { seconds: f64 },
+    /// The coordinator tells these fronts nothing.
+    NewsLate,
+    /// So many times the usual load.
+    Burst { times: f64 },
+    /// One object is this share of all requests.
+    Hot { share: f64 },
+    /// Every object is purged.
+    Purged,
+}
+
+/// Of these, by place; else of these locations, or of all; of what is left this share, drawn by the seed.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Target {
+    pub places: Vec<usize>,
+    pub location: Option<usize>,
+    pub share: Option<f64>,
+}
+
+/// What must hold, beside the rules, which must in any case. What is left out is only reported.
+#[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Least share of the requests that is served, and that is served in time.
+    pub served: Option<f64>,
+    pub in_time: Option<f64>,
+    /// Work per unit of link of the most and the least loaded node by the mean of its location.
+    pub most: Option<f64>,
+    pub least: Option<f64>,
+    /// Longest time in which a node that is up has nothing to do (seconds).
+    pub idle_s: Option<f64>,
+    /// Most fronts that turn to one node within 0.1 s of an event, in times what chance gives.
+    pub herd: Option<f64>,
+    /// Of a node that is well again: its least part by the mean from 8 s after on, and its most from the start.
+    pub back_least: Option<f64>,
+    pub back_most: Option<f64>,
+    /// Least byte hit ratio.
+    pub hits: Option<f64>,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Clients {
+            rate: 4.0,
+            busy_share: 0.0,
+            busy_times: 1.0,
+            zipf: 0.9,
+            objects: 3_000,
+            load: 0.4,
+            holds: 0.05,
+        }
+    }
+}
+
+/// The small plan that is played without a file: a newcomer's first look.
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            seconds: 20.0,
+            judged_from: 4.0,
+            locations: 1,
+            fronts: 6,
+            nodes: 10,
+            parents: 2,
+            links: vec![4.0],
+            programs: vec![Program { name: "now".into(), path: None, share: 1.0 }],
+            clients: Clients { rate: 20.0, ..Clients::default() },
+            told_gone_s: 2.5,
+            told_back_s: 1.0,
+            faults: Vec::new(),
+            bounds: Bounds::default(),
+        }
+    }
+}
+
+impl Plan {
+    /// The plan of the first look: one node is killed, and is back.
+    pub fn first_look() -> Plan {
+        let target = Target { places: vec![3], ..Target::default() };
+        let killed =
+            Fault { kind: Kind::NodeKilled, at: 8.0, until: 12.0, fronts: Target::default(), nodes: target };
+        let bounds = Bounds { served: Some(0.95), ..Bounds::default() };
+        Plan { faults: vec![killed], bounds, ..Plan::default() }
+    }
+
+    /// Reads a plan; an error names the key.
+    pub fn read(text: &str) -> Result<Plan, String> {
+        let mut from = serde_json::Deserializer::from_str(text);
+        let plan: Plan = serde_path_to_error::deserialize(&mut from)
+            .map_err(|e| format!("'{}': {}", e.path(), e.inner()))?;
+        plan.check()?;
+        Ok(plan)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let must = |held: bool, what: &str| if held { Ok(()) } else { Err(what.to_owned()) };
+        let share = |s: f64| (0.0..=1.0).contains(&s);
+        must((1..=20).contains(&self.locations), "'locations' is not from 1 to 20")?;
+        must((self.locations..=400).contains(&self.fronts), "'fronts' is not from one a location to 400")?;
+        must((self.locations..=200).contains(&self.nodes), "'nodes' is not from one a location to 200")?;
+        must((1..=20).contains(&self.parents), "'parents' is not from 1 to 20")?;
+        must(
+            self.seconds.is_finite() && (1.0..=3600.0).contains(&self.seconds),
+            "'seconds' is not from 1 to 3600",
+        )?;
+        must((0.0..self.seconds).contains(&self.judged_from), "'judged_from' does not lie before 'seconds'")?;
+        must(
+            !self.links.is_empty() && self.links.iter().all(|l| (0.1..=1000.0).contains(l)),
+            "'links' is not a list of numbers from 0.1 to 1000",
+        )?;
+        must(
+            !self.programs.is_empty() && self.programs.iter().all(|p| p.share > 0.0 && p.share <= 1.0),
+            "'programs' names none, or one whose 'share' is not above 0 and at most 1",
+        )?;
+        let shares: f64 = self.programs.iter().map(|p| p.share).sum();
+        must((shares - 1.0).abs() < 0.01, "'programs': the shares do not sum to 1")?;
+        let c = &self.clients;
+        must((0.01..=200.0).contains(&c.rate), "'clients.rate' is not from 0.01 to 200")?;
+        must(
+            self.fronts as f64 * c.rate <= 5_000.0,
+            "'clients.rate' times 'fronts' is over 5000 a second, which the stand-ins do not keep up with",
+        )?;
+        must(
+            share(c.busy_share) && share(c.holds),
+            "'clients.busy_share' or 'clients.holds' is not from 0 to 1",
+        )?;
+        must((1.0..=100.0).contains(&c.busy_times), "'clients.busy_times' is not from 1 to 100")?;
+        must((0.1..=3.0).contains(&c.zipf), "'clients.zipf' is not from 0.1 to 3")?;
+        must((10..=1_000_000).contains(&c.objects), "'clients.objects' is not from 10 to 1000000")?;
+        must((0.01..=2.0).contains(&c.load), "'clients.load' is not from 0.01 to 2")?;
+        for (i, fault) in self.faults.iter().enumerate() {
+            let at = |key: &str, what: &str| format!("'faults.{i}.{key}' {what}");
+            must(
+                (0.0..=self.seconds).contains(&fault.at) && fault.at <= fault.until,
+                &at("at", "does not lie in the plan and before 'until'"),
+            )?;
+            for (name, target, most) in
+                [("fronts", &fault.fronts, self.fronts), ("nodes", &fault.nodes, self.nodes)]
+            {
+                let place = target.places.iter().find(|p| **p >= most);
+                must(
+                    place.is_none(),
+                    &at(&format!("{name}.places"), &format!("names one of {most} or beyond")),
+                )?;
+                must(
+                    target.location.is_none_or(|l| l < self.locations),
+                    &at(&format!("{name}.location"), "is none of the locations"),
+                )?;
+                must(target.share.is_none_or(share), &at(&format!("{name}.share"), "is not from 0 to 1"))?;
+            }
+            let (name, held) = match fault.kind {
+                Kind::NodeSlow { times } | Kind::Burst { times } => {
+                    ("times", (0.01..=1000.0).contains(&times))
+                }
+                Kind::NodeFailing { share: s } | Kind::Hot { share: s } => ("share", share(s)),
+                Kind::PathDelayed { seconds } => ("seconds", (0.0..=60.0).contains(&seconds)),
+                _ => ("", true),
+            };
+            must(held, &at(name, "is out of range"))?;
+        }
+        Ok(())
+    }
+
+    /// The location of a front, or of a node.
+    pub fn location(&self, place: usize) -> usize {
+        place % self.locations
+    }
+
+    /// Requests a second of each front.
+    pub fn rate(&self, front: usize) -> f64 {
+        let busy = (self.clients.busy_share * self.fronts as f64).round();
+        let mean = 1.0 + busy / self.fronts as f64 * (self.clients.busy_times - 1.0);
+        let times = if (front as f64) < busy { self.clients.busy_times } else { 1.0 };
+        self.clients.rate * times / mean
+    }
+
+    /// The link of a node.
+    pub fn link(&self, node: usize) -> f64 {
+        self.links[node % self.links.len()]
+    }
+
+    /// Mean seconds of sending of an object.
+    pub fn work(&self) -> f64 {
+        let links: f64 = (0..self.nodes).map(|n| self.link(n)).sum();
+        self.clients.load * links / (self.fronts as f64 * self.clients.rate)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_error_names_its_key() {
+        let wrong = [
+            (r#"{"frots": 3}"#, "frots"),
+            (r#"{"clients": {"rate": "x"}}"#, "clients.rate"),
+            (r#"{"faults": [{"fault": {"node-slow": {}}, "at": 1, "until": 2}]}"#, "times"),
+            (r#"{"faults": [{"fault": "node-silent", "at": 3, "until": 2}]}"#, "faults.0.at"),
+            (
+                r#"{"faults": [{"fault": "node-silent", "at": 1, "until": 2, "nodes": {"places": [10]}}]}"#,
+                "nodes.places",
+            ),
+            (r#"{"programs": [{"name": "a", "share": 0.5}]}"#, "programs"),
+        ];
+        for (text, key) in wrong {
+            let e = Plan::read(text).expect_err(text);
+            assert!(e.contains(key), "{text}: {e}");
+        }
+        assert!(Plan::read("{}").is_ok());
+        let first = serde_json::to_string(&Plan::first_look()).unwrap();
+        assert!(Plan::read(&first).is_ok(), "{first}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet/record.rs
@@ -0,0 +1,129 @@
+//! What nodes and clients saw, as it came: the verdict is drawn from this and from nothing that fronts say.
+
+use hdrhistogram::Histogram;
+use onyxyoke_stand_ins::fleet::{Came, Record};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// An attempt at a node; Unix seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    pub came: Came,
+    pub ended: Option<f64>,
+}
+
+/// How a client's request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+    /// Its connection ended with no answer, or none came.
+    Lost,
+    /// No front was there to take it.
+    Unreached,
+}
+
+/// A client's request.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked {
+    pub at: f64,
+    pub front: usize,
+    /// What its class allows, and how long its client waits (seconds).
+    pub aim: f64,
+    pub deadline: f64,
+    pub object: u64,
+    pub end: Option<(f64, End)>,
+    /// When the copy that served it was made; answers beyond the first; bytes that were another's.
+    pub made: Option<f64>,
+    pub again: u32,
+    pub spoilt: bool,
+    /// Its front was killed, stopped or replaced while it was open.
+    pub excused: bool,
+}
+
+/// The list told something of a node, in Unix seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Told {
+    pub at: f64,
+    pub node: usize,
+    pub state: u8,
+}
+
+/// A node as the verdict knows it.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeInfo {
+    pub location: usize,
+    pub link: f64,
+    pub cache: bool,
+}
+
+/// Everything that was seen.
+#[derive(Debug)]
+pub struct Seen {
+    pub nodes: Vec<NodeInfo>,
+    pub attempts: Vec<Attempt>,
+    pub asked: Vec<Asked>,
+    pub told: Vec<Told>,
+    /// When everything was purged, and when fronts were told.
+    pub purged: Vec<f64>,
+    /// When a node was up again, or slow no more; and from when on it was not.
+    pub troubled: Vec<(usize, f64, f64)>,
+    /// Nodes that restarted cold: when.
+    pub cold: Vec<(usize, f64)>,
+    /// Times at which something changed at once for many fronts.
+    pub events: Vec<f64>,
+    /// Work by node and window, per unit of link.
+    pub done: Vec<Vec<f64>>,
+    /// When the first window began.
+    pub began: f64,
+    /// How late the stand-ins themselves were (microseconds).
+    pub late: Histogram<u64>,
+}
+
+/// The length of a window of work (seconds).
+pub const WINDOW: f64 = 0.5;
+
+/// A record that many tasks write to.
+#[derive(Debug)]
+pub struct Book(Mutex<Seen>);
+
+impl Book {
+    pub fn new(nodes: Vec<NodeInfo>) -> Book {
+        let done = vec![Vec::new(); nodes.len()];
+        Book(Mutex::new(Seen {
+            nodes,
+            attempts: Vec::new(),
+            asked: Vec::new(),
+            told: Vec::new(),
+            purged: Vec::new(),
+            troubled: Vec::new(),
+            cold: Vec::new(),
+            events: Vec::new(),
+            done,
+            began: 0.0,
+            late: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that fit"),
+        }))
+    }
+
+    pub fn open(&self) -> MutexGuard<'_, Seen> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Record for Book {
+    fn came(&self, came: Came) -> usize {
+        let attempts = &mut self.open().attempts;
+        attempts.push(Attempt { came, ended: None });
+        attempts.len() - 1
+    }
+
+    fn ended(&self, attempt: usize, at: f64) {
+        if let Some(a) = self.open().attempts.get_mut(attempt) {
+            a.ended.get_or_insert(at);
+        }
+    }
+
+    fn late(&self, seconds: f64) {
+        self.open().late.saturating_record((seconds * 1e6) as u64);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod compare;
 mod emulate;
+mod fleet;
 mod soak;
 
 use clap::{Parser, Subcommand};
@@ -22,6 +23,10 @@
     ///
     /// Exit codes: 0 all held, 1 something did not, 2 it could not be run.
     Soak(soak::Options),
+    /// Starts a fleet of front processes between nodes with shared links, with faults between them
+    ///
+    /// Exit codes: 0 all held, 1 something did not, 2 it could not be run.
+    Fleet(fleet::Options),
     /// Plays directors of one location in virtual time and prints how evenly their load comes out
     Even(emulate::Options),
     /// Compares the processor time that an ordinary request takes of two builds of the front
@@ -31,6 +36,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Soak(options) => soak::run(&options),
+        Command::Fleet(options) => fleet::run(&options),
         Command::Even(options) => emulate::run(&options),
         Command::Compare(options) => compare::run(&options),
     };
--- a/crates/stand-ins/src/coordinator.rs
+++ b/crates/stand-ins/src/coordinator.rs
@@ -72,6 +72,11 @@
         Ok(this)
     }
 
+    /// The number of the last event.
+    pub fn told(&self) -> u64 {
+        self.first + self.events.borrow().len() as u64
+    }
+
     fn event(&self, kind: u8, payload: Vec<u8>) {
         self.events.borrow_mut().push((kind, payload));
         self.told.notify_waiters();
@@ -87,6 +92,17 @@
         self.event(3, [object.to_be_bytes(), unix_ms.to_be_bytes()].concat());
     }
 
+    /// A whole group was purged at this time.
+    pub fn purged_group(&self, group: u16, unix_ms: u64) {
+        self.event(4, [&group.to_be_bytes()[..], &unix_ms.to_be_bytes()].concat());
+    }
+
+    /// Holds its news back, or tells all that it has held.
+    pub fn hold(&self, late: bool) {
+        self.late.set(late);
+        self.told.notify_waiters();
+    }
+
     async fn feed(self: Rc<Self>, mut stream: TcpStream) {
         let mut last = [0; 8];
         if stream.read_exact(&mut last).await.is_err() {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod caches;
 pub mod coordinator;
+pub mod fleet;
+pub mod link;
 pub mod scripted;
 
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, fade, smooth};
-use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Turn};
+use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Turn, unit};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -364,13 +364,13 @@
         }
         // What comes new is no emptier than the others, or else all that is free to choose would go there.
         let own: f64 = self.edges.iter().filter_map(|e| Some(self.nodes.get(e)?.own.by(now))).sum();
-        let level = Share::level(now, own / self.edges.len().max(1) as f64);
+        let (level, me) = (Share::level(now, own / self.edges.len().max(1) as f64), self.settings.me);
         for info in nodes {
             let known =
-                self.nodes.entry(info.id).or_insert_with(|| Known { own: level, ..Known::new(*info) });
+                self.nodes.entry(info.id).or_insert_with(|| Known { own: level, ..Known::new(*info, me) });
             if known.info.ready_at != info.ready_at {
                 // A new start: an empty cache, and a process that owes nothing of the old one's record.
-                *known = Known { out: known.out, own: level, ..Known::new(*info) };
+                *known = Known { out: known.out, own: level, ..Known::new(*info, me) };
             }
             known.info = *info;
             known.listed = info.state == NodeState::Ready;
@@ -954,11 +954,12 @@
 }
 
 impl Known {
-    fn new(info: Node) -> Self {
-        let never = f64::MIN;
+    fn new(info: Node, me: u16) -> Self {
+        let (never, pace) = (f64::MIN, Pace::new(unit(info.id.0, u64::from(me))));
         Known {
             info,
             lag: BASE,
+            pace,
             size: 1.0,
             last_answer: never,
             answered: never,
