--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -87,10 +87,11 @@
 #[derive(Debug)]
 pub struct Book(Mutex<Seen>);
 
-impl Book {
-    pub fn new(nodes: Vec<NodeInfo>) -> Book {
+impl Seen {
+    /// Nothing was seen yet.
+    pub fn new(nodes: Vec<NodeInfo>) -> Seen {
         let done = vec![Vec::new(); nodes.len()];
-        Book(Mutex::new(Seen {
+        Seen {
             nodes,
             attempts: Vec::new(),
             asked: Vec::new(),
@@ -102,7 +103,13 @@
             done,
             began: 0.0,
             late: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that fit"),
-        }))
+        }
+    }
+}
+
+impl Book {
+    pub fn new(nodes: Vec<NodeInfo>) -> Book {
+        Book(Mutex::new(Seen::new(nodes)))
     }
 
     pub fn open(&self) -> MutexGuard<'_, Seen> {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, fade, smooth};
-use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Turn, unit};
+use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Sight, Turn, Why, unit};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -175,6 +175,7 @@
     /// Chance that the node lacks the object, so that the source has work with it.
     absent: f64,
     cost: f64,
+    why: Why,
     latency: f64,
     /// The latency if the node turns out to lack the object.
     worst: f64,
@@ -195,8 +196,9 @@
     held: Beliefs,
     /// When an object or group was purged, and when this director heard.
     purges: Purges,
-    /// Which objects are hot.
+    /// Which objects are hot, and why caches were chosen.
     heat: Heat,
+    sight: Sight,
     /// Mean sending time by class.
     work: Vec<f64>,
     /// Hits by class, where sizes are untold.
@@ -239,6 +241,7 @@
             held: Beliefs::new(seed, BELIEF_AGE),
             purges: Purges::default(),
             heat: Heat::default(),
+            sight: Sight::default(),
             hits: vec![0.0; work.len()],
             work,
             rho: START.map(|value| [Window { value, asked: 0, absent: 0 }; COUNTS]),
@@ -274,6 +277,11 @@
         self.nodes.len()
     }
 
+    /// Why caches were chosen.
+    pub fn sight(&self) -> &Sight {
+        &self.sight
+    }
+
     /// Does it keep away from a node now, having blamed it?
     pub fn avoids(&self, now: f64, id: NodeId) -> bool {
         self.nodes.get(&id).is_some_and(|k| k.blamed.is_some_and(|(trial, _)| now < trial))
@@ -391,7 +399,7 @@
         if self.settings.weights_told && !self.edges.is_empty() {
             let sum: f64 = self.edges.iter().map(|e| self.nodes[e].info.weight).sum();
             let mean = sum / self.edges.len() as f64;
-            let sized = |k: &mut Known| k.size = if mean > 0.0 { k.info.weight / mean } else { 1.0 };
+            let sized = |k: &mut Known| k.size = (k.info.weight / mean.max(1e-9)).max(0.01);
             self.edges.iter().for_each(|e| self.nodes.get_mut(e).map_or((), sized));
             self.caches.told = true;
             if kind == ListKind::Cached {
@@ -491,8 +499,7 @@
         let hashed = homes.pick(count, request.object.0 ^ u64::from(self.settings.me) << 48);
         let holders = self.holders(now, &request);
         let n = holders.len().min(COUNTS - 1);
-        // A hot one is where others of its homes' users had it filled: what this director saw of it counts
-        // for less.
+        // A hot one is at all its homes, whichever of them this director saw it at.
         let believed = holders.iter().copied().filter(|h| count == 1 && usable.contains(h));
         let mut candidates: Vec<NodeId> = believed.collect();
         candidates.extend(hashed.filter(|h| !candidates.contains(h)));
@@ -513,6 +520,10 @@
             let believed = holders.contains(&node);
             let known = &self.nodes[&node];
             let access = known.lag + sending * self.stretch(known);
+            let cold = Cold::of(&self.settings, false).part(now, known.info.ready_at) < 1.0;
+            let spread = Some(node) != hashed && !believed;
+            let signs = [known.blamed.is_some(), cold, spread, never_kept, count > 1, believed];
+            let why = Why::first(signs);
             let rho = self.rho[usize::from(believed)][n].value;
             let from_upper = upper.or((believed && !never_kept).then_some(node)).map(|source| {
                 (source, false, access + penalty * rho, access + if believed { 0.0 } else { penalty })
@@ -534,6 +545,7 @@
                         believed,
                         absent: rho,
                         cost,
+                        why,
                         latency,
                         worst: access + penalty,
                     });
@@ -606,6 +618,7 @@
         let rank = if class.never_kept { 0 } else { RANK + u8::from(choice.n > 0) };
         let (node, source) = (choice.node, choice.source);
         actions.push(Action::Fetch { request: id, node, within: 0.0, source, rank, age, options });
+        self.sight.count(choice.why);
         self.book(now, &choice, 1.0, self.work[usize::from(request.class.0)]);
         let sending = self.sending(&request);
         if let Some(k) = self.nodes.get_mut(&node) {
@@ -915,8 +928,7 @@
     fn home(&self, now: f64, id: NodeId) -> Home {
         let k = &self.nodes[&id];
         let part = Cold::of(&self.settings, false).part(now, k.info.ready_at);
-        let weight = if k.size > 0.0 { k.size } else { 1.0 };
-        Home { node: id, weight, load: k.own.by(now) / (weight * part.max(0.01)) }
+        Home { node: id, weight: k.size, load: k.own.by(now) / (k.size * part.max(0.01)) }
     }
 
     /// Does a cold node's budget bear this much more work? What warm nodes of its tier carry in the mean, all
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -389,6 +389,11 @@
         self.callers.len()
     }
 
+    /// Why the director chose the caches that it chose.
+    pub fn sight(&self) -> &crate::spread::Sight {
+        self.director.sight()
+    }
+
     /// The accounts that hold its requests.
     pub fn memory(&self) -> &Ledger {
         &self.memory
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -8,9 +8,11 @@
 mod homes;
 mod ring;
 mod share;
+mod sight;
 
 pub use cold::{Cold, Turn};
 pub use heat::Heat;
 pub use homes::{Home, Homes, unit};
 pub use ring::Ring;
 pub use share::Share;
+pub use sight::{Sight, Why};
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -188,3 +188,33 @@
         assert_eq!(seen, [10, 11, 13].into(), "director {me}");
     }
 }
+
+/// Guards everything purged at once: no director may believe a copy from before, and none may ask for one, while what
+/// they fill goes to many parents and not to one.
+#[test]
+fn everything_purged_at_once_is_filled_anew_from_many_parents() {
+    let parents: Vec<Node> = (20..26).map(parent).collect();
+    let nodes: Vec<Node> =
+        [edge(10), edge(11), edge(12)].into_iter().chain(parents).chain([origin(30)]).collect();
+    let mut fleet = directors(&settings(), &nodes);
+    let mut asked = std::collections::BTreeMap::new();
+    for s in &mut fleet {
+        for object in 1..=20 {
+            s.hit(object, 50.0);
+        }
+        s.now = 150.0;
+        for group in 0..4 {
+            s.event(Event::Purged { object: None, group: GroupId(group), age: 0.0 });
+        }
+        s.now += 1.0;
+        for object in 1..=20 {
+            let sent = s.fetch(object, 50.0);
+            assert!(sent.age > 0.0 && sent.age < s.now - 150.0, "a copy from before the purge would do: {sent:?}");
+            assert!(!sent.held_only && sent.source >= 20, "from above: {sent:?}");
+            *asked.entry(sent.source).or_insert(0) += 1;
+            s.end(sent, 0, Outcome::Ok, Note::FilledFromOrigin, 0.15);
+        }
+    }
+    let most = asked.values().max().copied().unwrap_or(0);
+    assert!(asked.len() >= 4 && most < 20 * i32::from(DIRECTORS) / 2, "{asked:?}");
+}
