Find out from six outcomes that peers do less, as when most of them died

Change: where the link is told, six outcomes are judged (routing/load.rs, QUICK); the lab's emulator has fronts that are gone and counts what was in time in the span that is looked at.

--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -49,7 +49,7 @@
     plan.faults.push(Fault { kind, nodes: nodes.to_vec(), from: WARM + from, until: WARM + until });
 }
 
-const CASES: [Case; 16] = [
+const CASES: [Case; 17] = [
     Case { name: "zipf 0.7", change: |p| p.zipf = 0.7, looked_at: (0.0, 40.0), watched: &[] },
     Case { name: "zipf 0.9", change: |_| (), looked_at: (0.0, 40.0), watched: &[] },
     Case { name: "zipf 1.1", change: |p| p.zipf = 1.1, looked_at: (0.0, 40.0), watched: &[] },
@@ -125,6 +125,12 @@
         looked_at: (0.0, 10.0),
         watched: &[],
     },
+    Case {
+        name: "seven in ten fronts gone for 8 s: meanwhile",
+        change: |p| fault(p, FaultKind::FrontsGone(0.7), &[], 0.0, 8.0),
+        looked_at: (0.0, 8.0),
+        watched: &[],
+    },
     Case {
         name: "all copies gone at once: 0 to 10 s after",
         change: |p| fault(p, FaultKind::Emptied, &[], 0.0, 1.0),
@@ -143,6 +149,8 @@
     origin: f64,
     refused: f64,
     in_time: f64,
+    /// The same of those that came in the span that is looked at.
+    in_time_then: f64,
 }
 
 fn row(seen: &Seen, case: &Case) -> Row {
@@ -160,6 +168,11 @@
         origin: seen.work_origin / seen.work_asked,
         refused: (seen.refused + seen.failed) as f64 / asked,
         in_time: seen.in_time as f64 / asked,
+        in_time_then: {
+            let span = at(case.looked_at.0)..at(case.looked_at.1).min(seen.by_window.len());
+            let (asked, served) = seen.by_window[span].iter().fold((0, 0), |a, w| (a.0 + w.0, a.1 + w.1));
+            f64::from(served) / f64::from(asked)
+        },
     }
 }
 
@@ -177,8 +190,8 @@
         options.fronts, options.nodes, options.rate
     );
     println!(
-        "{:<48} {:>5} {:>5} {:>7} {:>6} {:>6} {:>6} {:>7}",
-        "case", "most", "least", "watched", "hits", "origin", "refus", "in time"
+        "{:<48} {:>5} {:>5} {:>7} {:>6} {:>6} {:>6} {:>7} {:>6}",
+        "case", "most", "least", "watched", "hits", "origin", "refus", "in time", "then"
     );
     for case in CASES.iter().filter(|c| c.name.contains(&options.only)) {
         let play = |seed| {
@@ -208,7 +221,7 @@
             runs.into_iter().map(|r| r.join().expect("a run that ends")).collect()
         });
         println!(
-            "{:<48} {:>5.2} {:>5.2} {:>7.2} {:>6.3} {:>6.3} {:>6.3} {:>7.3}",
+            "{:<48} {:>5.2} {:>5.2} {:>7.2} {:>6.3} {:>6.3} {:>6.3} {:>7.3} {:>6.3}",
             case.name,
             mean(&rows, |r| r.most),
             mean(&rows, |r| r.least),
@@ -217,6 +230,7 @@
             mean(&rows, |r| r.origin),
             mean(&rows, |r| r.refused),
             mean(&rows, |r| r.in_time),
+            mean(&rows, |r| r.in_time_then),
         );
     }
     Ok(true)
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -32,6 +32,8 @@
     Emptied,
     /// All fronts start again and know nothing.
     FrontsRestart,
+    /// This share of the fronts is gone, their clients go to the others, and they come back knowing nothing.
+    FrontsGone(f64),
 }
 
 /// A world to be played.
@@ -65,6 +67,8 @@
     pub asked: u64,
     pub in_time: u64,
     pub served: u64,
+    /// Requests by half second of their coming, and how many of them were served in time.
+    pub by_window: Vec<(u32, u32)>,
     pub refused: u64,
     pub failed: u64,
     pub late: u64,
@@ -76,6 +80,8 @@
 
 /// The length of a window of [`Seen`] (seconds).
 pub const WINDOW: f64 = 0.5;
+/// The clock does not begin at 0.
+const BEGINS: f64 = 1000.0;
 /// Objects that a cache holds, and a parent.
 const HELD: [usize; 2] = [1_500, 20_000];
 /// The way to a cache and back, the wait for a parent, and what the origin adds (seconds).
@@ -169,6 +175,8 @@
     caches: Vec<Cache>,
     parents: HashMap<u64, Held>,
     hot: f64,
+    /// Fronts from here on are up.
+    first_up: usize,
     pub seen: Seen,
 }
 
@@ -198,7 +206,7 @@
         let mut world = World {
             random: SmallRng::seed_from_u64(plan.seed),
             popularity: Zipf::new(plan.objects as f64, plan.zipf).expect("a popularity that falls off"),
-            now: 1000.0,
+            now: BEGINS,
             due: BinaryHeap::new(),
             what: HashMap::new(),
             next: 0,
@@ -210,6 +218,7 @@
             caches,
             parents: HashMap::new(),
             hot: 0.0,
+            first_up: 0,
             settings,
             plan,
             seen,
@@ -330,6 +339,14 @@
         }
     }
 
+    fn window(&mut self, at: f64) -> &mut (u32, u32) {
+        let place = ((at - BEGINS) / WINDOW) as usize;
+        if self.seen.by_window.len() <= place {
+            self.seen.by_window.resize(place + 1, (0, 0));
+        }
+        &mut self.seen.by_window[place]
+    }
+
     /// Objects differ in size by their name: most are small, some are several times the mean.
     fn work(&self, object: u64) -> f64 {
         let unit = (object.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64;
@@ -339,10 +356,16 @@
     fn arrive(&mut self, front: usize) {
         let gap = Exp::new(self.rates[front]).expect("a rate above zero").sample(&mut self.random);
         self.later(gap, Due::Arrival(front));
+        // Clients of a front that is gone go to one that is not.
+        let front = match front < self.first_up {
+            true => self.random.random_range(self.first_up..self.fronts.len()),
+            false => front,
+        };
         let hot = self.hot > 0.0 && self.random.random_bool(self.hot);
         let object =
             if hot { self.plan.objects + 1 } else { self.popularity.sample(&mut self.random) as u64 };
         self.seen.asked += 1;
+        self.window(self.now).0 += 1;
         let (request, work) = (self.seen.asked as u32, self.work(object));
         let deadline = self.settings.classes[0].deadline;
         let expires = self.now + deadline;
@@ -466,7 +489,9 @@
                 let class = &self.settings.classes[0];
                 let aim = class.aim + class.aim_stretch * asked.work;
                 self.seen.served += 1;
-                self.seen.in_time += u64::from(self.now - asked.at <= aim);
+                let in_time = self.now - asked.at <= aim;
+                self.seen.in_time += u64::from(in_time);
+                self.window(asked.at).1 += u32::from(in_time);
                 self.open.remove(&(t.front, t.request));
             } else {
                 done = self.now >= asked.expires;
@@ -512,6 +537,15 @@
                     self.fronts[front] = self.director(front);
                 }
             }
+            FaultKind::FrontsGone(share) => {
+                let gone = (share * self.fronts.len() as f64) as usize;
+                self.first_up = if on { gone } else { 0 };
+                self.open.retain(|(front, _), _| *front >= gone);
+                self.names.retain(|(front, _, _), _| *front >= gone);
+                for front in 0..if on { 0 } else { gone } {
+                    self.fronts[front] = self.director(front);
+                }
+            }
             FaultKind::Emptied | FaultKind::FrontsRestart => {}
             FaultKind::Slow(times) => {
                 for node in fault.nodes {
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -8,6 +8,9 @@
 /// Outcomes in a window after which a link is estimated anew, and the weight of the newest one.
 const WINDOW: f64 = 20.0;
 const LINK_STEP: f64 = 0.1;
+/// Where the link is told, fewer outcomes tell how busy peers are: when most of them die, their clients come here, and
+/// each that is left takes the others to have as many.
+const QUICK: f64 = 6.0;
 /// The same for how busy a peer is beside this director, and its bounds: one that carries more than could be is
 /// sure to be thought too full, while what goes slowly may be slow for another's sake.
 const BUSY_STEP: f64 = 0.6;
@@ -69,7 +72,7 @@
     pub fn saw(&mut self, took: f64, sending: f64, out: f64) {
         self.seen = [self.seen[0] + took, self.seen[1] + sending, self.seen[2] + out, self.seen[3] + 1.0];
         let [took, sending, out, n] = self.seen;
-        if n < WINDOW {
+        if n < if self.told { QUICK } else { WINDOW } {
             return;
         }
         self.seen = [0.0; 4];
@@ -84,7 +87,7 @@
         if self.told && !ALIKE.contains(&right) {
             self.busy = (self.busy * (1.0 + BUSY_STEP * (right - 1.0))).clamp(BUSY.0, BUSY.1);
         } else if !self.fixed {
-            self.fits += LINK_STEP * (carried.max(1.0) - self.fits);
+            self.fits += LINK_STEP * n / WINDOW * (carried.max(1.0) - self.fits);
         }
     }
 
@@ -164,6 +167,26 @@
 mod tests {
     use super::*;
 
+    /// Guards a front that sees ten times what its peers do, and those that are left when most of them died: each took
+    /// its peers to have as many transfers out as itself, and so a link that is half empty for a full one.
+    #[test]
+    fn peers_that_do_less_are_found_out_where_a_told_link_carries_too_much() {
+        let mut pipe = Pipe::new(4.0, true);
+        for i in 0..100 {
+            pipe.book(100.0 + f64::from(i) * 0.1, if i % 2 == 0 { 1.0 } else { -1.0 }, 0.1);
+        }
+        let thought = pipe.peers();
+        // Twenty transfers are taken to be out, and yet each goes at full pace.
+        (0..6).for_each(|_| pipe.saw(0.1, 0.1, 20.0));
+        assert!(pipe.peers() < 0.7 * thought, "{} of {thought}", pipe.peers());
+        (0..120).for_each(|_| pipe.saw(0.1, 0.1, 20.0));
+        assert!(pipe.peers() > 0.01 * thought, "never none at all");
+        // What is slow for another's sake makes nobody busier than oneself.
+        (0..600).for_each(|_| pipe.saw(5.0, 0.1, 2.0));
+        assert!(pipe.peers() <= thought);
+        assert_eq!(pipe.fits, 4.0, "the link is told");
+    }
+
     #[test]
     fn a_slow_cache_is_told_from_slow_times_and_is_forgiven_in_time() {
         let [mut one, mut other, mut third] = [Pace::new(1.0); 3];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -209,7 +209,10 @@
         s.now += 1.0;
         for object in 1..=20 {
             let sent = s.fetch(object, 50.0);
-            assert!(sent.age > 0.0 && sent.age < s.now - 150.0, "a copy from before the purge would do: {sent:?}");
+            assert!(
+                sent.age > 0.0 && sent.age < s.now - 150.0,
+                "a copy from before the purge would do: {sent:?}"
+            );
             assert!(!sent.held_only && sent.source >= 20, "from above: {sent:?}");
             *asked.entry(sent.source).or_insert(0) += 1;
             s.end(sent, 0, Outcome::Ok, Note::FilledFromOrigin, 0.15);
