--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -3,6 +3,7 @@
 use super::Fleet;
 use super::fronts::{end, member};
 use super::plan::{Fault, Kind, Target};
+use super::record::Told;
 use nix::sys::signal::Signal;
 use onyxyoke_stand_ins::fleet::{Health, Path};
 use onyxyoke_stand_ins::unix_ms;
@@ -88,6 +89,7 @@
                     spawn_local(async move { fleet.node(n, kind, on).await });
                 }
             }
+            Kind::NodeCordoned => self.cordon(nodes, on).await,
             Kind::NodeSilent => self.paths(None, nodes, if on { Path::Silent } else { Path::Open }),
             Kind::PathSilent => self.paths(Some(fronts), nodes, if on { Path::Silent } else { Path::Open }),
             Kind::PathReset => self.paths(Some(fronts), nodes, if on { Path::Reset } else { Path::Open }),
@@ -235,6 +237,27 @@
         self.tell(n, 0);
     }
 
+    /// Operators call every front; what counts as told by hand is told once the last has said yes.
+    async fn cordon(&self, nodes: &[usize], on: bool) {
+        for &n in nodes {
+            let word = if on { "cordon" } else { "uncordon" };
+            let line = format!("{word} s-{:08x}", self.tier.nodes[n].id());
+            for front in self.fronts.iter().filter(|f| self.plan.location(f.place) == self.plan.location(n)) {
+                if !front.call(&line).await {
+                    self.book.open().unheard += 1;
+                    eprintln!("onyxyoke-lab: front {} did not say yes to '{line}'", front.place);
+                }
+            }
+            let at = self.tier.unix();
+            let mut seen = self.book.open();
+            seen.told.push(Told { at, node: n, state: u8::from(on) });
+            match seen.troubled.iter_mut().rev().find(|t| t.0 == n && t.2 == f64::MAX) {
+                Some(t) if !on => t.2 = at,
+                _ => seen.troubled.push((n, at, f64::MAX)),
+            }
+        }
+    }
+
     /// The coordinators tell their fronts of a node as it is listed.
     fn tell(&self, n: usize, state: u8) {
         let location = self.plan.location(n);
@@ -248,7 +271,7 @@
         if any {
             let at = self.tier.unix();
             let mut seen = self.book.open();
-            seen.told.push(super::record::Told { at, node: n, state });
+            seen.told.push(Told { at, node: n, state });
             seen.events.push(at);
         }
     }
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -13,7 +13,8 @@
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -23,6 +24,8 @@
 const OPERATOR: &str = include_str!("../../../../deploy/operator.toml");
 /// Longest wait for a process to start, or to end (seconds).
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Longest that an operator waits (seconds).
+const CALL: Duration = Duration::from_secs(1);
 /// What a front may have.
 const LIMITS: (usize, usize) = (32, 256);
 
@@ -51,6 +54,8 @@
     pub coordinator: Rc<Coordinator>,
     /// Where its clients reach it, while it is up.
     pub address: Cell<Option<SocketAddr>>,
+    /// Where operators call the newest process.
+    operators: Cell<Option<SocketAddr>>,
     path: PathBuf,
     folder: PathBuf,
     config: RefCell<Value>,
@@ -93,6 +98,7 @@
             place,
             coordinator,
             address: Cell::new(None),
+            operators: Cell::new(None),
             path,
             folder,
             config: RefCell::new(config),
@@ -125,10 +131,14 @@
             .map_err(|e| format!("'{}' does not start: {e}", self.path.display()))?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let (sender, serves) = oneshot::channel();
+        let this = self.clone();
         spawn_local(async move {
             let mut lines = BufReader::new(stderr).lines();
             let mut sender = Some(sender);
             while let Ok(Some(line)) = lines.next_line().await {
+                if line.contains(" answers operators on ") {
+                    this.operators.set(line.rsplit(' ').next().and_then(|a| a.parse().ok()));
+                }
                 if let Some(sender) = sender.take_if(|_| line.contains(" serves on ")) {
                     let _ = sender.send(line);
                 }
@@ -142,6 +152,19 @@
         Ok(self.child.borrow_mut().replace(child))
     }
 
+    /// Calls it as an operator does; was the answer a yes?
+    pub async fn call(&self, line: &str) -> bool {
+        let Some(address) = self.operators.get() else { return false };
+        let call = async {
+            let mut stream = TcpStream::connect(address).await?;
+            stream.write_all(format!("{line}\n").as_bytes()).await?;
+            let mut reply = String::new();
+            BufReader::new(stream).read_line(&mut reply).await?;
+            std::io::Result::Ok(reply)
+        };
+        matches!(timeout(CALL, call).await, Ok(Ok(reply)) if reply.starts_with("ok"))
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(id) = self.child.borrow().as_ref().and_then(Child::id) {
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -99,6 +99,8 @@
     NodeReplaced,
     /// Nodes drain by the list, and come back cold.
     NodeDrained,
+    /// Operators cordon nodes at every front, and call that back; what the list says does not change.
+    NodeCordoned,
     /// Nodes take everything and say nothing.
     NodeSilent,
     /// Links are so many times as thin.
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -68,6 +68,8 @@
     pub purged: Vec<f64>,
     /// When a node was up again, or slow no more; and from when on it was not.
     pub troubled: Vec<(usize, f64, f64)>,
+    /// Operators' calls that were not answered with a yes within a second.
+    pub unheard: usize,
     /// Nodes that restarted cold: when.
     pub cold: Vec<(usize, f64)>,
     /// Times at which something changed at once for many fronts.
@@ -98,6 +100,7 @@
             told: Vec::new(),
             purged: Vec::new(),
             troubled: Vec::new(),
+            unheard: 0,
             cold: Vec::new(),
             events: Vec::new(),
             done,
--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -280,6 +280,9 @@
             }
         }
     }
+    for _ in 0..seen.unheard {
+        verdict.broken("operators are answered within 1 s", "a cordon without a yes".into());
+    }
     let mut keys: HashMap<u64, Vec<&Attempt>> = HashMap::new();
     for a in &seen.attempts {
         a.came.key.into_iter().for_each(|k| keys.entry(k).or_default().push(a));
@@ -427,7 +430,8 @@
     #[test]
     fn each_planted_fault_is_found_by_its_name_and_no_other() {
         type Plant = fn(&mut Seen);
-        let plants: [(&str, Plant); 9] = [
+        let plants: [(&str, Plant); 10] = [
+            ("operators are answered within 1 s", |s| s.unheard = 1),
             ("one final answer", |s| s.asked[5].again = 1),
             ("one final answer", |s| s.asked[5].end = Some((1009.0, End::Served))),
             ("one final answer", |s| s.asked[5].end = None),
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -198,3 +198,14 @@
         {"fault": {"node-failing": {"share": 0.5}}, "at": 4, "until": 9, "nodes": {"places": [4]}}]);
     hold("lost-part", json!({"locations": 2, "faults": faults, "seconds": 16, "bounds": {"served": 0.75}}));
 }
+
+/// Guards the day on which a process is replaced while nodes are cordoned by hand: the cordon holds in the new process,
+/// whatever its list says, and no request is lost.
+#[test]
+fn cordons_hold_over_a_replacement_of_every_front() {
+    let faults = json!([
+        {"fault": "node-cordoned", "at": 4, "until": 12, "nodes": {"places": [2, 6]}},
+        {"fault": "front-replaced", "at": 6, "until": 10}]);
+    let f = hold("cordoned", json!({"faults": faults, "seconds": 15, "bounds": {"served": 0.95}}));
+    assert_eq!(f["failed"].as_f64(), Some(0.0), "{f}");
+}
