--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -1,6 +1,7 @@
 //! How evenly the load of many fronts comes out, each of which sees little of it: the table of the design
 //! page, from the directors that ship and a model of the rest.
 
+mod plain;
 mod world;
 
 use onyxyoke::interface::Settings;
@@ -25,6 +26,9 @@
     /// How many of them
     #[arg(long, default_value_t = 5)]
     seeds: u64,
+    /// A plain policy in place of the director
+    #[arg(long)]
+    policy: Option<plain::Policy>,
     /// Only the cases whose name has this in it
     #[arg(long, default_value = "")]
     only: String,
@@ -208,6 +212,7 @@
                 seconds: WARM + 42.0,
                 seed,
                 faults: Vec::new(),
+                policy: options.policy,
             };
             (case.change)(&mut plan);
             let links: f64 = (0..plan.nodes).map(|i| plan.links[i % plan.links.len()]).sum();
--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -1,6 +1,7 @@
 //! Many directors of one location between caches whose links are shared, in virtual time: the code that ships
 //! decides, the rest of the system is a model. One seed gives one run.
 
+use super::plain::Policy;
 use onyxyoke::Director;
 use onyxyoke::interface::*;
 use onyxyoke_stand_ins::link::Link;
@@ -55,6 +56,8 @@
     pub seconds: f64,
     pub seed: u64,
     pub faults: Vec<Fault>,
+    /// In place of the director.
+    pub policy: Option<Policy>,
 }
 
 /// What was seen, by cache and half second.
@@ -175,6 +178,8 @@
     caches: Vec<Cache>,
     parents: HashMap<u64, Held>,
     hot: f64,
+    /// What each front sent each cache, for plain policies.
+    sent: Vec<Vec<f64>>,
     /// Fronts from here on are up.
     first_up: usize,
     pub seen: Seen,
@@ -219,6 +224,7 @@
             parents: HashMap::new(),
             hot: 0.0,
             first_up: 0,
+            sent: vec![vec![0.0; plan.nodes]; plan.fronts],
             settings,
             plan,
             seen,
@@ -382,7 +388,29 @@
         self.tell(front, Event::Request(request));
     }
 
+    /// A plain policy chooses, fills from a parent by hash, and does not try again.
+    fn plain(&mut self, policy: Policy, front: usize, event: &Event) {
+        match event {
+            Event::Request(request) => {
+                let up: Vec<usize> = (0..self.caches.len()).filter(|&n| self.caches[n].up).collect();
+                let object = request.object.0;
+                if let Some(n) = policy.choose(object, &up, &self.sent[front], &mut self.random) {
+                    self.sent[front][n] += request.kb;
+                    let (node, parent) = (self.caches[n].id, NodeId(FIRST_PARENT + object % PARENTS));
+                    self.attempt(front, request.id.0, node, parent, false);
+                }
+            }
+            Event::AttemptEnd { request, done: false, .. } => {
+                self.seen.failed += u64::from(self.open.remove(&(front, request.0)).is_some());
+            }
+            _ => {}
+        }
+    }
+
     fn tell(&mut self, front: usize, event: Event) {
+        if let Some(policy) = self.plan.policy {
+            return self.plain(policy, front, &event);
+        }
         let mut actions = Vec::new();
         self.fronts[front].handle(self.now, event, &mut actions);
         for action in actions {
