--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -237,10 +237,11 @@
         self.tell(n, 0);
     }
 
-    /// Operators call every front; what counts as told by hand is told once the last has said yes.
+    /// Operators call every front. A cordon binds once the last has said yes; it is called back from the first call on.
     async fn cordon(&self, nodes: &[usize], on: bool) {
         for &n in nodes {
             let word = if on { "cordon" } else { "uncordon" };
+            let first = self.tier.unix();
             let line = format!("{word} s-{:08x}", self.tier.nodes[n].id());
             for front in self.fronts.iter().filter(|f| self.plan.location(f.place) == self.plan.location(n)) {
                 if !front.call(&line).await {
@@ -248,7 +249,7 @@
                     eprintln!("onyxyoke-lab: front {} did not say yes to '{line}'", front.place);
                 }
             }
-            let at = self.tier.unix();
+            let at = if on { self.tier.unix() } else { first };
             let mut seen = self.book.open();
             seen.told.push(Told { at, node: n, state: u8::from(on) });
             match seen.troubled.iter_mut().rev().find(|t| t.0 == n && t.2 == f64::MAX) {
