Close the old listener before idle clients are asked to leave, and take all that waits at it

Need: a replacement must lose nothing. Cause: net::accept asked idle clients to leave first, who came again at once, partly at the old listener; it then took what waited by a poll that the runtime answers from its last look, and closed the listener with connections waiting. Ruled out: requests on old connections (all answered or sent again within 50 ms); the client (a new connection each time). Change: the listener is emptied by direct accepts and closed, and only then are idle clients asked to leave.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -224,6 +224,30 @@
     }
 }
 
+/// The next connection, while there is a listener.
+async fn next(listener: &Option<TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Closes a listener; what waited at it, the first to come last. The system is asked for each without a turn of this
+/// thread's between, for what comes after the last of them is reset: the runtime may not have been told of it yet.
+fn close(listener: TcpListener) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
+    let listener = listener.into_std()?;
+    let mut waited = Vec::new();
+    while let Ok((stream, peer)) = listener.accept() {
+        waited.push((stream, peer));
+    }
+    drop(listener);
+    let tell = |(stream, peer): (std::net::TcpStream, SocketAddr)| {
+        stream.set_nonblocking(true)?;
+        Ok((TcpStream::from_std(stream)?, peer))
+    };
+    waited.into_iter().rev().map(tell).collect()
+}
+
 /// Accepts until the program ends or the door is shut: a task for each connection, and at most so many of them.
 /// Guards against connections that say nothing, which must not keep out those that would: the newest comer gets
 /// the place of the one that is most dispensable, and is turned away only where all have a request.
@@ -239,25 +263,29 @@
     let (open, lobby) = (Rc::new(Cell::new(0usize)), Rc::new(Lobby::default()));
     let own = || memory.ask(Holder::of(Purpose::Clients), OWN + TEXT);
     let mut relief_at = clock::now();
+    // What still waits of what was at the listener when it was closed.
+    let (mut listener, mut waited) = (Some(listener), Vec::new());
     loop {
         // While memory is scarce, idle connections leave turn by turn, the most dispensable first.
         let closing = memory.closes(lobby.waiting()) > 0;
         let accepted = tokio::select! {
             biased;
-            // What waits at the listener is taken before it is closed, for closing it would reset that.
+            // The listener goes before anybody is asked to leave: who comes again must find the successor's.
             () = door.shutting(), if !lobby.leaving.get() => {
+                waited = listener.take().map_or(Ok(Vec::new()), close).unwrap_or_else(|e| {
+                    log!("what waits at the listener is lost: {e}");
+                    Vec::new()
+                });
                 lobby.dismiss();
                 continue;
             }
-            accepted = timeout_at(clock::instant(clock::now()), listener.accept()), if lobby.leaving.get() => {
-                match accepted {
-                    Ok(accepted) => accepted,
-                    Err(_) => {
-                        log!("the door is shut: no more clients here");
-                        return;
-                    }
+            last = std::future::ready(waited.pop()), if lobby.leaving.get() => match last {
+                Some(last) => Ok(last),
+                None => {
+                    log!("the door is shut: no more clients here");
+                    return;
                 }
-            }
+            },
             () = sleep_until(clock::instant(relief_at)), if closing => {
                 relief_at = clock::now() + RELIEF;
                 for _ in 0..memory.closes(lobby.waiting()) {
@@ -265,7 +293,7 @@
                 }
                 continue;
             }
-            accepted = listener.accept(), if !lobby.leaving.get() => accepted,
+            accepted = next(&listener), if !lobby.leaving.get() => accepted,
         };
         match accepted {
             Ok((stream, peer)) => {
