--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -27,7 +27,7 @@
     Slow(f64),
     /// It is gone, and comes back empty and cold.
     Gone,
-    /// One object (the node list is not used) is this share of all requests.
+    /// One object is this share of all requests; no cache is named.
     Hot(f64),
     /// All copies at all caches are dropped.
     Emptied,
