Read answers, fields and the example's settings in one place each; look up cold starts once

Need: a re-read of the change found an answer parser beside soak's, a third copy of the field parser, three copies of the example's text, and Cold::of built for every cache and candidate of a decision. Change: fleet's clients use soak's answer; stand_ins::field; one OPERATOR in the lab; one Cold in choose(). No behaviour.

--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -34,8 +34,6 @@
     only: String,
 }
 
-/// The operator's example holds the settings, which have the platform's form.
-const OPERATOR: &str = include_str!("../../../../deploy/operator.toml");
 /// Mean load of the links, and the first seconds, in which the caches fill.
 const LOAD: f64 = 0.45;
 const WARM: f64 = 60.0;
@@ -186,7 +184,7 @@
 
 /// Plays every case with every seed and prints the table.
 pub fn run(options: &Options) -> Result<bool, Box<dyn Error>> {
-    let operator: serde_json::Value = toml::from_str(OPERATOR)?;
+    let operator: serde_json::Value = toml::from_str(crate::OPERATOR)?;
     let settings: Settings = onyxyoke::config::settings(operator["settings"].to_string().as_bytes())?;
     let seeds = options.seed..options.seed + options.seeds;
     println!(
--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -4,6 +4,7 @@
 use super::fronts::Front;
 use super::plan::Plan;
 use super::record::{Asked, Book, End};
+use crate::soak::clients::answer;
 use onyxyoke_stand_ins::fleet::{Tier, object, read_body, work};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Mutex;
@@ -228,9 +229,8 @@
     /// Reads answers until the connection ends.
     async fn read(self: Rc<Self>, front: usize, read: OwnedReadHalf, line: Rc<Line>) {
         let mut read = BufReader::new(read);
-        while let Ok(words) = answer(&mut read).await {
-            let tag = words.first().and_then(|t| std::str::from_utf8(t).ok()?.parse::<u64>().ok());
-            let word = words.get(1).map(Vec::as_slice).unwrap_or_default();
+        while let Ok([tag, word, _, body]) = answer(&mut read).await {
+            let tag = std::str::from_utf8(&tag).ok().and_then(|t| t.parse::<u64>().ok());
             let now = self.tier.unix();
             let mut seen = self.book.open();
             let Some((place, _)) = tag.and_then(|t| line.open.borrow_mut().remove(&t)) else {
@@ -241,10 +241,9 @@
                 continue;
             };
             let asked = &mut seen.asked[place];
-            let end = match word {
+            let end = match &word[..] {
                 b"ok" => {
-                    let body = words.get(3).map(Vec::as_slice).unwrap_or_default();
-                    match read_body(body) {
+                    match read_body(&body) {
                         Some((object, made)) if object == asked.object => {
                             asked.made = Some(made as f64 / 1000.0)
                         }
@@ -275,24 +274,3 @@
         }
     }
 }
-
-/// An array of bulk strings.
-async fn answer(read: &mut BufReader<OwnedReadHalf>) -> io::Result<Vec<Vec<u8>>> {
-    async fn number(read: &mut BufReader<OwnedReadHalf>, mark: char) -> io::Result<usize> {
-        let mut line = String::new();
-        if read.read_line(&mut line).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        let number = line.strip_prefix(mark).and_then(|n| n.trim_end().parse().ok());
-        number.filter(|n| *n <= 1 << 20).ok_or_else(|| io::ErrorKind::InvalidData.into())
-    }
-    let count = number(read, '*').await?;
-    let mut words = Vec::new();
-    for _ in 0..count {
-        let mut bytes = vec![0; number(read, '$').await? + 2];
-        read.read_exact(&mut bytes).await?;
-        bytes.truncate(bytes.len() - 2);
-        words.push(bytes);
-    }
-    Ok(words)
-}
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -20,8 +20,6 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// The operator's example holds the settings, which have the platform's form.
-const OPERATOR: &str = include_str!("../../../../deploy/operator.toml");
 /// Longest wait for a process to start, or to end (seconds).
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Longest that an operator waits (seconds).
@@ -31,7 +29,7 @@
 
 /// The settings of every front, before it is told who it is.
 pub fn settings(plan: &Plan) -> Result<Value, Box<dyn Error>> {
-    let operator: Value = toml::from_str(OPERATOR)?;
+    let operator: Value = toml::from_str(crate::OPERATOR)?;
     let mut settings = operator["settings"].clone();
     let here = |l: usize| (0..plan.fronts).filter(|f| plan.location(*f) == l).count();
     let counts = (0..plan.locations).map(here);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,9 @@
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
+/// The operator's example holds the settings, which have the platform's form.
+const OPERATOR: &str = include_str!("../../../deploy/operator.toml");
+
 /// Load and experiments on fronts of onyxyoke.
 #[derive(Parser)]
 #[command(version, about)]
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -435,7 +435,7 @@
 }
 
 /// Reads an answer: four words.
-async fn answer(read: &mut BufReader<OwnedReadHalf>) -> io::Result<[Vec<u8>; 4]> {
+pub async fn answer(read: &mut BufReader<OwnedReadHalf>) -> io::Result<[Vec<u8>; 4]> {
     let bad = || io::Error::from(io::ErrorKind::InvalidData);
     async fn number(read: &mut BufReader<OwnedReadHalf>, mark: u8) -> io::Result<usize> {
         let mut line = Vec::new();
--- a/crates/lab/src/soak/front.rs
+++ b/crates/lab/src/soak/front.rs
@@ -19,8 +19,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// The operator's example holds the settings, which have the platform's form.
-const OPERATOR: &str = include_str!("../../../../deploy/operator.toml");
 /// Longest wait for a line that is to come.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Lines of the log that are kept for a report.
@@ -69,7 +67,7 @@
         members: &[Member],
         coordinator: SocketAddr,
     ) -> Result<Front, Box<dyn Error>> {
-        let operator: Value = toml::from_str(OPERATOR)?;
+        let operator: Value = toml::from_str(crate::OPERATOR)?;
         let kinds = ["standard", "parent", "origin"];
         let member = |m: &Member| {
             json!({"id": format!("s-{:08x}", m.id), "host_port": m.address, "cell": 0, "phase": "active",
--- a/crates/stand-ins/src/caches.rs
+++ b/crates/stand-ins/src/caches.rs
@@ -149,7 +149,7 @@
         write: &Mutex<OwnedWriteHalf>,
         mut ended: watch::Receiver<()>,
     ) {
-        let field = |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
+        let field = |name: &str| crate::field(fields, name);
         let asset = field("asset").and_then(|a| u64::from_str_radix(a, 16).ok()).unwrap_or(0);
         let write_asked = field("sort") == Some("holds");
         let mood = self.mood.get();
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -433,7 +433,7 @@
     }
 
     fn asked(&self, id: &str, fields: &str) -> Asked {
-        let field = |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
+        let field = |name: &str| crate::field(fields, name);
         let object = field("asset").and_then(|a| u64::from_str_radix(a, 16).ok()).unwrap_or(0);
         let key = field("op").and_then(|k| u128::from_str_radix(k, 16).ok());
         Asked {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
+/// A field of a request on a cache node's wire, where the fields are `name=value,name=value`.
+pub fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+}
+
 /// Most bytes of an object.
 pub const LARGEST: usize = 240_000;
 
--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -49,7 +49,7 @@
 
 impl Served {
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
+        crate::field(&self.fields, name)
     }
     pub fn answer(&mut self, word: &str, fields: &str, body: &[u8]) {
         let mut out = format!("{} {word} {fields} {}\r\n", self.id, body.len()).into_bytes();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -495,7 +495,8 @@
             true => usable.len(),
             false => self.heat.homes(now, request.object, request.part, sending, self.edges.len()),
         };
-        let homes = Homes::new(request.object.0, count, usable.iter().map(|e| self.home(now, *e)));
+        let start = Cold::of(&self.settings, false);
+        let homes = Homes::new(request.object.0, count, usable.iter().map(|e| self.home(now, &start, *e)));
         let hashed = homes.pick(count, request.object.0 ^ u64::from(self.settings.me) << 48);
         let holders = self.holders(now, &request);
         let n = holders.len().min(COUNTS - 1);
@@ -520,7 +521,7 @@
             let believed = holders.contains(&node);
             let known = &self.nodes[&node];
             let access = known.lag + sending * self.stretch(known);
-            let cold = Cold::of(&self.settings, false).part(now, known.info.ready_at) < 1.0;
+            let cold = start.part(now, known.info.ready_at) < 1.0;
             let spread = Some(node) != hashed && !believed;
             let signs = [known.blamed.is_some(), cold, spread, never_kept, count > 1, believed];
             let why = Why::first(signs);
@@ -925,9 +926,9 @@
     }
 
     /// A cache as a home: a cold one has only a part of its link yet.
-    fn home(&self, now: f64, id: NodeId) -> Home {
+    fn home(&self, now: f64, start: &Cold, id: NodeId) -> Home {
         let k = &self.nodes[&id];
-        let part = Cold::of(&self.settings, false).part(now, k.info.ready_at);
+        let part = start.part(now, k.info.ready_at);
         Home { node: id, weight: k.size, load: k.own.by(now) / (k.size * part.max(0.01)) }
     }
 
