Close client connections in steps, and send nothing more for a client that has left

Change: stop taking, answer, flush, shut the write side, read to the end within 0.5 s (lingering close, one in eight of the places at most), close. EPOLLRDHUP is heeded before what came last, and a client that is not read from is looked at each 0.05 s. What is open for one that left is marked gone at once (Ask::gone, which the writer of an attempt asks last). After the closing window the process waits for its connections to end so. Signals are registered before the files are read. The files are named by name and the addresses that are really listened on (a port 0 names none).

tests/crossings.rs: nine crossings, each forced. The test of cordons over a replacement ran its second process at another address, which is no replacement: it now takes the first one's, and asserts that the new process took requests too.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,11 +13,11 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{channel, unbounded_channel};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep_until;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{sleep_until, timeout_at};
 
 /// Tells what is live, and gives what was freed back to the system: the accounts are held against both.
 #[global_allocator]
@@ -40,20 +40,37 @@
 fn main() -> ExitCode {
     #[cfg(feature = "planted")]
     onyxyoke::planted::start();
-    let config = match read() {
-        Ok(config) => config,
-        Err(message) => {
-            eprintln!("onyxyoke: {message}");
-            return ExitCode::from(2);
-        }
-    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(config))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("onyxyoke: {e}");
-            ExitCode::FAILURE
-        }
+    let ended = runtime.and_then(|runtime| {
+        LocalSet::new().block_on(&runtime, async {
+            // Before anything else: the default of each signal would end the process, also while it reads its files.
+            let signals = Signals::register()?;
+            match read() {
+                Ok(config) => run(config, signals).await.map(|()| ExitCode::SUCCESS),
+                Err(message) => {
+                    eprintln!("onyxyoke: {message}");
+                    Ok(ExitCode::from(2))
+                }
+            }
+        })
+    });
+    ended.unwrap_or_else(|e| {
+        eprintln!("onyxyoke: {e}");
+        ExitCode::FAILURE
+    })
+}
+
+/// What the system tells the process.
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+    usr1: Signal,
+}
+
+impl Signals {
+    fn register() -> std::io::Result<Self> {
+        let (terminate, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+        Ok(Signals { terminate, hangup, usr1: signal(SignalKind::user_defined1())? })
     }
 }
 
@@ -111,10 +128,8 @@
     }
 }
 
-async fn run(config: Config) -> std::io::Result<()> {
-    // All are registered before anything listens: the default of each would end the process.
-    let (mut terminate, mut usr1) = (signal(SignalKind::terminate())?, signal(SignalKind::user_defined1())?);
-    let mut hangup = signal(SignalKind::hangup())?;
+async fn run(config: Config, signals: Signals) -> std::io::Result<()> {
+    let Signals { mut terminate, mut hangup, mut usr1 } = signals;
     let told = config.told;
     let settings = Rc::new(Cell::new(told.digest()));
     let (news_in, news) = unbounded_channel();
@@ -137,9 +152,12 @@
     // Clients hold a third at most; what they have just closed may not be gone here yet.
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
+    let mut addresses = Vec::new();
     let door = Door::new();
+    let mut served = JoinSet::new();
     if let Some(listen) = config.listen {
         let listener = onyxyoke::net::listen(listen)?;
+        addresses.push(listener.local_addr()?);
         let front = clients::Front {
             asks: asks_in.clone(),
             classes: classes.clone(),
@@ -152,10 +170,11 @@
             figures: figures.clone(),
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
-        spawn_local(clients::accept(listener, Rc::new(front), door.clone()));
+        served.spawn_local(clients::accept(listener, Rc::new(front), door.clone()));
     }
     if let Some(signed) = config.signed {
         let listener = onyxyoke::net::listen(signed.listen)?;
+        addresses.push(listener.local_addr()?);
         let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
@@ -179,7 +198,7 @@
             wait,
         };
         log!("{} serves signed links on {}", config.name, listener.local_addr()?);
-        spawn_local(signed::accept(listener, Rc::new(front), door.clone()));
+        served.spawn_local(signed::accept(listener, Rc::new(front), door.clone()));
     }
     drop(asks_in);
     // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
@@ -187,7 +206,7 @@
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        let (mine, found) = Keeper::open(std::env::temp_dir(), &config.name);
+        let (mine, found) = Keeper::open(std::env::temp_dir(), &config.name, &addresses);
         let mine = Rc::new(mine);
         mine.live();
         (kept, keeper) = (found, Some(mine.clone()));
@@ -279,6 +298,11 @@
     let killed = told + longest.min(KILL.0) + KILL.1;
     let _ = close.send(Close::AnswerBy(killed - BEFORE.0));
     sleep_until(clock::instant(told + CLOSING)).await;
+    // Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that
+    // ended over open ones would reset those on which something comes just then, with the last answers.
+    door.shut();
+    let gone = async { while served.join_next().await.is_some() {} };
+    let _ = timeout_at(clock::instant(killed - BEFORE.1), gone).await;
     let _ = close.send(Close::WhenAnswered);
     core.await.map_err(std::io::Error::other)?;
     // The last answers are with their connections' tasks, which get the time to write them.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -28,7 +28,7 @@
 const WHOLE: f64 = 2.0;
 /// After what cannot be read, the last answers are written for so long, and what still comes is passed over
 /// up to so many bytes, so that the client gets them before the end (seconds, bytes).
-const PARTING: (f64, usize) = (0.2, 64 * 1024);
+const PARTING: (f64, usize) = (0.5, 64 * 1024);
 /// Credit for frames: so many a second, and so many at once.
 const CREDIT: (f64, f64) = (1000.0, 500.0);
 /// What a frame costs of it: one that is taken, refused at once, unusable.
@@ -48,6 +48,9 @@
 const PARTS: u64 = 1 << 24;
 /// Largest size of a part (KB).
 const KB_MOST: f64 = 1e9;
+/// A client that is not read from is looked at so often (seconds). What its departure leaves to be sent is not to be sent
+/// on 0.1 s later.
+const LOOK: f64 = 0.05;
 /// Digits of a call and of an object.
 const HEX: usize = 16;
 
@@ -88,16 +91,27 @@
     super::accept(listener, door, front.connections, front.memory.clone(), serve).await;
 }
 
+/// A request that was taken and is not answered.
+struct Taken {
+    /// When the answer is due.
+    due: f64,
+    class: ClassId,
+    /// Set once nobody waits for it: whoever would send for it sees that at once.
+    gone: Rc<Cell<bool>>,
+}
+
 /// One connection's requests and answers, without the socket.
 pub(super) struct Session {
     front: Rc<Front>,
     number: u64,
-    /// The tags of what is open, with when each answer is due and the class.
-    open: FxHashMap<u64, (f64, ClassId)>,
+    /// The tags of what is open.
+    open: FxHashMap<u64, Taken>,
     reply: UnboundedSender<(u64, Answer)>,
     pub(super) output: Output,
     /// It has said something whole that can be used.
     spoken: bool,
+    /// The client has closed its side: requests that are still read are nobody's.
+    left: bool,
     /// Credit for frames, and when it was topped up. Below zero, nothing is read.
     credit: (f64, f64),
 }
@@ -114,6 +128,7 @@
             reply,
             output: Output::new(unread),
             spoken: false,
+            left: false,
             credit: (CREDIT.1, 0.0),
         }
     }
@@ -145,7 +160,11 @@
                 say(tag, if self.front.ready.get() { "yes" } else { "no" });
                 None
             }
-            Command::Abort { tag } => self.open.remove(&tag).map(|_| Input::Abort(self.caller(tag))),
+            Command::Abort { tag } => self.open.remove(&tag).map(|taken| {
+                taken.gone.set(true);
+                Input::Abort(self.caller(tag))
+            }),
+            Command::Request { .. } if self.left => None,
             Command::Unusable { tag } => {
                 say(tag, "fault");
                 (cost, usable) = (unusable, false);
@@ -179,7 +198,8 @@
                         None
                     }
                     Some(Some(mut ask)) => {
-                        self.open.insert(tag, (ask.deadline, ask.class));
+                        let gone = ask.gone.clone();
+                        self.open.insert(tag, Taken { due: ask.deadline, class: ask.class, gone });
                         ask.reader = Some(self.output.reader());
                         Some(Input::Ask {
                             caller: self.caller(tag),
@@ -218,11 +238,18 @@
         Some(None)
     }
 
-    /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. The
-    /// tags stay open, so that the broker hears that nobody waits any more.
+    /// Nobody waits for what is open any more: nothing is sent for it from now on, and the broker is to hear of it.
+    pub(super) fn leave(&mut self) -> Vec<Input> {
+        let open = std::mem::take(&mut self.open);
+        open.values().for_each(|taken| taken.gone.set(true));
+        open.into_keys().map(|tag| Input::Abort(self.caller(tag))).collect()
+    }
+
+    /// Nothing more can be read: what is owed is failed, and so is the frame if its tag could be read. To be followed by
+    /// [`Session::leave`].
     pub(super) fn broken(&mut self, tag: Option<u64>) {
-        for (&tag, &(_, class)) in &self.open {
-            self.front.figures.count(class, Count::Failure);
+        for (&tag, taken) in &self.open {
+            self.front.figures.count(taken.class, Count::Failure);
             resp::answer(&mut self.output, tag, "fault", "", None);
         }
         if let Some(tag) = tag.filter(|tag| !self.open.contains_key(tag)) {
@@ -232,7 +259,7 @@
 
     pub(super) fn answer(&mut self, tag: u64, answer: Answer) {
         // After an abort none is owed, and one that crossed it is dropped.
-        let Some((due, _)) = self.open.remove(&tag) else { return };
+        let Some(Taken { due, .. }) = self.open.remove(&tag) else { return };
         match answer {
             Answer::Served(content) if content.current => {
                 resp::answer(&mut self.output, tag, "ok", "current=1", None);
@@ -260,41 +287,49 @@
     seat: Seat,
     session: Session,
     answers: UnboundedReceiver<(u64, Answer)>,
-    _own: Grant,
+    own: Grant,
 }
 
 impl Client {
     fn new(front: Rc<Front>, seat: Seat, own: Grant) -> Self {
         let (reply, answers) = unbounded_channel();
-        Client { seat, session: Session::new(front, reply), answers, _own: own }
+        Client { seat, session: Session::new(front, reply), answers, own }
     }
 
     async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let ended = match self.exchange(&stream).await {
+        let ended = self.exchange(&stream).await;
+        if let Err(Ended::Unreadable(broken)) = &ended {
+            self.session.broken(broken.tag);
+        }
+        // A connection that ends takes its requests with it, before anything is waited for: no answer is owed where none
+        // can be given, and none is sent for what was answered here.
+        self.depart().await;
+        match ended {
+            Ok(End::Rested) => {
+                self.part(&mut stream).await;
+                Ok(())
+            }
+            Ok(End::Left) => Ok(()),
             Err(Ended::Unreadable(broken)) => {
-                self.session.broken(broken.tag);
                 self.part(&mut stream).await;
                 Err(io::Error::new(io::ErrorKind::InvalidData, broken.why.0))
             }
-            Err(Ended::Io(e)) => Err(e),
-            Ok(()) => Ok(()),
-        };
-        // A connection that ends takes its requests with it: no answer is owed where none can be given.
-        let Session { front, open, number, .. } = self.session;
-        for tag in open.into_keys() {
-            let caller = Caller { connection: number, tag };
-            let _ = front.asks.send(Input::Abort(caller)).await;
+            Err(Ended::Io(e)) => match e.kind() {
+                io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => Ok(()),
+                _ => Err(e),
+            },
         }
-        match ended {
-            Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
-                Ok(())
-            }
-            other => other,
+    }
+
+    /// Nobody waits for what is open.
+    async fn depart(&mut self) {
+        for abort in self.session.leave() {
+            let _ = self.session.front.asks.send(abort).await;
         }
     }
 
-    async fn exchange(&mut self, stream: &TcpStream) -> Result<(), Ended> {
+    async fn exchange(&mut self, stream: &TcpStream) -> Result<End, Ended> {
         let memory = self.session.front.memory.clone();
         let mut input = Buffer::new(INPUT, memory.empty(Holder::of(Purpose::Bodies)));
         let made = clock::now();
@@ -344,11 +379,23 @@
                     self.session.answer(tag, answer);
                 }
                 ready = stream.ready(interest), if writable || !deaf => {
-                    if !ready?.is_readable() || full || deaf {
+                    let ready = ready?;
+                    // Its end is heeded before what it said last, and behind whatever of that is not read: nothing is
+                    // sent for it any more. What needs no cache is still answered, as to one that closed its side only.
+                    if ready.is_read_closed() {
+                        self.session.left = true;
+                        self.depart().await;
+                        if !full && !deaf && input.read_from(stream).is_ok_and(|n| n > 0) {
+                            self.read(&mut input).await?;
+                            self.session.output.write_to(stream)?;
+                        }
+                        return Ok(End::Left);
+                    }
+                    if !ready.is_readable() || full || deaf {
                         continue;
                     }
                     match input.read_from(stream) {
-                        Ok(0) => return Ok(()),
+                        Ok(0) => return Ok(End::Left),
                         Ok(_) => {
                             idle_at = clock::now() + IDLE;
                             self.seat.busy();
@@ -368,16 +415,30 @@
                     self.read(&mut input).await?;
                     whole_by = (!input.is_empty()).then_some(clock::now() + WHOLE);
                 }
-                () = self.seat.asked(), if quiet => {
-                    if !super::last_word(stream).await {
-                        return Ok(());
+                // One that is not read from is looked at, for whether it is still there.
+                () = sleep_until(clock::instant(now + LOOK)), if (full || deaf) && !self.session.open.is_empty() => {
+                    if closed(stream).await? {
+                        return Ok(End::Left);
+                    }
+                }
+                // Half a request is waited for, where there is no other in need of the place.
+                () = self.seat.asked(), if quiet && (input.is_empty() || !self.seat.leaving()) => {
+                    let half = !input.is_empty() && self.seat.leaving();
+                    if !half && !super::last_word(stream).await {
+                        return Ok(End::Rested);
                     }
                 }
                 () = sleep_until(clock::instant(until.unwrap_or(idle_at))), if until.is_some() => {
-                    return match whole_by.is_some_and(|by| clock::now() >= by) {
-                        true => Err(Broken { why: Unreadable("half a frame and no more"), tag: None }.into()),
-                        false => Ok(()),
-                    };
+                    let now = clock::now();
+                    if whole_by.is_some_and(|by| now >= by) {
+                        return Err(Broken { why: Unreadable("half a frame and no more"), tag: None }.into());
+                    }
+                    if writable && now >= stalled_by {
+                        return Ok(End::Left);
+                    }
+                    if !super::last_word(stream).await {
+                        return Ok(End::Rested);
+                    }
                 }
             }
         }
@@ -396,9 +457,14 @@
         Ok(any)
     }
 
-    /// Writes the last answers and ends the stream in order. Closing with bytes unread would reset it, and
-    /// the client might lose them.
+    /// A lingering close: writes the last answers, ends the stream, and passes over what still comes until the client
+    /// has ended it too. Closing with bytes unread would reset it, and the client might lose what it was sent last; a
+    /// request among them is not taken, and its client sends it again elsewhere.
     async fn part(&mut self, stream: &mut TcpStream) {
+        let lingers = self.seat.linger();
+        let most = if lingers.is_some() { PARTING.1 } else { 0 };
+        // Its place in memory is somebody else's from now on; what is still unsent keeps its own.
+        self.own.shrink(usize::MAX);
         let by = clock::instant(clock::now() + PARTING.0);
         let last = &mut self.session.output;
         let mut passed = 0;
@@ -409,7 +475,7 @@
             }
             stream.shutdown().await?;
             let mut rest = [0; 4096];
-            while passed < PARTING.1 {
+            while passed < most {
                 match stream.read(&mut rest).await? {
                     0 => break,
                     n => passed += n,
@@ -422,6 +488,23 @@
     }
 }
 
+/// How a connection ends in order.
+enum End {
+    /// It rested, and is closed by this side.
+    Rested,
+    /// The client has closed it, or takes nothing of what it is sent.
+    Left,
+}
+
+/// Has the other side closed, whatever of what it sent is still unread?
+async fn closed(stream: &TcpStream) -> io::Result<bool> {
+    tokio::select! {
+        biased;
+        ready = stream.ready(Interest::READABLE) => Ok(ready?.is_read_closed()),
+        () = std::future::ready(()) => Ok(false),
+    }
+}
+
 /// Why a connection is closed.
 enum Ended {
     /// What it said cannot be read.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -157,6 +157,20 @@
     waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
     /// All leave as soon as they wait for their client.
     leaving: Cell<bool>,
+    /// Those that close and wait for their client to do so too, and how many may at once.
+    lingering: Cell<usize>,
+    lingering_most: usize,
+    /// One has ended.
+    ended: Notify,
+}
+
+/// One of those that may linger.
+pub struct Linger(Rc<Lobby>);
+
+impl Drop for Linger {
+    fn drop(&mut self) {
+        self.0.lingering.set(self.0.lingering.get() - 1);
+    }
 }
 
 /// A client connection's place among the connections of its front.
@@ -194,6 +208,21 @@
         }
     }
 
+    /// Is it asked to leave because all are?
+    pub fn leaving(&self) -> bool {
+        self.lobby.leaving.get()
+    }
+
+    /// Leave to wait, once it has closed its side, for its client to close too; there is none where so many do that they
+    /// would take the place of others.
+    pub fn linger(&self) -> Option<Linger> {
+        let now = self.lobby.lingering.get();
+        (now < self.lobby.lingering_most).then(|| {
+            self.lobby.lingering.set(now + 1);
+            Linger(self.lobby.clone())
+        })
+    }
+
     /// Does it wait for its client?
     pub fn waits(&self) -> bool {
         self.key.get().is_some()
@@ -269,7 +298,11 @@
     waited.into_iter().rev().map(tell).collect()
 }
 
-/// Accepts until the program ends or the door is shut: a task for each connection, and at most so many of them.
+/// One in so many connections may linger beside those that are served.
+const LINGERING: usize = 8;
+
+/// Accepts until the program ends, or the door is shut and all that came through it are served and gone: a task for each
+/// connection, and at most so many of them, with a few that linger.
 /// Guards against connections that say nothing, which must not keep out those that would: the newest comer gets
 /// the place of the one that is most dispensable, and is turned away only where all have a request.
 pub async fn accept<F>(
@@ -281,7 +314,8 @@
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let (open, lobby) = (Rc::new(Cell::new(0usize)), Rc::new(Lobby::default()));
+    let lobby = Rc::new(Lobby { lingering_most: (most / LINGERING).max(1), ..Lobby::default() });
+    let open = Rc::new(Cell::new(0usize));
     let own = || memory.ask(Holder::of(Purpose::Clients), OWN + TEXT);
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
@@ -316,6 +350,9 @@
                 Some(last) => Ok(last),
                 None => {
                     log!("the door is shut: no more clients here");
+                    while open.get() > 0 {
+                        lobby.ended.notified().await;
+                    }
                     return;
                 }
             },
@@ -350,6 +387,7 @@
                 memory.clients(1);
                 let memory = memory.clone();
                 let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone()), granted));
+                let lobby = lobby.clone();
                 open.set(open.get() + 1);
                 tokio::task::spawn_local(async move {
                     match served.await {
@@ -365,6 +403,7 @@
                     }
                     open.set(open.get() - 1);
                     memory.clients(-1);
+                    lobby.ended.notify_one();
                 });
             }
             Err(e) => {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 use crate::membership::{Hand, Kept};
 use std::cell::RefCell;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// The file of the cordons, with its text as this process last wrote or read it, and the one in which the newest
@@ -16,13 +17,15 @@
 }
 
 impl Keeper {
-    /// The file of the front of this name in the folder; what it holds, if there is one.
-    pub fn open(folder: PathBuf, name: &str) -> (Self, Option<Kept>) {
-        let name: String =
+    /// The file of the front of this name that serves at these addresses, in the folder; what it holds, if there is one.
+    /// Two deployments may have fronts of one name and share the folder; none of them shares an address.
+    pub fn open(folder: PathBuf, name: &str, addresses: &[SocketAddr]) -> (Self, Option<Kept>) {
+        let plain: String =
             name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
-        let path = folder.join(format!("onyxyoke-{name}.cordons"));
-        let keeper =
-            Keeper { path, last: RefCell::default(), live: folder.join(format!("onyxyoke-{name}.live")) };
+        let digest = xxhash_rust::xxh3::xxh3_64(format!("{name} {addresses:?}").as_bytes());
+        let path = folder.join(format!("onyxyoke-{plain}-{digest:016x}.cordons"));
+        let live = path.with_extension("live");
+        let keeper = Keeper { path, last: RefCell::default(), live };
         let kept = keeper.look();
         (keeper, kept)
     }
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,304 @@
+//! Two events that cross, as a process against stand-ins: the stand-in holds one back until the other was seen.
+//! The rows of docs/design/crossings.md name these tests.
+
+mod stand_ins;
+use serde_json::json;
+use stand_ins::*;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+
+/// A request's frame.
+fn request(tag: u64, call: u64) -> Vec<u8> {
+    let fields = format!("call={call:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5");
+    let words = ["REQ", &tag.to_string(), "media", &fields, ""];
+    let words: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*5\r\n{words}").into_bytes()
+}
+
+/// What a stream brings until its end; the error is how else it ended.
+fn rest(stream: &mut TcpStream) -> Result<Vec<u8>, ErrorKind> {
+    let mut all = Vec::new();
+    stream.read_to_end(&mut all).map(|_| all).map_err(|e| e.kind())
+}
+
+/// The value of a counter in the line that the program prints when it ends.
+fn at_exit(node: &mut Node, name: &str) -> u64 {
+    let line = node.logged("at exit: counters");
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+    let mark = format!("{name}=");
+    line.split(' ').find_map(|w| w.strip_prefix(&mark)).unwrap().parse().unwrap()
+}
+
+fn nothing(served: &Receiver<Served>) {
+    if let Ok(s) = served.try_recv() {
+        panic!("{} {} reached the cache", s.verb, s.id);
+    }
+}
+
+/// A client that rests until the front ends it, and whose next request crosses that end: the front's side is closed when
+/// the request is written. It is not read on to a cache, and the connection ends in order, not by a reset.
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_goes_nowhere() {
+    let (mut node, served) = one_cache("crossing-rest");
+    let mut c = node.connect();
+    c.ask("1", 0xa1, "");
+    next(&served).hit(b"x");
+    assert_eq!(c.answer()[1], "ok");
+    node.signal("-TERM");
+    assert!(c.closed(), "it rests until the front ends it");
+    c.stream.write_all(&request(2, 0xa2)).unwrap();
+    c.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(rest(&mut c.stream), Ok(Vec::new()));
+    nothing(&served);
+    assert_eq!(at_exit(&mut node, "requests"), 1);
+}
+
+/// The other order: the request is written first, and SIGTERM finds it in the front's hands. Its answer is written whole
+/// before its connection ends, though more than a socket takes lies before it.
+#[test]
+fn a_request_taken_before_the_end_is_answered_before_it() {
+    let (mut node, served) = one_cache("crossing-taken");
+    let mut c = Client::new(narrow(node.address));
+    c.ask("1", 0xa1, "");
+    let mut asked = next(&served);
+    node.signal("-TERM");
+    node.logged("onyxyoke").clear();
+    let body = vec![b'y'; 240_000];
+    asked.hit(&body);
+    let answer = c.answer();
+    assert_eq!((&*answer[1], answer[3].len()), ("ok", body.len()));
+    assert!(c.closed());
+    assert_eq!(at_exit(&mut node, "served"), 1);
+}
+
+/// Half a request has come when the front is told to end, and the rest of it comes then: it is answered.
+#[test]
+fn a_request_in_two_halves_round_sigterm_is_answered() {
+    let (mut node, served) = one_cache("crossing-half");
+    let mut c = node.connect();
+    c.send(&["HEALTH", "8", ""]);
+    assert_eq!(c.answer()[..2], ["8", "yes"]);
+    let whole = request(1, 0xa1);
+    c.stream.write_all(&whole[..40]).unwrap();
+    node.signal("-TERM");
+    let mut other = node.connect();
+    eventually("the closing", || {
+        other.send(&["HEALTH", "1", ""]);
+        other.answer()[1] == "no"
+    });
+    // The other one rests, and is ended: by then the half one is all that is waited for.
+    assert!(other.closed());
+    c.stream.write_all(&whole[40..]).unwrap();
+    next(&served).hit(b"x");
+    assert_eq!(c.answer()[1], "ok");
+    assert!(c.closed());
+    assert_eq!(at_exit(&mut node, "served"), 1);
+}
+
+/// A client sends more than is read of it at once and goes: its end is seen behind the unread part, and what it asked for
+/// in it is not sent on.
+#[test]
+fn what_lies_unread_behind_a_flood_from_a_client_that_went_is_not_sent_on() {
+    let (mut node, served) = one_cache("crossing-flood");
+    let mut c = node.connect();
+    let health: Vec<u8> =
+        (0..900).flat_map(|_| b"*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n".to_vec()).collect();
+    c.stream.write_all(&[health, request(1, 0xa1)].concat()).unwrap();
+    c.stream.shutdown(Shutdown::Write).unwrap();
+    // It is ended well before a client that is held to its rate would have been read so far.
+    let _ = rest(&mut c.stream);
+    node.signal("-TERM");
+    assert_eq!(at_exit(&mut node, "written"), 0);
+    nothing(&served);
+}
+
+/// A client goes while its requests wait at a cache: each is cancelled there, once, and none goes to another cache when
+/// the first one fails it then.
+#[test]
+fn a_client_that_goes_gets_no_further_attempt() {
+    let ((one, at_one), (two, at_two)) = (cache_node(), cache_node());
+    let members =
+        vec![member(EDGE, "standard", one), member(OTHER, "standard", two), member(ORIGIN, "origin", two)];
+    let mut node = Node::start("crossing-gone", members, |_| ());
+    let mut c = node.connect();
+    c.ask("1", 0xa1, "");
+    let mut asked = loop {
+        if let Some(s) = [&at_one, &at_two].iter().find_map(|r| r.try_recv().ok()) {
+            break s;
+        }
+    };
+    drop(c);
+    // The cancel has come: only now the cache fails the request, which crosses nothing any more, and would have been a
+    // reason for a further attempt.
+    let cancel = loop {
+        if let Some(s) = [&at_one, &at_two].iter().find_map(|r| r.try_recv().ok()) {
+            break s;
+        }
+    };
+    assert_eq!((&*cancel.verb, &cancel.id), ("cancel", &asked.id));
+    asked.answer("FAULT", "n=TCP_MISS", b"");
+    node.signal("-TERM");
+    assert_eq!(at_exit(&mut node, "written"), 1);
+    nothing(&at_one);
+    nothing(&at_two);
+}
+
+/// SIGTERM before there is a cache to send to, twice, and between two SIGHUPs.
+#[test]
+fn sigterm_ends_the_program_whenever_it_comes() {
+    let mut node = Node::start("crossing-early", Vec::new(), |_| ());
+    let mut c = node.connect();
+    c.send(&["HEALTH", "8", ""]);
+    assert_eq!(c.answer()[..2], ["8", "no"], "not ready");
+    ["-HUP", "-TERM", "-HUP", "-TERM"].iter().for_each(|s| node.signal(s));
+    assert!(c.closed());
+    assert_eq!(at_exit(&mut node, "requests"), 0);
+}
+
+/// The watch falls silent without an end, and a drain begins: the front opens a new one, from the last event that it had,
+/// well before the drain counts as told (7 s); the silent one is left, so that what comes on it late is not heard.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_from_the_last_event() {
+    let (node, _served) = one_cache("crossing-silent");
+    let (last, mut silent) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 3);
+    let began = Instant::now();
+    let purge = |number: u64| {
+        let payload = [&17u16.to_be_bytes()[..], &1u64.to_be_bytes()].concat();
+        [&(9 + payload.len() as u32).to_be_bytes()[..], &number.to_be_bytes(), &[4], &payload].concat()
+    };
+    // Half a frame, and no more: that proves nothing.
+    silent.write_all(&purge(4)).unwrap();
+    silent.write_all(&purge(5)[..10]).unwrap();
+    let (last, mut second) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 4, "the half one was not had");
+    // The second says nothing at all; there is a third in time too.
+    let (last, mut third) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    assert_eq!(last, 4);
+    assert!(began.elapsed() < Duration::from_secs(7), "{:?}", began.elapsed());
+    let left = |stream: &mut TcpStream| stream.read(&mut [0]).map_or(true, |n| n == 0);
+    assert!(left(&mut silent) && left(&mut second), "both are left");
+    // Repeated, and older than what is held: heard once.
+    third.write_all(&[purge(4), purge(5), purge(4)].concat()).unwrap();
+    eventually("the second purge, once", || {
+        node.signal("-USR1");
+        node.logged("counters").contains("purges=2")
+    });
+}
+
+/// A drain that comes twice, the node's removal and its return at the same address cross on one connection to the
+/// coordinator: it is used before and after, and not between.
+#[test]
+fn a_node_that_drains_vanishes_and_returns_at_its_address_is_used_again() {
+    let ((cache, at_cache), (twin, at_twin)) = (cache_node(), cache_node());
+    let members = vec![
+        member(EDGE, "standard", cache),
+        member(OTHER, "standard", twin),
+        member(ORIGIN, "origin", twin),
+    ];
+    let node = Node::start("crossing-returns", members, |_| ());
+    let (_, mut feed) = node.feeds.recv_timeout(PATIENCE).unwrap();
+    let record = |id: u32, state: u8| {
+        let mut r = id.to_be_bytes().to_vec();
+        r.extend([127, 0, 0, 1]);
+        r.extend(cache.port().to_be_bytes());
+        r.extend([state, 1, 0, 0, 0]);
+        r.extend(8000u32.to_be_bytes());
+        r.extend(0u64.to_be_bytes());
+        r
+    };
+    let frame = |number: u64, records: &[u8]| {
+        [&(9 + records.len() as u32).to_be_bytes()[..], &number.to_be_bytes(), &[2], records].concat()
+    };
+    let mut c = node.connect();
+    let mut asked = 0;
+    // A request for an object of its own; was it the cache's, and not its twin's?
+    let mut ask = |c: &mut Client| {
+        asked += 1;
+        let fields = format!("call={asked:016x},ttl=3000,row={asked:016x},slice=0,set=17,heap=10.5");
+        c.send(&["REQ", &asked.to_string(), "media", &fields, ""]);
+        let (mut served, mine) = loop {
+            if let Ok(s) = at_cache.try_recv() {
+                break (s, true);
+            }
+            if let Ok(s) = at_twin.try_recv() {
+                break (s, false);
+            }
+        };
+        served.hit(b"x");
+        assert_eq!(c.answer()[1], "ok");
+        mine
+    };
+    let told = |what: &str| {
+        eventually(what, || {
+            node.signal("-USR1");
+            node.logged("counters").contains(what)
+        });
+    };
+    assert!((0..40).any(|_| ask(&mut c)), "it is used");
+    // Drains, told twice in one write; a list that is older than that is passed over.
+    let news = [frame(4, &record(EDGE, 1)), frame(5, &record(EDGE, 1)), frame(3, &record(EDGE, 0))].concat();
+    feed.write_all(&news).unwrap();
+    told("lists=3");
+    assert!(!(0..40).any(|_| ask(&mut c)), "not while it drains");
+    // Gone, and another at its address in the same event.
+    feed.write_all(&frame(6, &[record(EDGE, 2), record(EDGE + 100, 0)].concat())).unwrap();
+    told("lists=4");
+    assert!((0..40).any(|_| ask(&mut c)), "the one that came to its address is used");
+}
+
+/// Two deployments beside each other with fronts of one name and one `$TMPDIR`: what is cordoned in one is not in the
+/// other, and the younger one is not taken for the elder's successor, so that this keeps its clients when it is told to end.
+#[test]
+fn two_deployments_with_fronts_of_one_name_share_nothing_in_tmpdir() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-crossing-tmp-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, served) = cache_node();
+    let start = |name: &str| {
+        let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let node = Node::start_in(
+            name,
+            members,
+            |config| {
+                config["admin_addr"] = json!("127.0.0.1:0");
+                config["listen"] = json!(free);
+            },
+            Some(&tmp),
+        );
+        let line = node.logged("answers operators on");
+        let admin: std::net::SocketAddr = line.rsplit(' ').next().unwrap().parse().unwrap();
+        (node, admin)
+    };
+    let call = |admin: std::net::SocketAddr, line: &str| {
+        let mut stream = TcpStream::connect(admin).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+        String::from_utf8(rest(&mut stream).unwrap()).unwrap()
+    };
+    let (mut first, admin) = start("crossing-first");
+    let (second, other) = start("crossing-second");
+    assert!(call(admin, &format!("cordon s-{EDGE:08x}")).starts_with("ok "));
+    // The other looks at what is kept before it carries out a call, and says what it finds.
+    assert_eq!(call(other, &format!("uncordon s-{EDGE:08x}")), format!("ok s-{EDGE:08x} was not cordoned\n"));
+    assert_eq!(
+        call(admin, &format!("uncordon s-{EDGE:08x}")),
+        format!("ok s-{EDGE:08x} uncordoned; it starts cold\n")
+    );
+    // Told to end, with a process of the other deployment that started later: the door stays open in the closing window.
+    let mut before = first.connect();
+    first.signal("-TERM");
+    eventually("the closing", || {
+        before.send(&["HEALTH", "1", ""]);
+        before.answer()[1] == "no"
+    });
+    let mut late = first.connect();
+    late.ask("1", 0xb1, "");
+    next(&served).hit(b"late");
+    assert_eq!(late.answer()[1], "ok");
+    assert_eq!(at_exit(&mut first, "served"), 1);
+    drop(second);
+    std::fs::remove_dir_all(tmp).unwrap();
+}
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -12,11 +12,15 @@
     let (cache, served) = cache_node();
     let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
     let node = Node::start(name, members, |config| config["admin_addr"] = json!("127.0.0.1:0"));
-    let line = node.logged("answers operators on");
-    let admin = line.rsplit(' ').next().unwrap().parse().unwrap();
+    let admin = admin_of(&node);
     (node, served, admin)
 }
 
+/// Where a front answers operators, as it logs it.
+fn admin_of(node: &Node) -> SocketAddr {
+    node.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap()
+}
+
 /// One call: the whole reply, which ends with the connection.
 fn call(admin: SocketAddr, line: &str) -> String {
     let mut stream = TcpStream::connect(admin).unwrap();
@@ -122,7 +126,8 @@
     };
     let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
     let old = Node::start_in("operate-cordon-old", members(), admin_on, Some(&tmp));
-    let admin: SocketAddr = old.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    let (address, admin) = (old.address, admin_of(&old));
+    // Made while there is but the one process: it stays with it.
     let mut c = old.connect();
     let caches = [&at_edge, &at_other];
     // Both take requests at first.
@@ -136,24 +141,26 @@
     for tag in 41..=80 {
         assert_eq!(ask(&mut c, tag, &caches), 1, "request {tag} went to the cordoned node");
     }
-    // The process that replaces this one holds the cordon from its start.
-    let new = Node::start_in("operate-cordon-new", members(), admin_on, Some(&tmp));
-    let admin: SocketAddr = new.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
-    let mut c = new.connect();
-    for tag in 81..=120 {
-        assert_eq!(
-            ask(&mut c, tag, &caches),
-            1,
-            "request {tag} went to the cordoned node after the replacement"
-        );
+    // The process that replaces this one, at its address, holds the cordon from its start. A connection made now is with
+    // either; the new one's own figures tell that it took some.
+    let replaced = |config: &mut serde_json::Value| {
+        admin_on(config);
+        config["listen"] = json!(address);
+    };
+    let new = Node::start_in("operate-cordon-new", members(), replaced, Some(&tmp));
+    let admin = admin_of(&new);
+    let mut either: Vec<Client> = (0..40).map(|_| new.connect()).collect();
+    for (c, tag) in either.iter_mut().zip(81..) {
+        assert_eq!(ask(c, tag, &caches), 1, "request {tag} went to the cordoned node after the replacement");
     }
+    let taken = figure(&call(admin, "counters"), "front_success{tier=\"media\"}");
+    assert!((1..40).contains(&taken), "the new process took {taken}");
     // Put back at the new process, heard by the old one through the file.
     assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 uncordoned; it starts cold\n");
     assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 was not cordoned\n");
-    let back = (121..=400).find(|&tag| ask(&mut c, tag, &caches) == 0);
+    let back = (121..=400).find(|&tag| ask(&mut either[tag as usize % 40], tag, &caches) == 0);
     assert!(back.is_some(), "the node put back got nothing");
     let by = Instant::now() + Duration::from_secs(2);
-    let mut c = old.connect();
     let mut tag = 1000;
     while ask(&mut c, tag, &caches) != 0 {
         assert!(Instant::now() < by, "the old process does not hear of the call back");
@@ -175,7 +182,9 @@
     busy.ask("1", 1, "");
     let mut asked = next(&served);
     // A successor has noted itself; the old process is told to end.
-    std::fs::write(tmp.join("onyxyoke-n0.live"), "4294967295").unwrap();
+    let mut noted = std::fs::read_dir(&tmp).unwrap().map(|e| e.unwrap().path());
+    let live = noted.find(|p| p.extension().is_some_and(|e| e == "live")).unwrap();
+    std::fs::write(live, "4294967295").unwrap();
     old.signal("-TERM");
     old.logged("the door is shut");
     assert!(idle.closed(), "an idle connection is closed at once");
@@ -196,7 +205,7 @@
         config["admin_addr"] = json!("127.0.0.1:0");
         config["limits"]["sockets"] = json!(64);
     });
-    let admin: SocketAddr = node.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    let admin = admin_of(&node);
     // Two fifths of 64 descriptors are for clients: 25 places, and three times as many come.
     let mut crowd: Vec<TcpStream> = (0..75).map(|_| TcpStream::connect(node.address).unwrap()).collect();
     for (i, stream) in crowd.iter_mut().enumerate().filter(|(i, _)| i % 2 == 0) {
@@ -233,7 +242,7 @@
         },
         Some(&tmp),
     );
-    let admin: SocketAddr = new.logged("answers operators on").rsplit(' ').next().unwrap().parse().unwrap();
+    let admin = admin_of(&new);
     assert_eq!(call(admin, "health"), "ok yes\n");
     // One request: on the connection given, or, if the front closed that one as it came, once more on a new one. A
     // connection made for it may be neither refused nor reset.
