Hold the next attempt until the cancel of the last has surely been read by its node

Two connections are not ordered among each other: the node may read the new order before the cancel, and then has both. Ruled out: an attempt counted as ended before its cancel was written (the write is in the log before the order), a full socket (nothing left unsent), a SIGTERM or hand-over (none of that front within a second), a client's repeat (a new call). Lines: exchange.rs written() and broken(), which reported Cancelled or Reset as soon as the bytes were handed to the system.

Change: what is given up here, by a cancel or by closing its connection, is reported as Left, with the time after which its node has surely read that: what the connection took to come up (a round trip and more), 5 ms at least and 20 ms at most. The broker counts the attempt as out until then, where another may follow; else it ends at once.

Tests: the core's model knows nodes that hear later (fails without: 'the next attempt of (3, 1) before its node heard of the last'); the model of a connection; what_is_given_up_here_is_out_until_its_node_has_heard_of_it.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -272,6 +272,15 @@
     },
     /// It was answered, and there is no memory for the answer. That says nothing of the node.
     NoMemory(Ticket),
+    /// It was given up on the wire, and its node may not have read that yet: it is out for a little longer.
+    Left {
+        /// Which.
+        ticket: Ticket,
+        /// `Cancelled`, or `Reset` with its connection.
+        outcome: Outcome,
+        /// So long (seconds).
+        settles: f64,
+    },
 }
 
 /// What the core wants done outside.
@@ -300,6 +309,8 @@
     called_off: Rc<Cell<bool>>,
     /// Its end proves that it did not run.
     never_ran: bool,
+    /// It was given up on the wire: how it ends once that is surely known to its node.
+    left: Option<Outcome>,
 }
 
 impl Attempt {
@@ -720,10 +731,29 @@
                 self.ended(now, ticket, outcome, note, source_wait, content);
             }
             Report::NoMemory(ticket) => self.no_memory(now, ticket),
+            Report::Left { ticket, outcome, settles } => self.left(now, ticket, outcome, settles),
         }
         self.settle(now);
     }
 
+    /// An attempt was given up on the wire. Guards against two attempts out for one request: its node reads that on one
+    /// connection and the next attempt on another, or another node reads the next one, and nothing orders the two but
+    /// the time between them. Where there is no next attempt, nothing is waited for.
+    fn left(&mut self, now: f64, ticket: Ticket, outcome: Outcome, settles: f64) {
+        let classes = &self.director.settings().classes;
+        let closes = self.closes;
+        let again = self.open.get(&ticket.request).is_some_and(|o| {
+            let rules = classes.get(usize::from(o.ask.class.0));
+            let until = o.ask.deadline.min(closes).min(repeat_by(rules, &o.attempts));
+            !o.done && !o.ask.gone.get() && now + settles < until
+        });
+        if again && let Some(a) = self.attempt(ticket).filter(|a| a.out) {
+            a.left = Some(outcome);
+            return self.timers.set(now + settles, timers::Timer::Settled(ticket.request, ticket.attempt));
+        }
+        self.ended(now, ticket, outcome, Note::None, 0.0, None);
+    }
+
     /// An answer came that could not be held: the client hears at once, refused where its class lets a further try
     /// be harmless. Another node's answer would find no more room, so that none is asked, and this one is not blamed.
     fn no_memory(&mut self, now: f64, ticket: Ticket) {
@@ -798,6 +828,12 @@
             match timer {
                 timers::Timer::Alarm(token) => self.feed(now, Event::Alarm { token }),
                 timers::Timer::Deadline(id) => self.overdue(now, id),
+                timers::Timer::Settled(request, attempt) => {
+                    let ticket = Ticket { request, attempt };
+                    if let Some(outcome) = self.attempt(ticket).and_then(|a| a.left.take()) {
+                        self.ended(now, ticket, outcome, Note::None, 0.0, None);
+                    }
+                }
             }
         }
         self.settle(now);
@@ -894,6 +930,7 @@
             timed_out: false,
             called_off: called_off.clone(),
             never_ran: false,
+            left: None,
         });
         if !may {
             if left {
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -17,6 +17,8 @@
     Outcome::Reset,
     Outcome::Moot,
 ];
+/// How long a node may take to hear that an attempt was given up (seconds).
+const SETTLES: f64 = 0.01;
 /// Edges 0 to 3, a parent, the origin.
 const NODES: u64 = 6;
 
@@ -114,10 +116,12 @@
     states: Vec<NodeState>,
     /// Bytes that a cache node has just given, the only ones that may be served.
     given: Option<Vec<u8>>,
+    /// Attempts that were given up on the wire, and until when their nodes may not have heard of it.
+    unheard: BTreeMap<(u32, u16), f64>,
 }
 
 impl World {
-    /// Checks and books what the core wants done; connections confirm a cancel at once.
+    /// Checks and books what the core wants done; connections confirm a cancel at once, and nodes hear of it later.
     fn watch(&mut self, broker: &mut Broker) -> Result<(), TestCaseError> {
         loop {
             let effects: Vec<Effect> = broker.effects().collect();
@@ -129,6 +133,12 @@
                     Effect::Command(Command::Send(order)) => {
                         let key = (order.ticket.request.0, order.ticket.attempt);
                         prop_assert!(self.out.keys().all(|k| k.0 != key.0), "two attempts out for {:?}", key);
+                        let unheard = self.unheard.iter().any(|(k, until)| k.0 == key.0 && *until > self.now);
+                        prop_assert!(
+                            !unheard,
+                            "the next attempt of {:?} before its node heard of the last",
+                            key
+                        );
                         let ready = |id: NodeId| self.states[id.0 as usize] == NodeState::Ready;
                         prop_assert!(ready(order.node), "sent to a node that is not ready");
                         prop_assert!(order.source.is_none_or(ready), "filled from a node that is not ready");
@@ -147,6 +157,7 @@
                             broker,
                             key,
                             if self.out[&key].written { Outcome::Cancelled } else { Outcome::Moot },
+                            false,
                         );
                     }
                     Effect::Command(Command::Roster { .. }) => {}
@@ -168,7 +179,8 @@
         }
     }
 
-    fn end(&mut self, broker: &mut Broker, key: (u32, u16), outcome: Outcome) {
+    /// Ends an attempt; `ours`: since this side closed its connection.
+    fn end(&mut self, broker: &mut Broker, key: (u32, u16), outcome: Outcome, ours: bool) {
         let Some(out) = self.out.remove(&key) else { return };
         if out.order.class.as_ref() == "unsafe" && !outcome.never_ran() {
             self.ran.insert(out.order.ask.call.parse().unwrap());
@@ -178,6 +190,10 @@
         self.given = content.is_some().then_some(body);
         let note = if outcome == Outcome::Ok { Note::Hit } else { Note::None };
         let ticket = out.order.ticket;
+        if outcome == Outcome::Cancelled || ours {
+            self.unheard.insert(key, self.now + SETTLES);
+            return broker.report(self.now, Report::Left { ticket, outcome, settles: SETTLES });
+        }
         broker.report(self.now, Report::Ended { ticket, outcome, note, source_wait: 0.0, content });
     }
 }
@@ -221,7 +237,7 @@
             Step::End { which, how } => {
                 if let Some(key) = pick(which, w.out.keys().copied().collect()) {
                     let outcome = OUTCOMES[usize::from(how) % OUTCOMES.len()];
-                    w.end(&mut broker, key, outcome);
+                    w.end(&mut broker, key, outcome, outcome == Outcome::Reset && how > 127);
                 }
             }
             Step::Node { id, state } => {
@@ -259,9 +275,11 @@
         }
         prop_assert_eq!(broker.pending(), w.owed.len());
     }
-    w.now += 10.0;
-    broker.tick(w.now);
-    w.watch(&mut broker)?;
+    for _ in 0..2 {
+        w.now += 10.0;
+        broker.tick(w.now);
+        w.watch(&mut broker)?;
+    }
     prop_assert!(w.owed.is_empty() && w.out.is_empty());
     prop_assert!(broker.open.is_empty() && broker.calls.is_empty(), "something is kept of what is over");
     Ok(())
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -22,6 +22,9 @@
 const AHEAD_OF_TIME: f64 = 5.0;
 /// How much older than asked for a copy may seem by another clock (seconds).
 const CLOCKS: f64 = 0.05;
+/// What is given up on the wire has surely been read at the other end once as much time has passed as the connection took
+/// to come up, which is a round trip and more; not less than the first of these, nor more than the second (seconds).
+const SETTLES: (f64, f64) = (0.005, 0.02);
 /// A request that heard nothing on its connection for so long speaks against the connection (seconds).
 const SILENCE: f64 = 0.4;
 
@@ -52,6 +55,15 @@
     }
 }
 
+/// Who ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Side {
+    /// This side: the node has yet to hear of it.
+    Own,
+    /// The node, or what lies between.
+    Other,
+}
+
 /// How far the reading of answers has come.
 #[derive(Debug, PartialEq)]
 pub enum Progress {
@@ -88,6 +100,8 @@
     stuck: bool,
     /// Part of something is here that belongs to nobody, or of which that cannot be told yet.
     astray: bool,
+    /// What is given up has been read at the other end after this (seconds).
+    settles: f64,
 }
 
 impl Exchange {
@@ -109,9 +123,15 @@
             passing: false,
             stuck: false,
             astray: false,
+            settles: SETTLES.0,
         }
     }
 
+    /// The connection has come up, which took so long (seconds).
+    pub fn came_up(&mut self, took: f64) {
+        self.settles = took.clamp(SETTLES.0, SETTLES.1);
+    }
+
     /// Does an order wait for its write?
     pub fn waits(&self) -> bool {
         !self.waiting.is_empty()
@@ -210,7 +230,7 @@
     pub fn written(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) -> bool {
         let mut went = false;
         while let Some((_, gone)) = self.leaving.pop_front_if(|(end, _)| *end <= out.taken()) {
-            report(ended(gone.ticket, Outcome::Cancelled));
+            report(Report::Left { ticket: gone.ticket, outcome: Outcome::Cancelled, settles: self.settles });
             went = true;
         }
         self.stuck = false;
@@ -371,16 +391,21 @@
         std::mem::take(&mut self.waiting)
     }
 
-    /// The connection has ended after so many bytes were written. What was out may have run; what waited, and that of
-    /// which not a byte has left, was never sent and is handed back.
-    pub fn broken(&mut self, written: u64, mut report: impl FnMut(Report)) -> VecDeque<Order> {
-        // A connection's end gives up all that was out on it.
+    /// The connection has ended after so many bytes were written, by this side or by the other. What was out may have run;
+    /// what waited, and that of which not a byte has left, was never sent and is handed back.
+    pub fn broken(&mut self, by: Side, written: u64, mut report: impl FnMut(Report)) -> VecDeque<Order> {
+        let settles = self.settles;
+        // A connection's end gives up all that was out on it, as soon as both sides know.
+        let mut over = |ticket, outcome| match by {
+            Side::Other => report(ended(ticket, outcome)),
+            Side::Own => report(Report::Left { ticket, outcome, settles }),
+        };
         let gone = self.leaving.drain(..).map(|l| l.1).chain(self.cancels.drain(..).map(|c| c.1));
-        gone.for_each(|l| report(ended(l.ticket, Outcome::Cancelled)));
-        self.out.drain().for_each(|(_, s)| report(ended(s.ticket, Outcome::Reset)));
+        gone.for_each(|l| over(l.ticket, Outcome::Cancelled));
+        self.out.drain().for_each(|(_, s)| over(s.ticket, Outcome::Reset));
         match self.writing.take() {
             Some((order, from)) if written <= from => self.waiting.push_front(order),
-            Some((order, _)) => report(ended(order.ticket, Outcome::Reset)),
+            Some((order, _)) => over(order.ticket, Outcome::Reset),
             None => {}
         }
         self.hand_back()
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -2,7 +2,7 @@
 //! clock but the test's.
 
 use super::clients::{Front, Session};
-use super::exchange::{Exchange, Progress};
+use super::exchange::{Exchange, Progress, Side};
 use super::frames::{self, Frame};
 use super::{Buffer, coordinator, lines, resp};
 use crate::broker::{Answer, Ask, Input, News, Order, Report, Ticket};
@@ -225,7 +225,10 @@
             Step::Pass(tenths) => now += f64::from(tenths) / 10.0,
         }
         for r in reports {
-            if let Report::Ended { ticket, outcome, .. } = r {
+            // A cancel that is written is reported as that: its node may not have read it yet.
+            let cancels = matches!(r, Report::Left { .. });
+            if let Report::Ended { ticket, outcome, .. } | Report::Left { ticket, outcome, .. } = r {
+                prop_assert_eq!(cancels, outcome == Outcome::Cancelled);
                 let id = ticket.request.0;
                 prop_assert_eq!(expect.remove(&id), Some(outcome), "{:?} of {:?}", id, &model);
                 let was = std::mem::replace(&mut model.get_mut(&id).unwrap().1, State::Ended);
@@ -245,10 +248,18 @@
     let count = |state| model.values().filter(|m| m.1 == state).count();
     let leaving = model.values().filter(|m| matches!(m.1, State::Leaving(_))).count();
     let mut reset = 0;
-    let handed_back = x.broken(out.taken(), |r| match r {
-        Report::Ended { outcome: Outcome::Reset, .. } => reset += 1,
-        Report::Ended { outcome: Outcome::Cancelled, .. } => gone += 1,
-        other => panic!("{other:?}"),
+    // Where this side ends it, the node hears of that later; where the node does, it knows.
+    let by = if next.is_multiple_of(2) { Side::Own } else { Side::Other };
+    let handed_back = x.broken(by, out.taken(), |r| {
+        assert_eq!(matches!(r, Report::Left { .. }), by == Side::Own);
+        match r {
+            Report::Ended { outcome: Outcome::Reset, .. } | Report::Left { outcome: Outcome::Reset, .. } => {
+                reset += 1;
+            }
+            Report::Ended { outcome: Outcome::Cancelled, .. }
+            | Report::Left { outcome: Outcome::Cancelled, .. } => gone += 1,
+            other => panic!("{other:?}"),
+        }
     });
     prop_assert_eq!(reset, count(State::Out));
     prop_assert_eq!(gone, leaving);
@@ -287,7 +298,7 @@
     assert_eq!(ended, 0, "nor is it while a byte of that is left");
     out.consume(1);
     x.written(1002.0, &mut out, |r| {
-        ended += usize::from(matches!(r, Report::Ended { outcome: Outcome::Cancelled, .. }))
+        ended += usize::from(matches!(r, Report::Left { outcome: Outcome::Cancelled, .. }))
     });
     assert!(ended == 1 && x.leaving_since().is_none());
     assert!(x.worn() && !x.takes("other"));
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! pool; each connection is a task of its own that reports straight to the broker.
 
 use super::Buffer;
-use super::exchange::{Exchange, Progress, ended};
+use super::exchange::{Exchange, Progress, Side, ended};
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
 use crate::memory::{Grant, Holder, Ledger, Purpose};
@@ -329,7 +329,13 @@
         while let Ok(job) = self.queue.try_recv() {
             self.take(job);
         }
-        let unsent = self.state.borrow_mut().broken(output.taken(), |r| self.report(r));
+        let by = match &ended_by {
+            // Given up here, for what the node said or did not take.
+            Err(e) if matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::TimedOut) => Side::Own,
+            Err(_) => Side::Other,
+            Ok(()) => Side::Own,
+        };
+        let unsent = self.state.borrow_mut().broken(by, output.taken(), |r| self.report(r));
         if let Err(e) = ended_by {
             log!("cache node at {}: {e}", self.address);
         }
@@ -345,7 +351,8 @@
 
     /// Connects, by the site's deadline for that; orders that come meanwhile wait and can be taken back.
     async fn connect(&mut self) -> io::Result<TcpStream> {
-        let by = clock::instant(clock::now() + self.limits.connect_within);
+        let began = clock::now();
+        let by = clock::instant(began + self.limits.connect_within);
         let connecting = timeout_at(by, TcpStream::connect(self.address));
         tokio::pin!(connecting);
         loop {
@@ -355,6 +362,7 @@
                 made = &mut connecting => {
                     let stream = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                     stream.set_nodelay(true)?;
+                    self.state.borrow_mut().came_up(clock::now() - began);
                     return Ok(stream);
                 }
             }
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -66,9 +66,10 @@
         send.send(Command::Send(order(2, 32 << 20))).unwrap();
         assert!(matches!(reported.recv().await, Some(Report::Written(_))));
         send.send(cancel(1)).unwrap();
-        let Some(Report::Ended { ticket, outcome, .. }) = reported.recv().await else { panic!() };
+        let Some(Report::Left { ticket, outcome, settles }) = reported.recv().await else { panic!() };
         assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
-        // By then the node hears that the connection has ended.
+        assert!(settles > 0.0, "the node has yet to hear of it");
+        // The node hears that the connection has ended.
         let mut all = vec![0; 64 << 20];
         let ended = async {
             loop {
@@ -229,3 +230,34 @@
         assert_eq!(&got, b"serve 0000000000000002");
     });
 }
+
+/// An attempt that is cancelled, or whose connection is closed here for what another's answer was, is reported as given up
+/// and not yet known to its node; one whose connection the node resets has ended.
+#[test]
+fn what_is_given_up_here_is_out_until_its_node_has_heard_of_it() {
+    pooled(|send, mut reported| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        send.send(at(listener.local_addr().unwrap())).unwrap();
+        let write = async |request: u32, reported: &mut UnboundedReceiver<Report>| {
+            send.send(Command::Send(order(request, 0))).unwrap();
+            assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+        };
+        write(1, &mut reported).await;
+        let (mut first, _) = listener.accept().await.unwrap();
+        send.send(cancel(1)).unwrap();
+        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else { panic!("a cancel") };
+        assert!(outcome == Outcome::Cancelled && (0.005..=0.02).contains(&settles), "{settles}");
+        write(2, &mut reported).await;
+        tokio::io::AsyncWriteExt::write_all(&mut first, b"an answer of no use\r\n").await.unwrap();
+        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else {
+            panic!("closed here")
+        };
+        assert!(outcome == Outcome::Reset && settles > 0.0);
+        write(3, &mut reported).await;
+        let (second, _) = listener.accept().await.unwrap();
+        second.set_zero_linger().unwrap();
+        drop(second);
+        let Some(Report::Ended { outcome, .. }) = reported.recv().await else { panic!("reset by its node") };
+        assert_eq!(outcome, Outcome::Reset);
+    });
+}
