See a client's end behind what it sent ahead on signed links too, and linger before closing

Change: the end of the stream is heeded at once (EPOLLRDHUP) and, while nothing is read, looked at each 0.05 s; the request is marked gone before its abort is queued. The lingering close is one function for both fronts (net::linger).

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -11,10 +11,10 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::sleep_until;
 
 /// Open requests that one connection may have.
 const OPEN_MOST: usize = 32;
@@ -26,9 +26,6 @@
 const SPEAK: f64 = 2.0;
 /// A frame is to be whole this long after its first byte (seconds).
 const WHOLE: f64 = 2.0;
-/// After what cannot be read, the last answers are written for so long, and what still comes is passed over
-/// up to so many bytes, so that the client gets them before the end (seconds, bytes).
-const PARTING: (f64, usize) = (0.5, 64 * 1024);
 /// Credit for frames: so many a second, and so many at once.
 const CREDIT: (f64, f64) = (1000.0, 500.0);
 /// What a frame costs of it: one that is taken, refused at once, unusable.
@@ -48,9 +45,6 @@
 const PARTS: u64 = 1 << 24;
 /// Largest size of a part (KB).
 const KB_MOST: f64 = 1e9;
-/// A client that is not read from is looked at so often (seconds). What its departure leaves to be sent is not to be sent
-/// on 0.1 s later.
-const LOOK: f64 = 0.05;
 /// Digits of a call and of an object.
 const HEX: usize = 16;
 
@@ -416,8 +410,8 @@
                     whole_by = (!input.is_empty()).then_some(clock::now() + WHOLE);
                 }
                 // One that is not read from is looked at, for whether it is still there.
-                () = sleep_until(clock::instant(now + LOOK)), if (full || deaf) && !self.session.open.is_empty() => {
-                    if closed(stream).await? {
+                () = sleep_until(clock::instant(now + super::LOOK)), if (full || deaf) && !self.session.open.is_empty() => {
+                    if super::closed(stream).await? {
                         return Ok(End::Left);
                     }
                 }
@@ -457,34 +451,12 @@
         Ok(any)
     }
 
-    /// A lingering close: writes the last answers, ends the stream, and passes over what still comes until the client
-    /// has ended it too. Closing with bytes unread would reset it, and the client might lose what it was sent last; a
-    /// request among them is not taken, and its client sends it again elsewhere.
+    /// Writes the last answers and ends the stream in order. A request among what still comes is not taken, and its client
+    /// sends it again elsewhere.
     async fn part(&mut self, stream: &mut TcpStream) {
-        let lingers = self.seat.linger();
-        let most = if lingers.is_some() { PARTING.1 } else { 0 };
         // Its place in memory is somebody else's from now on; what is still unsent keeps its own.
         self.own.shrink(usize::MAX);
-        let by = clock::instant(clock::now() + PARTING.0);
-        let last = &mut self.session.output;
-        let mut passed = 0;
-        let parting = async {
-            while !last.is_empty() {
-                stream.writable().await?;
-                last.write_to(stream)?;
-            }
-            stream.shutdown().await?;
-            let mut rest = [0; 4096];
-            while passed < most {
-                match stream.read(&mut rest).await? {
-                    0 => break,
-                    n => passed += n,
-                }
-            }
-            io::Result::Ok(())
-        };
-        // Whether it got them or not, it is closed now.
-        let _ = timeout_at(by, parting).await;
+        super::linger(stream, &self.seat, &mut self.session.output).await;
     }
 }
 
@@ -496,15 +468,6 @@
     Left,
 }
 
-/// Has the other side closed, whatever of what it sent is still unread?
-async fn closed(stream: &TcpStream) -> io::Result<bool> {
-    tokio::select! {
-        biased;
-        ready = stream.ready(Interest::READABLE) => Ok(ready?.is_read_closed()),
-        () = std::future::ready(()) => Ok(false),
-    }
-}
-
 /// Why a connection is closed.
 enum Ended {
     /// What it said cannot be read.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout_at};
@@ -240,6 +241,48 @@
     }
 }
 
+/// A client that is not read from is looked at so often (seconds). What its departure leaves to be sent is not to be sent
+/// on 0.1 s later.
+pub const LOOK: f64 = 0.05;
+
+/// Has the other side closed, whatever of what it sent is still unread?
+pub async fn closed(stream: &TcpStream) -> io::Result<bool> {
+    tokio::select! {
+        biased;
+        ready = stream.ready(Interest::READABLE) => Ok(ready?.is_read_closed()),
+        () = std::future::ready(()) => Ok(false),
+    }
+}
+
+/// The last answers are written for so long, and so many bytes of what still comes are passed over (seconds, bytes).
+const LINGER: (f64, usize) = (0.5, 64 * 1024);
+
+/// A lingering close: writes the last answers, ends the stream, and passes over what still comes until the client has ended
+/// it too. Closing with bytes unread would reset it, and the client might lose what it was sent last.
+pub async fn linger(stream: &mut TcpStream, seat: &Seat, last: &mut Output) {
+    let lingers = seat.linger();
+    let most = if lingers.is_some() { LINGER.1 } else { 0 };
+    let by = clock::instant(clock::now() + LINGER.0);
+    let mut passed = 0;
+    let closing = async {
+        while !last.is_empty() {
+            stream.writable().await?;
+            last.write_to(stream)?;
+        }
+        stream.shutdown().await?;
+        let mut rest = [0; 4096];
+        while passed < most {
+            match stream.read(&mut rest).await? {
+                0 => break,
+                n => passed += n,
+            }
+        }
+        io::Result::Ok(())
+    };
+    // Whether it got them or not, it is closed now.
+    let _ = timeout_at(by, closing).await;
+}
+
 /// So long a connection that is asked to leave looks whether something has come meanwhile (seconds).
 const LAST_WORD: f64 = 0.002;
 
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -9,7 +9,7 @@
 use crate::broker::{Answer, Ask, Caller, Content, Contracts, Input};
 use crate::interface::*;
 use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
-use crate::net::{Buffer, INPUT, Output, Seat, last_word};
+use crate::net::{Buffer, INPUT, LOOK, Output, Seat, closed, last_word, linger};
 use crate::{clock, log};
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -229,9 +229,12 @@
         Connection { front, seat, number, tag: 0, reply, answers, input, output, _own: own }
     }
 
-    async fn serve(mut self, stream: TcpStream) -> io::Result<()> {
+    async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let ended = self.requests(&stream).await;
+        if ended.is_ok() {
+            linger(&mut stream, &self.seat, &mut self.output).await;
+        }
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
                 Ok(())
@@ -369,26 +372,33 @@
         self.tag += 1;
         let caller = Caller { connection: self.number, tag: self.tag };
         let ended = |_| io::Error::other("the broker has ended");
+        let gone = ask.gone.clone();
         let input = Input::Ask { caller, ask: ask.into(), reply: self.reply.clone() };
         self.front.asks.send(input).await.map_err(ended)?;
         loop {
-            tokio::select! {
+            let reads = self.input.len() < INPUT;
+            let left = tokio::select! {
                 biased;
                 Some((tag, answer)) = self.answers.recv() => {
                     if tag == self.tag {
                         return Ok(Some(answer));
                     }
+                    false
                 }
-                ready = stream.readable(), if self.input.len() < INPUT => {
-                    let left = match ready.and_then(|()| self.input.read_from(stream)) {
+                ready = stream.ready(Interest::READABLE), if reads => match ready {
+                    Ok(ready) if ready.is_read_closed() => true,
+                    ready => match ready.and_then(|_| self.input.read_from(stream)) {
                         Ok(n) => n == 0,
                         Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-                    };
-                    if left {
-                        self.front.asks.send(Input::Abort(caller)).await.map_err(ended)?;
-                        return Ok(None);
-                    }
-                }
+                    },
+                },
+                // Its end is seen behind what it has sent ahead.
+                () = sleep_until(clock::instant(clock::now() + LOOK)), if !reads => closed(stream).await?,
+            };
+            if left {
+                gone.set(true);
+                self.front.asks.send(Input::Abort(caller)).await.map_err(ended)?;
+                return Ok(None);
             }
         }
     }
--- a/tests/signed.rs
+++ b/tests/signed.rs
@@ -298,6 +298,18 @@
     drop(stream);
     let cancel = next(&served);
     assert_eq!((&*cancel.verb, &cancel.id), ("cancel", &asked.id));
+    // So does one that has sent more ahead than is read before its answer.
+    let mut stream = front.send(&get(&link));
+    let asked = next(&served);
+    std::io::Write::write_all(&mut stream, get(&link).repeat(100).as_bytes()).unwrap();
+    drop(stream);
+    let cancel = next(&served);
+    assert_eq!((&*cancel.verb, &cancel.id), ("cancel", &asked.id));
+    // Both since their clients were gone, not since their time was up.
+    let usr1 = ["-USR1", &front.child.id().to_string()].map(String::from);
+    assert!(std::process::Command::new("kill").args(usr1).status().unwrap().success());
+    let counters = front.log.iter().find(|l| l.contains("counters")).unwrap();
+    assert!(counters.contains(" aborted=2 "), "{counters}");
 }
 
 /// A cache node that breaks off may have run an order that must run once: it fails and is not sent again.
