--- /dev/null
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -0,0 +1,157 @@
+//! Tests of `verdict.rs`.
+
+use super::super::record::{Asked, NodeInfo, Told};
+use super::*;
+use onyxyoke_stand_ins::fleet::Came;
+
+/// Twenty seconds in which two caches of one location do half of the work each, for three fronts.
+fn calm() -> (Seen, Terms) {
+    let node = NodeInfo { location: 0, link: 4.0, cache: true };
+    let above = NodeInfo { cache: false, ..node };
+    let mut seen = Seen::new(vec![node, node, above]);
+    seen.began = 1000.0;
+    for i in 0..200 {
+        let at = 1000.0 + f64::from(i) * 0.1;
+        let (node, front) = (i as usize % 2, i as usize % 3);
+        let came = Came {
+            at,
+            node,
+            front,
+            object: 7,
+            work: 0.1,
+            key: None,
+            hit: true,
+            filled: false,
+            origin: false,
+        };
+        seen.attempts.push(Attempt { came, ended: Some(at + 0.1) });
+        let end = Some((at + 0.1, End::Served));
+        let (aim, deadline, made) = (0.5, 3.0, Some(at));
+        let (again, spoilt, excused, object) = (0, false, false, 7);
+        seen.asked.push(Asked { at, front, aim, deadline, object, end, made, again, spoilt, excused });
+    }
+    (0..2).for_each(|n| seen.done[n] = vec![0.1; 40]);
+    let terms = Terms {
+        from: 1000.0,
+        until: 1020.0,
+        cold: Cold { from: 0.2, time: 10.0, multiple: 2.0, window: 1.0 },
+        purge_slack: 1.0,
+        drain_grace: 0.5,
+        answer_slack: 0.01,
+        fronts: vec![3],
+        bounds: Bounds { served: Some(0.95), most: Some(1.2), least: Some(0.8), ..Bounds::default() },
+    };
+    (seen, terms)
+}
+
+fn judged(change: impl Fn(&mut Seen)) -> Verdict {
+    let (mut seen, terms) = calm();
+    change(&mut seen);
+    judge(&seen, &terms)
+}
+
+#[test]
+fn a_calm_record_holds() {
+    let v = judged(|_| ());
+    assert!(v.held(), "{v}");
+    assert!((v.figures.most - 1.0).abs() < 1e-9 && v.figures.served == 1.0 && v.figures.hits == 1.0);
+}
+
+#[test]
+fn each_planted_fault_is_found_by_its_name_and_no_other() {
+    type Plant = fn(&mut Seen);
+    let plants: [(&str, Plant); 12] = [
+        ("operators are answered within 1 s", |s| s.unheard = 1),
+        ("one final answer", |s| s.asked[5].again = 1),
+        ("one final answer", |s| s.asked[5].end = Some((1009.0, End::Served))),
+        ("one final answer", |s| s.asked[5].end = None),
+        ("one final answer", |s| s.asked[5].end = Some((1001.0, End::Lost))),
+        ("whole and unchanged", |s| s.asked[5].spoilt = true),
+        ("no copy from before a purge", |s| {
+            s.purged.push(1005.0);
+            s.asked[100].made = Some(1004.0);
+        }),
+        ("never two attempts out", |s| {
+            s.attempts[6].came.key = Some(1);
+            s.attempts[6].ended = Some(1003.0);
+            s.attempts[9].came.key = Some(1);
+        }),
+        ("nothing new to a draining node", |s| {
+            s.told.push(Told { at: 1005.0, node: 0, state: 1, front: None });
+            s.attempts.retain(|a| a.came.node != 0 || a.came.at < 1005.4 || a.came.at > 1019.7);
+        }),
+        ("nothing new to a draining node", |s| {
+            let came = s.attempts.iter().rfind(|a| a.came.node == 0).unwrap().came;
+            s.told.push(Told { at: came.at - 0.7, node: 0, state: 1, front: Some(came.front) });
+            s.told.push(Told { at: came.at - 0.1, node: 0, state: 0, front: Some(came.front + 1) });
+        }),
+        ("no cold node pushed over", |s| {
+            s.cold.push((0, 1002.0));
+            s.attempts[30].came.work = 4.0;
+        }),
+        // It bears 29 calls a second at 1004 s, and with chance 41: 50 come at once.
+        ("no cold node pushed over", |s| {
+            s.cold.push((0, 1002.0));
+            let came = Came { at: 1004.0, node: 0, ..s.attempts[0].came };
+            let more = (0..50).map(|_| Attempt { came, ended: Some(1004.1) });
+            s.attempts.splice(40..40, more);
+        }),
+    ];
+    for (rule, plant) in plants {
+        let v = judged(plant);
+        assert_eq!(v.rules.keys().collect::<Vec<_>>(), [rule], "{v}");
+    }
+}
+
+#[test]
+fn what_is_excused_or_in_time_breaks_nothing() {
+    let v = judged(|s| {
+        s.asked[5].end = Some((1001.0, End::Lost));
+        s.asked[5].excused = true;
+        s.purged.push(1005.0);
+        s.asked[50].made = Some(1004.9);
+        s.told.push(Told { at: 1005.0, node: 0, state: 1, front: None });
+        s.told.push(Told { at: 1005.3, node: 0, state: 0, front: None });
+        // Another front's list says so, and no attempt of that one comes.
+        let other = s.attempts.iter().map(|a| a.came.front).max().unwrap_or(0) + 1;
+        s.told.push(Told { at: 1006.0, node: 0, state: 1, front: Some(other) });
+        s.cold.push((1, 1002.0));
+    });
+    assert!(v.rules.is_empty(), "{v}");
+}
+
+#[test]
+fn uneven_work_idle_nodes_and_herds_are_counted() {
+    let v = judged(|s| s.done[0] = vec![0.3; 40]);
+    assert_eq!(v.bounds.len(), 2, "{v}");
+    assert!((v.figures.most - 1.5).abs() < 1e-9 && (v.figures.least - 0.5).abs() < 1e-9, "{v}");
+    let v = judged(|s| s.attempts.retain(|a| a.came.node != 1 || !(1004.0..1009.0).contains(&a.came.at)));
+    assert!((4.8..5.3).contains(&v.figures.idle_s), "{v}");
+    let v = judged(|s| {
+        s.events.push(1010.0);
+        for front in 0..30 {
+            let came = Came { at: 1010.31 + front as f64 * 0.002, front, ..s.attempts[0].came };
+            s.attempts.push(Attempt { came, ended: Some(1010.5) });
+        }
+    });
+    assert_eq!((v.figures.herd, v.figures.herd_by_chance), (30, 1.0), "{v}");
+}
+
+#[test]
+fn a_node_that_is_well_again_is_judged_beside_the_others() {
+    let v = judged(|s| s.cold.push((0, 1002.0)));
+    // Five calls a second, where it bears 16 at its start and more from then on.
+    assert!((-3.8..-3.3).contains(&v.figures.cold_excess.unwrap()), "{v}");
+    let v = judged(|s| {
+        s.troubled.push((0, 1001.0, 1003.0));
+        s.done[0] = (0..40).map(|w| if (2..22).contains(&w) { 0.02 } else { 0.08 }).collect();
+    });
+    let (least, most) = (v.figures.back_least.unwrap(), v.figures.back_most.unwrap());
+    assert!((0.75..0.85).contains(&least) && most < 0.3, "{v}");
+}
+
+#[test]
+fn late_stand_ins_give_no_verdict() {
+    let v = judged(|s| (0..100).for_each(|_| s.late.saturating_record(2 * RIG_LATE)));
+    assert!(v.none && !v.held());
+}
--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -70,10 +70,48 @@
     }
 }
 
+/// An address at which no connection comes up, and none is refused: as many wait there as may, and whoever else comes is
+/// passed over, until it hears.
+pub struct Deaf {
+    listener: TcpListener,
+    waiting: Vec<TcpStream>,
+}
+
+impl Deaf {
+    /// Deaf from now on.
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Deaf {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().unwrap();
+        let come = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+        let waiting: Vec<_> = (0..3).map_while(|_| come()).collect();
+        assert!((1..3).contains(&waiting.len()), "the system lets {} wait", waiting.len());
+        Deaf { listener, waiting }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Connections come up from now on; the first to be taken are those that only waited, and have ended.
+    pub fn hears(self) -> TcpListener {
+        drop(self.waiting);
+        self.listener
+    }
+}
+
 /// A cache node: hands each command that it gets to the test.
 pub fn cache_node() -> (SocketAddr, Receiver<Served>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
+    (listener.local_addr().unwrap(), cache_node_at(listener))
+}
+
+/// A cache node that takes connections here.
+pub fn cache_node_at(listener: TcpListener) -> Receiver<Served> {
     let (sender, receiver) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -81,7 +119,7 @@
             thread::spawn(move || commands(stream, &sender));
         }
     });
-    (address, receiver)
+    receiver
 }
 
 fn commands(stream: TcpStream, sender: &Sender<Served>) {
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -261,3 +261,44 @@
         assert_eq!(outcome, Outcome::Reset);
     });
 }
+
+/// An order and the end of the resting connection that it is to go on: where the order is written first, it may have run
+/// and ends as reset; where the end was seen first, it goes on a new connection.
+#[test]
+fn an_order_and_the_end_of_its_resting_connection_cross_in_either_order() {
+    pooled(|send, mut reported| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        send.send(at(listener.local_addr().unwrap())).unwrap();
+        let rested = async |request: u32, reported: &mut UnboundedReceiver<Report>| {
+            send.send(Command::Send(order(request, 0))).unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+            // All of the order is read, so that an end is no reset.
+            let mut line = Vec::new();
+            while !line.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                tokio::io::AsyncReadExt::read_exact(&mut stream, &mut byte).await.unwrap();
+                line.extend(byte);
+            }
+            let answer = format!("{request:016x} NONE - 0\r\n\r\n");
+            tokio::io::AsyncWriteExt::write_all(&mut stream, answer.as_bytes()).await.unwrap();
+            let Some(Report::Ended { outcome: Outcome::Miss, .. }) = reported.recv().await else { panic!() };
+            stream
+        };
+        // Both lie there at the connection's next turn, and what it is told comes before what it reads.
+        let stream = rested(1, &mut reported).await;
+        drop(stream);
+        send.send(Command::Send(order(2, 0))).unwrap();
+        assert!(matches!(reported.recv().await, Some(Report::Written(_))), "it was written first");
+        let Some(Report::Ended { outcome, .. }) = reported.recv().await else { panic!("the node ended it") };
+        assert_eq!(outcome, Outcome::Reset, "it may have run");
+        // Its side is closed, and that was seen: this side is closed too.
+        let mut stream = rested(3, &mut reported).await;
+        tokio::io::AsyncWriteExt::shutdown(&mut stream).await.unwrap();
+        assert_eq!(tokio::io::AsyncReadExt::read(&mut stream, &mut [0]).await.unwrap(), 0);
+        send.send(Command::Send(order(4, 0))).unwrap();
+        listener.accept().await.expect("a new connection");
+        assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+        assert!(reported.try_recv().is_err(), "nothing was on the one that ended");
+    });
+}
