Refuse settings that are out of range, stand twice or are unknown, by file and key

Seen by reading src/config.rs: of two equal keys in the platform's JSON the last counted; negative times, shares over 1 and a deadline of 0 were taken; two classes of one name were one; a misspelt key of the operator's own tables was passed over ('rereed_s', noted in the issue on the command line); no message named the file.

Change: src/config is a folder; strict.rs reads JSON in which each key stands once; amounts, shares and names have their checks; the operator's file may hold the platform's keys and its own, and nothing else. The platform's unknown keys are still passed over.

--- a/crates/rollout/src/file.rs
+++ b/crates/rollout/src/file.rs
@@ -40,7 +40,7 @@
     for (i, [old, new]) in settings.iter().enumerate() {
         // What the old build took, it takes again; what the new one will say to the new is seen when it starts.
         let told = |key: &str, text: &[u8]| {
-            let read = config::read(Some(text), None);
+            let read = config::read(Some(("its file", text)), None);
             read.map(|c| c.told).map_err(|e| anyhow::anyhow!("'fronts.{i}.{key}': {e}"))
         };
         let (before, after) = (told("settings", old)?, told("new_settings", new)?);
--- a/crates/rollout/tests/command.rs
+++ b/crates/rollout/tests/command.rs
@@ -67,7 +67,8 @@
                 {"revision": 1, "complete": true, "members": []}}]}});
         let path = folder.join(format!("n{i}.json"));
         std::fs::write(&path, config.to_string()).unwrap();
-        let told = onyxyoke::config::read(Some(config.to_string().as_bytes()), None).unwrap().told;
+        let told =
+            onyxyoke::config::read(Some(("config", config.to_string().as_bytes())), None).unwrap().told;
         let build = onyxyoke::net::admin::build(program.as_ref()).unwrap();
         let operators = answers(build, told.digest());
         fronts.push(json!({"name": format!("n{i}"), "location": "branch0", "operators": operators,
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,8 @@
-//! The one place where configuration is read, checked and given defaults. Keys that are not known are
-//! skipped; a missing or wrong one is an error that names it.
+//! The one place where configuration is read, checked and given defaults. A key that is missing, wrong or stands twice is
+//! an error that names its file, the key, and what would be right. The platform may have keys that are not known here,
+//! which are passed over; in what only the operator writes they are errors too.
+
+mod strict;
 
 use crate::broker::{Contracts, Member, News, Team};
 use crate::interface::*;
@@ -14,12 +17,21 @@
 /// Share of each account that one of several teams may hold.
 const TEAM_SHARE: f64 = 0.5;
 
+/// Where the keys come from: the platform's file, and the operator's, whose keys count where both have one.
+struct Sources<'a> {
+    platform: &'a str,
+    operator: &'a str,
+    own: Map<String, Value>,
+}
+
 /// A JSON value with the path that led to it, for messages.
 struct At<'a> {
     value: &'a Value,
-    /// What is read, for messages.
-    what: &'static str,
+    /// What is read, for messages: a file.
+    what: &'a str,
     path: String,
+    /// Of the whole: whose each key is.
+    sources: Option<&'a Sources<'a>>,
 }
 
 impl<'a> At<'a> {
@@ -37,13 +49,27 @@
     }
     fn opt(&self, key: &str) -> Option<At<'a>> {
         let value = self.value.get(key)?;
-        Some(At { value, what: self.what, path: format!("{}{key}.", self.path) })
+        let what = match self.sources {
+            Some(s) if s.own.contains_key(key) => s.operator,
+            Some(s) => s.platform,
+            None => self.what,
+        };
+        Some(At { value, what, path: format!("{}{key}.", self.path), sources: None })
+    }
+    /// Only these keys are known here.
+    fn only(&self, known: &[&str]) -> Result<(), String> {
+        for (key, at) in self.entries()? {
+            if !known.contains(&key) {
+                return Err(at.wrong(&format!("known: there are {}", known.join(", "))));
+            }
+        }
+        Ok(())
     }
     fn entries(&self) -> Result<impl Iterator<Item = (&'a str, At<'a>)>, String> {
         let table = self.value.as_object().ok_or_else(|| self.wrong("a table"))?;
         let (what, path) = (self.what, self.path.clone());
         let at = move |(key, value): (&'a String, &'a Value)| {
-            (key.as_str(), At { value, what, path: format!("{path}{key}.") })
+            (key.as_str(), At { value, what, path: format!("{path}{key}."), sources: None })
         };
         Ok(table.iter().map(at))
     }
@@ -53,6 +79,22 @@
     fn number(&self) -> Result<f64, String> {
         self.value.as_f64().filter(|v| v.is_finite()).ok_or_else(|| self.wrong("a number"))
     }
+    /// A time, a size or a worth.
+    fn amount(&self) -> Result<f64, String> {
+        self.number().ok().filter(|&n| n >= 0.0).ok_or_else(|| self.wrong("a number of 0 or more"))
+    }
+    fn share(&self) -> Result<f64, String> {
+        let share = self.number().ok().filter(|n| (0.0..=1.0).contains(n));
+        share.ok_or_else(|| self.wrong("a number from 0 to 1"))
+    }
+    /// Names, each of which stands once.
+    fn names(&self, name: impl Fn(&At<'a>) -> Result<&'a str, String>) -> Result<Vec<String>, String> {
+        let names = self.list(|at| name(at).map(str::to_owned))?;
+        match (1..names.len()).find(|&i| names[..i].contains(&names[i])) {
+            Some(i) => Err(self.wrong(&format!("a list without twins: '{}' stands twice in it", names[i]))),
+            None => Ok(names),
+        }
+    }
     fn count(&self) -> Result<u16, String> {
         let v = self.value.as_u64().and_then(|v| u16::try_from(v).ok());
         v.ok_or_else(|| self.wrong("a small whole number"))
@@ -65,28 +107,31 @@
     }
     fn list<T>(&self, each: impl Fn(&At<'a>) -> Result<T, String>) -> Result<Vec<T>, String> {
         let values = self.value.as_array().ok_or_else(|| self.wrong("a list"))?;
-        let at = |(i, value)| each(&At { value, what: self.what, path: format!("{}{i}.", self.path) });
+        let at = |(i, value)| {
+            each(&At { value, what: self.what, path: format!("{}{i}.", self.path), sources: None })
+        };
         values.iter().enumerate().map(at).collect()
     }
     fn one_of<T: Copy>(&self, words: &[(&str, T)]) -> Result<T, String> {
         let text = self.text()?;
         let found = words.iter().find(|(word, _)| *word == text);
-        found.map(|&(_, v)| v).ok_or_else(|| self.wrong("a word that is known here"))
+        let known = || words.iter().map(|w| w.0).collect::<Vec<_>>().join(", ");
+        found.map(|&(_, v)| v).ok_or_else(|| self.wrong(&format!("one of {}", known())))
     }
 }
 
 /// Translates the settings' text that an instance is started with.
 pub fn settings(text: &[u8]) -> Result<Settings, String> {
-    let value: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
-    read_settings(&value)
+    let value = strict::json(text).map_err(|e| format!("settings are not JSON: {e}"))?;
+    read_settings(&At { value: &value, what: "settings", path: String::new(), sources: None })
 }
 
-fn read_settings(value: &Value) -> Result<Settings, String> {
-    let top = At { value, what: "settings", path: String::new() };
+fn read_settings(top: &At) -> Result<Settings, String> {
     let caps = top.get("caps")?;
     let rules = top.get("invariants")?;
     let site = top.get("specifics")?;
-    let number = |at: &At, key| at.get(key)?.number();
+    let amount = |at: &At, key| at.get(key)?.amount();
+    let share = |at: &At, key| at.get(key)?.share();
     let parent_kind = &site.get("parent-kind")?;
     let parent_kind = match parent_kind.number()? {
         -1.0 => None,
@@ -98,9 +143,9 @@
         own_zone: ZoneId(top.get("az")?.count()?),
         directors_by_zone: site.get("count-by-zone")?.list(At::count)?,
         hub_of_zone: site.get("zone-hub")?.list(|v| v.count().map(ZoneId))?,
-        zone_link: site.get("pipe-kb-per-s")?.list(At::number)?,
-        flow: number(&site, "one-flow-kb-per-s")?,
-        classes: classes(&top, &site)?,
+        zone_link: site.get("pipe-kb-per-s")?.list(At::amount)?,
+        flow: amount(&site, "one-flow-kb-per-s")?,
+        classes: classes(top, &site)?,
         parent_kind,
         origin_kind: site.get("source-kind")?.count()?,
         sources: site.get("sideways")?.one_of(&[
@@ -120,63 +165,65 @@
         probes: caps.get("probes")?.flag()?,
         messages: caps.get("may-tell")?.flag()?,
         most_tries: caps.get("most-tries")?.count()?,
-        max_wait: number(&caps, "max-retry-after")?,
+        max_wait: amount(&caps, "max-retry-after")?,
         weights_told: top.get("weights")?.text()? != "silent",
         list_on_request: top.get("membership-mode")?.one_of(&[("subscribe", true), ("automatic", false)])?,
-        ask_every: number(&rules, "ask-every")?,
-        cold_from: number(&rules, "cold-from")?,
-        cold_for: number(&rules, "cold")?,
-        fall_multiple: number(&rules, "overload-factor")?,
-        fall_window: number(&rules, "fall")?,
-        parent_cold_from: number(&site, "parent-floor")?,
-        parent_cold_for: number(&site, "parent-ramp")?,
-        parent_fall_multiple: number(&site, "upper-fall-multiple")?,
-        origin_fall_multiple: number(&site, "root-fall-multiple")?,
-        origin_fall_window: number(&site, "origin-over-for")?,
-        purge_settles: number(&site, "purge-settles")?,
-        purge_slack: number(&site, "purge-slack")?,
-        answer_slack: number(&rules, "grace-to-answer")?,
+        ask_every: amount(&rules, "ask-every")?,
+        cold_from: share(&rules, "cold-from")?,
+        cold_for: amount(&rules, "cold")?,
+        fall_multiple: amount(&rules, "overload-factor")?,
+        fall_window: amount(&rules, "fall")?,
+        parent_cold_from: share(&site, "parent-floor")?,
+        parent_cold_for: amount(&site, "parent-ramp")?,
+        parent_fall_multiple: amount(&site, "upper-fall-multiple")?,
+        origin_fall_multiple: amount(&site, "root-fall-multiple")?,
+        origin_fall_window: amount(&site, "origin-over-for")?,
+        purge_settles: amount(&site, "purge-settles")?,
+        purge_slack: amount(&site, "purge-slack")?,
+        answer_slack: amount(&rules, "grace-to-answer")?,
         report_fields: top.get("report")?.get("fields")?.list(|v| v.text().map(str::to_owned))?,
     };
     let zones = settings.hub_of_zone.len();
     if usize::from(settings.own_zone.0) >= zones {
-        return Err("settings: 'az' is out of range".into());
+        return Err(top.get("az")?.wrong("the place of one of the zones"));
     }
     if settings.hub_of_zone.iter().any(|z| usize::from(z.0) >= zones) {
-        return Err("settings: 'specifics.zone-hub' is out of range".into());
+        return Err(site.get("zone-hub")?.wrong("a list of places of zones"));
     }
     Ok(settings)
 }
 
 fn classes(top: &At, site: &At) -> Result<Vec<Class>, String> {
-    let fresh = site.get("good-for")?.list(At::number)?;
-    let grace = site.get("usable-after")?.list(At::number)?;
-    let stale_worth = site.get("old-copy-worth")?.list(At::number)?;
+    let fresh = site.get("good-for")?.list(At::amount)?;
+    let grace = site.get("usable-after")?.list(At::amount)?;
+    let stale_worth = site.get("old-copy-worth")?.list(At::amount)?;
     let multi_part = site.get("multi-part")?.list(At::flag)?;
     let never_kept = site.get("never-kept")?.list(At::flag)?;
     let mut classes = top.get("profiles")?.list(|c| {
         Ok(Class {
-            aim: c.get("aim")?.number()?,
-            aim_stretch: c.opt("aim-stretch").map_or(Ok(0.0), |v| v.number())?,
-            deadline: c.get("deadline")?.number()?,
-            late_worth: c.get("late-worth")?.number()?,
-            worth: c.get("worth")?.number()?,
-            effect: match c.get("semantics")?.text()? {
-                "idempotent" => Effect::Safe,
-                "at_most_once" => Effect::Unsafe,
-                "deduplicated" => Effect::Keyed(c.get("group")?.one_of(&[
+            aim: c.get("aim")?.amount()?,
+            aim_stretch: c.opt("aim-stretch").map_or(Ok(0.0), |v| v.amount())?,
+            deadline: c.get("deadline")?.above_zero()?,
+            late_worth: c.get("late-worth")?.amount()?,
+            worth: c.get("worth")?.amount()?,
+            effect: match c.get("semantics")?.one_of(&[
+                ("idempotent", Effect::Safe),
+                ("at_most_once", Effect::Unsafe),
+                ("deduplicated", Effect::Keyed(Scope::All)),
+            ])? {
+                Effect::Keyed(_) => Effect::Keyed(c.get("group")?.one_of(&[
                     ("all", Scope::All),
                     ("zone", Scope::Zone),
                     ("cell", Scope::Cell),
                 ])?),
-                other => return Err(format!("settings: semantics '{other}' are unknown")),
+                other => other,
             },
-            key_ttl: c.opt("key-ttl").map_or(Ok(0.0), |v| v.number())?,
+            key_ttl: c.opt("key-ttl").map_or(Ok(0.0), |v| v.amount())?,
             streaming: c.get("streaming")?.flag()?,
             ..Class::default()
         })
     })?;
-    let short = || String::from("settings: 'specifics' tells of fewer classes than 'profiles'");
+    let short = || site.wrong("a table that tells of as many classes as 'profiles'");
     for (i, class) in classes.iter_mut().enumerate() {
         class.fresh = *fresh.get(i).ok_or_else(short)?;
         class.grace = *grace.get(i).ok_or_else(short)?;
@@ -370,22 +417,48 @@
     Ok(())
 }
 
+/// A file's name, for messages, and its text.
+pub type File<'a, T> = (&'a str, T);
+
+/// What stands at the top of an operator's file: the platform's keys, and the operator's own.
+const TOP: [&str; 14] = [
+    "name",
+    "listen",
+    "admin_addr",
+    "seed",
+    "limits",
+    "coordinator",
+    "known",
+    "settings",
+    "flow_bytes_per_s",
+    "link_bytes_per_s",
+    "signed",
+    "xds",
+    "memory",
+    "teams",
+];
+
 /// Reads the platform's JSON and the operator's TOML, either of which may be missing. The operator's tables
 /// stand beside the platform's; where both have a key, the operator's counts.
-pub fn read(platform: Option<&[u8]>, operator: Option<&str>) -> Result<Config, String> {
-    let mut tree = match platform {
+pub fn read(platform: Option<File<&[u8]>>, operator: Option<File<&str>>) -> Result<Config, String> {
+    let mut tree = match &platform {
         None => Value::Object(Map::new()),
-        Some(text) => serde_json::from_slice(text).map_err(|e| format!("config is not JSON: {e}"))?,
+        Some((name, text)) => strict::json(text).map_err(|e| format!("{name}: not JSON: {e}"))?,
     };
-    let own: Map<String, Value> = match operator {
+    let own: Map<String, Value> = match &operator {
         None => Map::new(),
-        Some(text) => {
-            toml::from_str(text).map_err(|e| format!("operator's file is not TOML: {}", e.message()))?
+        Some((name, text)) => {
+            toml::from_str(text).map_err(|e| format!("{name}: not TOML: {}", e.message()))?
         }
     };
-    let top = tree.as_object_mut().ok_or("config is no JSON object")?;
-    top.extend(own);
-    let mut config = config(&tree)?;
+    let (platform, operator) = (platform.map(|p| p.0), operator.map_or("", |o| o.0));
+    let platform = platform.unwrap_or(operator);
+    let top = tree.as_object_mut().ok_or_else(|| format!("{platform}: not a JSON object"))?;
+    top.extend(own.clone());
+    let own_keys = Value::Object(own.clone());
+    At { value: &own_keys, what: operator, path: String::new(), sources: None }.only(&TOP)?;
+    let sources = Sources { platform, operator, own };
+    let mut config = config(&tree, &sources)?;
     if let Value::Object(top) = &mut tree {
         top.retain(|key, _| key != "known" && key != "seed");
     }
@@ -393,20 +466,19 @@
     Ok(config)
 }
 
-fn config(value: &Value) -> Result<Config, String> {
-    let top = At { value, what: "config", path: String::new() };
+fn config(value: &Value, sources: &Sources) -> Result<Config, String> {
+    let top = At { value, what: sources.platform, path: String::new(), sources: Some(sources) };
     let inner = top.get("settings")?;
-    let settings = read_settings(inner.value)?;
-    let inner = At { path: String::new(), what: "settings", ..inner };
+    let settings = read_settings(&inner)?;
     let caps = inner.get("caps")?;
     let or = |at: &At, key: &str, default: f64| at.opt(key).map_or(Ok(default), |v| v.above_zero());
-    let names = |key: &str| inner.get(key)?.list(|v| v.text().map(str::to_owned));
+    let names = |key: &str| inner.get(key)?.names(At::text);
     let limits = top.get("limits")?;
     let seed = match top.opt("seed") {
         Some(seed) => u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("hexadecimal digits"))?,
         None => fastrand::u64(..),
     };
-    let classes = inner.get("profiles")?.list(|c| c.get("name")?.text().map(str::to_owned))?;
+    let classes = inner.get("profiles")?.names(|c| c.get("name")?.text())?;
     let classes = Classes::new(classes, &settings.classes);
     let names = Names { zones: names("localities")?, kinds: names("kinds")? };
     let signed = top.opt("signed").map(|s| signed(&s)).transpose()?;
@@ -415,7 +487,10 @@
         .opt("teams")
         .map_or(Ok(Contracts::default()), |t| t.list(|t| team(t, &classes)).map(Contracts))?;
     if signed.is_some() && contracts.none() {
-        return Err("config: 'teams' is missing: the signed front serves what contracts cover".into());
+        return Err(format!(
+            "{}: 'teams' is missing: the signed front serves what contracts cover",
+            sources.operator
+        ));
     }
     // The platform tells a first list and where its changes come from; xDS stands in for both.
     let feed = xds.is_none();
@@ -439,7 +514,7 @@
         keepalive: or(&caps, "keepalive", 15.0)?,
         streams: or(&caps, "max-streams", 100.0)? as usize,
         handshake: match inner.opt("prices").and_then(|prices| prices.opt("handshake")) {
-            Some(price) => price.number()?,
+            Some(price) => price.amount()?,
             None => 0.0,
         },
         signed,
@@ -455,7 +530,7 @@
     let mut wishes = [Wish::default(); PURPOSES];
     let mut share = if teams > 1 { TEAM_SHARE } else { 1.0 };
     let Some(table) = top.opt("memory") else {
-        return Plan::new(total, &wishes, share).map_err(|e| format!("config: {e}"));
+        return Plan::new(total, &wishes, share).map_err(|e| format!("{}: {e}", top.what));
     };
     for (key, at) in table.entries()? {
         if key == "team_share" {
@@ -492,10 +567,11 @@
             }
         }
     }
-    Plan::new(total, &wishes, share).map_err(|e| format!("config: {e}"))
+    Plan::new(total, &wishes, share).map_err(|e| format!("{}: {e}", table.what))
 }
 
 fn signed(at: &At) -> Result<Signed, String> {
+    at.only(&["listen", "base", "keys", "audience", "reread_s", "overlap_s", "leeway_s"])?;
     let or = |key: &str, default: f64| at.opt(key).map_or(Ok(default), |v| v.number());
     let base = at.get("base")?;
     let text = base.text()?;
@@ -519,6 +595,7 @@
 }
 
 fn xds(at: &At) -> Result<Xds, String> {
+    at.only(&["server", "refresh_s"])?;
     let refresh = at.opt("refresh_s").map_or(Ok(0.5), |v| v.above_zero())?;
     Ok(Xds { server: at.get("server")?.address()?, refresh })
 }
@@ -528,8 +605,11 @@
         let found = classes.get(v.text()?.as_bytes());
         found.ok_or_else(|| v.wrong("a class of the settings"))
     };
+    let known = ["name", "issuer", "classes", "prefixes", "requests_per_s", "in_flight", "bytes_per_s"];
+    at.only(&known)?;
     let allowed = at.get("classes")?.list(class)?;
     let prefixes = at.get("prefixes")?.list(|p| {
+        p.only(&["path", "class"])?;
         let path = p.get("path")?;
         let text = path.text()?;
         if !text.starts_with('/') {
@@ -603,3 +683,6 @@
     };
     Ok(Member { node, address: at.get("host_port")?.address()? })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -78,15 +78,23 @@
 fn read() -> Result<Config, String> {
     let file = |name: &str| match std::env::var(name) {
         Err(_) => Ok(None),
-        Ok(path) => std::fs::read(&path).map(Some).map_err(|e| format!("{name}: cannot read '{path}': {e}")),
+        Ok(path) => match std::fs::read(&path) {
+            Ok(bytes) => Ok(Some((path, bytes))),
+            Err(e) => Err(format!("{name}: cannot read '{path}': {e}")),
+        },
     };
     let (platform, operator) = (file("NODE_CONFIG")?, file("ONYXYOKE_OPERATOR")?);
     if platform.is_none() && operator.is_none() {
         return Err("neither NODE_CONFIG nor ONYXYOKE_OPERATOR is set".into());
     }
-    let operator = operator.map(String::from_utf8).transpose();
-    let operator = operator.map_err(|_| "ONYXYOKE_OPERATOR: the file is no text".to_owned())?;
-    let mut config = config::read(platform.as_deref(), operator.as_deref())?;
+    let text = |(path, bytes): (String, Vec<u8>)| match String::from_utf8(bytes) {
+        Ok(text) => Ok((path, text)),
+        Err(_) => Err(format!("{path}: the file is no text")),
+    };
+    let operator = operator.map(text).transpose()?;
+    let platform = platform.as_ref().map(|(path, bytes)| (path.as_str(), bytes.as_slice()));
+    let operator = operator.as_ref().map(|(path, text)| (path.as_str(), text.as_str()));
+    let mut config = config::read(platform, operator)?;
     config::admin(std::env::var("NODE_ADMIN_ADDR").ok().as_deref(), &mut config)?;
     Ok(config)
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -310,15 +310,25 @@
         assert!(message.contains(key), "{message}");
     };
     refused("bad1", &|c| c["limits"]["sockets"] = json!("many"), "'limits.sockets' is not a number above 0");
+    // With the file, and a status that says so.
+    refused(
+        "bad6",
+        &|c| c["limits"]["sockets"] = json!(0),
+        "config.json: 'limits.sockets' is not a number above 0",
+    );
     refused("bad2", &|c| drop(c.as_object_mut().unwrap().remove("coordinator")), "'coordinator' is missing");
-    refused("bad3", &|c| c["settings"]["caps"]["cancel"] = json!(1), "'caps.cancel' is not true or false");
+    refused(
+        "bad3",
+        &|c| c["settings"]["caps"]["cancel"] = json!(1),
+        "'settings.caps.cancel' is not true or false",
+    );
     refused(
         "bad4",
         &|c| c["known"]["updates"][0]["endpoints"]["members"] = json!([{"id": 7}]),
         "members.0.id'",
     );
     let price = |c: &mut Value| c["settings"]["prices"] = json!({"handshake": "high"});
-    refused("bad5", &price, "'prices.handshake' is not a number");
+    refused("bad5", &price, "'settings.prices.handshake' is not a number of 0 or more");
     // A price of nothing is one, as most installations have it.
     Node::start("free", Vec::new(), |c| c["settings"]["prices"] = json!({"handshake": 0.0}));
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -189,9 +189,12 @@
     refused(&start("{"), "not JSON");
     refused(&start("{}"), "missing");
     refused(&start(&SETTINGS.replace("\"most-tries\"", "\"tries\"")), "most-tries");
-    refused(&start(&SETTINGS.replace("\"idempotent\"", "\"perhaps\"")), "perhaps");
+    refused(
+        &start(&SETTINGS.replace("\"idempotent\"", "\"perhaps\"")),
+        "'profiles.0.semantics' is not one of idempotent, ",
+    );
     refused(&start(&SETTINGS.replace("\"any\"", "\"some\"")), "sideways");
     refused(&start(&SETTINGS.replace("\"az\": 2", "\"az\": 3")), "az");
-    refused(&start(&SETTINGS.replace("\"good-for\": [0.0]", "\"good-for\": []")), "fewer classes");
+    refused(&start(&SETTINGS.replace("\"good-for\": [0.0]", "\"good-for\": []")), "as many classes");
     refused(&start(&SETTINGS.replace("18.0", "1e999")), "JSON");
 }
