End an attempt that settles at its deadline, let none follow it just before, measure readiness

Seen: the core's model, with resets by this side at more of its steps, broke 'the next attempt before its node heard of the last': Broker::left took no time where the rest of the deadline was shorter than it, and the director sent again in that rest (src/broker/mod.rs, left: now + settles < until). Now it waits wherever another may follow; at the deadline, after which none may, what still settles ends at once and the request is answered without a wait (overdue). Not taken: the same wait after a reset that came from the node.

Tests: an_attempt_that_is_given_up_just_before_the_deadline_is_the_last (fails without), the verdict's planted faults.

--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -9,13 +9,17 @@
 use onyxyoke_stand_ins::unix_ms;
 use rand::Rng;
 use rand::seq::SliceRandom;
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::process::Child;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Caches drop purged copies by themselves within the settings' six seconds: so long after (seconds).
 const SETTLES: Duration = Duration::from_secs(5);
+/// A front that is not ready so long after it serves is never.
+const READY: Duration = Duration::from_secs(30);
 /// Clients come for so long after a front was told to end (seconds).
 const COMING: f64 = 0.4;
 /// A new process of a front serves so long beside the old before that is told to end (seconds).
@@ -185,7 +189,7 @@
                 if killed {
                     fleet.clients.excuse(f);
                     fleet.fronts[f].kill().await;
-                } else if let Err(e) = fleet.fronts[f].start(&fleet.tier, seed).await {
+                } else if let Err(e) = fleet.start_again(f, seed).await {
                     fleet.fronts[f].crashed.set(true);
                     eprintln!("onyxyoke-lab: front {f} did not start again: {e}");
                 }
@@ -193,6 +197,15 @@
         }
     }
 
+    /// Starts a front's process again, and notes how long after that it takes clients.
+    async fn start_again(&self, f: usize, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
+        let began = Instant::now();
+        let old = self.fronts[f].start(&self.tier, seed).await?;
+        let ready = timeout(READY, self.fronts[f].ready()).await;
+        self.book.open().ready.push(ready.map_or(f64::INFINITY, |()| began.elapsed().as_secs_f64()));
+        Ok(old)
+    }
+
     /// A new process for a front: beside the old one, or after it has ended.
     async fn renew(&self, f: usize, beside: bool) {
         let front = &self.fronts[f];
@@ -208,7 +221,7 @@
                 front.crashed.set(true);
             }
         }
-        match front.start(&self.tier, seed).await {
+        match self.start_again(f, seed).await {
             Ok(old) => {
                 sleep(Duration::from_secs_f64(BESIDE)).await;
                 if beside && !end(old).await {
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -19,12 +19,14 @@
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Longest wait for a process to start, or to end (seconds).
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Longest that an operator waits (seconds).
 const CALL: Duration = Duration::from_secs(1);
+/// A front that is not ready is asked again after so long.
+const LOOK: Duration = Duration::from_millis(20);
 /// Descriptors that a front may have.
 const SOCKETS: usize = 256;
 
@@ -169,6 +171,26 @@
         Ok(self.child.borrow_mut().replace(child))
     }
 
+    /// Waits until it says that it takes clients.
+    pub async fn ready(&self) {
+        while !self.healthy().await.unwrap_or(false) {
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Does it say so?
+    async fn healthy(&self) -> std::io::Result<bool> {
+        let Some(address) = self.address.get() else { return Ok(false) };
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(b"*3\r\n$6\r\nHEALTH\r\n$1\r\n1\r\n$0\r\n\r\n").await?;
+        let mut lines = BufReader::new(stream).lines();
+        // An array of four: the tag, and the word.
+        for _ in 0..4 {
+            lines.next_line().await?;
+        }
+        Ok(lines.next_line().await?.is_some_and(|word| word == "yes"))
+    }
+
     /// Its name, its settings' file and its folder.
     pub fn name(&self) -> String {
         format!("n{}", self.place)
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -73,6 +73,8 @@
     pub troubled: Vec<(usize, f64, f64)>,
     /// Operators' calls that were not answered with a yes within a second.
     pub unheard: usize,
+    /// Fronts that were started again: how long after that they took clients (seconds).
+    pub ready: Vec<f64>,
     /// Nodes that restarted cold: when.
     pub cold: Vec<(usize, f64)>,
     /// Times at which something changed at once for many fronts.
@@ -104,6 +106,7 @@
             purged: Vec::new(),
             troubled: Vec::new(),
             unheard: 0,
+            ready: Vec::new(),
             cold: Vec::new(),
             events: Vec::new(),
             done,
--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -38,6 +38,8 @@
 const SOCKETS: f64 = 0.05;
 /// Beyond the N calls that a cold node bears, so many times the root of N and so many more are put down to chance.
 const CHANCE: (f64, f64) = (2.0, 2.0);
+/// Of the fronts that are started again, nine in ten are ready within the first, and all within the second (seconds).
+const READY: (f64, f64) = (10.0, 30.0);
 /// Herds are counted this long after an event (seconds).
 const HERD: f64 = 0.1;
 /// A node that is well again has its part after this (seconds).
@@ -73,6 +75,8 @@
     /// What cold nodes got at most in the time in which they fall, beyond the N calls of mean work that they bear, in
     /// times the root of N.
     pub cold_excess: Option<f64>,
+    /// Nine in ten of the fronts that were started again took clients within this (seconds).
+    pub ready_s: Option<f64>,
     pub rig_late_ms: f64,
 }
 
@@ -327,6 +331,15 @@
             }
         }
     }
+    let mut ready = seen.ready.clone();
+    ready.sort_by(f64::total_cmp);
+    verdict.figures.ready_s = ready.get((ready.len() * 9).div_ceil(10).saturating_sub(1)).copied();
+    if let Some(late) = verdict.figures.ready_s.filter(|&s| s > READY.0) {
+        verdict.broken("nine in ten restarted fronts are ready within 10 s", format!("after {late:.1} s"));
+    }
+    for late in ready.iter().filter(|&&s| s > READY.1) {
+        verdict.broken("a front is ready within 30 s", format!("after {late:.1} s"));
+    }
     let works = seen.attempts.iter().filter(|a| seen.nodes[a.came.node].cache).map(|a| a.came.work);
     let mean = works.clone().sum::<f64>() / works.count().max(1) as f64;
     for &(node, started) in &seen.cold {
@@ -383,6 +396,9 @@
         if let Some(excess) = f.cold_excess {
             writeln!(out, "cold nodes: {excess:.2} times the root of N calls over N at most")?;
         }
+        if let Some(ready) = f.ready_s {
+            writeln!(out, "fronts started again: nine in ten ready within {ready:.2} s")?;
+        }
         writeln!(out, "bytes from copies {:.3}, from the origin {:.3}", f.hits, f.origin)?;
         for (rule, (times, example)) in &self.rules {
             writeln!(out, "BROKEN: {rule}, {times} times: {example}")?;
--- a/crates/lab/src/fleet/verdict/tests.rs
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -60,7 +60,7 @@
 #[test]
 fn each_planted_fault_is_found_by_its_name_and_no_other() {
     type Plant = fn(&mut Seen);
-    let plants: [(&str, Plant); 12] = [
+    let plants: [(&str, Plant); 14] = [
         ("operators are answered within 1 s", |s| s.unheard = 1),
         ("one final answer", |s| s.asked[5].again = 1),
         ("one final answer", |s| s.asked[5].end = Some((1009.0, End::Served))),
@@ -85,6 +85,10 @@
             s.told.push(Told { at: came.at - 0.7, node: 0, state: 1, front: Some(came.front) });
             s.told.push(Told { at: came.at - 0.1, node: 0, state: 0, front: Some(came.front + 1) });
         }),
+        ("nine in ten restarted fronts are ready within 10 s", |s| {
+            s.ready = vec![1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 10.1, 10.1];
+        }),
+        ("a front is ready within 30 s", |s| s.ready = [vec![1.0; 10], vec![31.0]].concat()),
         ("no cold node pushed over", |s| {
             s.cold.push((0, 1002.0));
             s.attempts[30].came.work = 4.0;
@@ -116,6 +120,7 @@
         let other = s.attempts.iter().map(|a| a.came.front).max().unwrap_or(0) + 1;
         s.told.push(Told { at: 1006.0, node: 0, state: 1, front: Some(other) });
         s.cold.push((1, 1002.0));
+        s.ready = vec![9.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 29.0];
     });
     assert!(v.rules.is_empty(), "{v}");
 }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -745,7 +745,7 @@
         let again = self.open.get(&ticket.request).is_some_and(|o| {
             let rules = classes.get(usize::from(o.ask.class.0));
             let until = o.ask.deadline.min(closes).min(repeat_by(rules, &o.attempts));
-            !o.done && !o.ask.gone.get() && now + settles < until
+            !o.done && !o.ask.gone.get() && now < until
         });
         if again && let Some(a) = self.attempt(ticket).filter(|a| a.out) {
             a.left = Some(outcome);
@@ -842,9 +842,18 @@
     /// A request's time is up: its attempt is withdrawn as timed out, and the director answers when it hears
     /// of that. One that the director holds without an attempt is failed here, so that none goes unanswered.
     fn overdue(&mut self, now: f64, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
+        // No further attempt may go: whether the node has heard of the last is nothing to wait for any more.
+        if now >= open.ask.deadline.min(self.closes)
+            && let Some(i) = open.attempts.iter().position(|a| a.left.is_some())
+            && let Some(outcome) = open.attempts[i].left.take()
+        {
+            let ticket = Ticket { request: id, attempt: i as u16 };
+            self.ended(now, ticket, outcome, Note::None, 0.0, None);
+        }
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
         let mut asked = false;
-        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out) {
+        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && a.left.is_none()) {
             asked |= !std::mem::replace(&mut a.timed_out, true);
             let ticket = Ticket { request: id, attempt: i as u16 };
             if a.call_off() {
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -318,6 +318,25 @@
     assert!(matches!(answers[..], [Effect::Answer { answer: Answer::Late, .. }]), "{answers:?}");
 }
 
+/// Guards the last moments before a deadline: what is given up then is followed by nothing that its node could meet, and
+/// its request is answered when its time is up, without a wait.
+#[test]
+fn an_attempt_that_is_given_up_just_before_the_deadline_is_the_last() {
+    let mut b = broker(Contracts::default());
+    b.ask(1000.0, Caller { connection: 1, tag: 1 }, ask(1001.0));
+    let ordered = |b: &mut Broker| {
+        b.effects()
+            .find_map(|e| if let Effect::Command(Command::Send(o)) = e { Some(o.ticket) } else { None })
+    };
+    let ticket = ordered(&mut b).unwrap();
+    b.report(1000.1, Report::Written(ticket));
+    b.report(1000.995, Report::Left { ticket, outcome: Outcome::Reset, settles: SETTLES });
+    assert_eq!(ordered(&mut b), None);
+    b.tick(1001.0);
+    let effects: Vec<Effect> = b.effects().collect();
+    assert!(matches!(effects[..], [Effect::Answer { .. }]), "{effects:?}");
+}
+
 /// Budgets and contracts hold for whatever front asks, before the director hears of it.
 #[test]
 fn teams_are_held_to_their_contracts_and_budgets() {
