--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -215,10 +215,10 @@
     }
 
     /// Leave to wait, once it has closed its side, for its client to close too; there is none where so many do that they
-    /// would take the place of others.
+    /// would take the place of others. Once all leave, nobody is to come.
     pub fn linger(&self) -> Option<Linger> {
         let now = self.lobby.lingering.get();
-        (now < self.lobby.lingering_most).then(|| {
+        (self.leaving() || now < self.lobby.lingering_most).then(|| {
             self.lobby.lingering.set(now + 1);
             Linger(self.lobby.clone())
         })
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -55,6 +55,31 @@
     assert_eq!(at_exit(&mut node, "requests"), 1);
 }
 
+/// The same with more resting clients than may linger beside others: at the end there are no others, and none is reset.
+#[test]
+fn many_that_rest_until_the_front_ends_them_are_all_closed_in_order() {
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let mut node = Node::start("crossing-many", members, |c| c["limits"]["sockets"] = json!(64));
+    let mut clients: Vec<Client> = (0..20).map(|_| node.connect()).collect();
+    for c in &mut clients {
+        c.send(&["HEALTH", "8", ""]);
+        assert_eq!(c.answer()[..2], ["8", "yes"]);
+    }
+    node.signal("-TERM");
+    // Each writes once it has seen the end, while the front waits for all of them to close too.
+    for c in &mut clients {
+        assert!(c.closed());
+        c.stream.write_all(&request(2, 0xa2)).unwrap();
+    }
+    for c in &mut clients {
+        c.stream.shutdown(Shutdown::Write).unwrap();
+        assert_eq!(rest(&mut c.stream), Ok(Vec::new()));
+    }
+    assert_eq!(at_exit(&mut node, "requests"), 0);
+    nothing(&served);
+}
+
 /// The other order: the request is written first, and SIGTERM finds it in the front's hands. Its answer is written whole
 /// before its connection ends, though more than a socket takes lies before it.
 #[test]
