--- a/src/brain.rs
+++ b/src/brain.rs
@@ -597,7 +597,7 @@
         let full = choice.stretch.max(self.jam());
         let admit = ADMIT.1 - (ADMIT.1 - ADMIT.0) * ((full - 1.0) / (CROWDED - 1.0)).min(1.0);
         let admit = admit * (1.0 - UNSEEN.0 * ((self.settings.sharers() - 1.0) / UNSEEN.1).min(1.0));
-        // Nor is the answer worth a full link for which the client will not wait. Of each size some are taken all the same.
+        // Nor is it worth a full link if the client will not wait. Some of each size are taken all the same.
         let (waits, class) = (open.request.expires - open.came, usize::from(open.request.class.0));
         let late = full > 1.0 && spent + choice.latency > (admit * aim).min(waits) && self.may_refuse(open);
         let hit = spent + sending * choice.stretch;
@@ -773,8 +773,8 @@
         let expected = k.lag + sending * slow;
         let (class, flowing) = (usize::from(request.class.0), (end.took - k.lag).max(0.0));
         if request.kb == 0.0 && (hit || self.settings.classes[class].never_kept) {
-            // The plain mean at first: a guess that fades slowly makes pages look like films (ibf0141). What is never kept
-            // has no hits, and is no film either: guards against refusing it for what it would take (grand-large).
+            // The plain mean at first: a guess that fades slowly makes pages look like films (ibf0141), and
+            // what is never kept, which has no hits, for good (grand-large).
             self.hits[class] += 1.0;
             let alone = (flowing - end.source_wait).max(0.0) / slow;
             smooth(&mut self.work[class], alone, SMOOTH.max(1.0 / self.hits[class]));
