Call one lingering close and one settling of attempts where there were two each

The operators' socket and the clients' connections passed over what still comes by a loop each: net::part serves both (the clients' now in pieces of 512 bytes, so that the bound is exceeded by less). Broker::settled ends an attempt that was given up on the wire, at its timer and at the deadline. In pool/tests.rs the first clogged node uses clogged and sent, and opened plays by pooled.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -828,28 +828,28 @@
             match timer {
                 timers::Timer::Alarm(token) => self.feed(now, Event::Alarm { token }),
                 timers::Timer::Deadline(id) => self.overdue(now, id),
-                timers::Timer::Settled(request, attempt) => {
-                    let ticket = Ticket { request, attempt };
-                    if let Some(outcome) = self.attempt(ticket).and_then(|a| a.left.take()) {
-                        self.ended(now, ticket, outcome, Note::None, 0.0, None);
-                    }
-                }
+                timers::Timer::Settled(request, attempt) => self.settled(now, Ticket { request, attempt }),
             }
         }
         self.settle(now);
     }
 
+    /// Whether its node has heard or not, an attempt that was given up on the wire has ended now.
+    fn settled(&mut self, now: f64, ticket: Ticket) {
+        if let Some(outcome) = self.attempt(ticket).and_then(|a| a.left.take()) {
+            self.ended(now, ticket, outcome, Note::None, 0.0, None);
+        }
+    }
+
     /// A request's time is up: its attempt is withdrawn as timed out, and the director answers when it hears
     /// of that. One that the director holds without an attempt is failed here, so that none goes unanswered.
     fn overdue(&mut self, now: f64, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
+        let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         // No further attempt may go: whether the node has heard of the last is nothing to wait for any more.
         if now >= open.ask.deadline.min(self.closes)
             && let Some(i) = open.attempts.iter().position(|a| a.left.is_some())
-            && let Some(outcome) = open.attempts[i].left.take()
         {
-            let ticket = Ticket { request: id, attempt: i as u16 };
-            self.ended(now, ticket, outcome, Note::None, 0.0, None);
+            self.settled(now, Ticket { request: id, attempt: i as u16 });
         }
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
         let mut asked = false;
@@ -923,13 +923,13 @@
         // Never two attempts out for one request, none for one that is over, none to a node that drains, none that its
         // class does not permit any more.
         let ready = |id: &NodeId| self.members.state(*id) == Some(NodeState::Ready);
+        let gone = open.ask.gone.get();
         let may = !open.done
             && open.attempts.iter().all(|a| !a.out)
-            && !open.ask.gone.get()
+            && !gone
             && now < due.min(begin_by)
             && ready(&node)
             && source.as_ref().is_none_or(ready);
-        let left = open.ask.gone.get();
         open.attempts.push(Attempt {
             node,
             source,
@@ -942,7 +942,7 @@
             left: None,
         });
         if !may {
-            if left {
+            if gone {
                 self.leave(now, request);
             }
             let done = self.open.get(&request).is_none_or(|o| o.done);
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -256,17 +256,8 @@
         _ => return,
     };
     let _ = timeout_at(clock::instant(clock::now() + TAKE), stream.write_all(reply.as_bytes())).await;
-    let _ = stream.shutdown().await;
-    let _ = timeout_at(clock::instant(clock::now() + PARTING.0), async {
-        let (mut rest, mut passed) = ([0u8; 512], 0);
-        while passed < PARTING.1 {
-            match stream.read(&mut rest).await {
-                Ok(0) | Err(_) => break,
-                Ok(n) => passed += n,
-            }
-        }
-    })
-    .await;
+    let by = clock::instant(clock::now() + PARTING.0);
+    let _ = timeout_at(by, super::part(&mut stream, PARTING.1)).await;
 }
 
 #[cfg(test)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -263,26 +263,30 @@
     let lingers = seat.linger();
     let most = if lingers.is_some() { LINGER.1 } else { 0 };
     let by = clock::instant(clock::now() + LINGER.0);
-    let mut passed = 0;
     let closing = async {
         while !last.is_empty() {
             stream.writable().await?;
             last.write_to(stream)?;
         }
-        stream.shutdown().await?;
-        let mut rest = [0; 4096];
-        while passed < most {
-            match stream.read(&mut rest).await? {
-                0 => break,
-                n => passed += n,
-            }
-        }
-        io::Result::Ok(())
+        part(stream, most).await
     };
     // Whether it got them or not, it is closed now.
     let _ = timeout_at(by, closing).await;
 }
 
+/// Ends the stream, and passes over up to so many bytes of what still comes until the other side has ended it too.
+pub async fn part(stream: &mut TcpStream, most: usize) -> io::Result<()> {
+    stream.shutdown().await?;
+    let (mut rest, mut passed) = ([0; 512], 0);
+    while passed < most {
+        match stream.read(&mut rest).await? {
+            0 => break,
+            n => passed += n,
+        }
+    }
+    Ok(())
+}
+
 /// So long a connection that is asked to leave looks whether something has come meanwhile (seconds).
 const LAST_WORD: f64 = 0.002;
 
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -39,57 +39,39 @@
 }
 
 /// Runs a pool that a test commands, and what it reports.
-fn pooled<F: Future<Output = ()>>(
+fn pooled<T, F: Future<Output = T>>(
+    limits: Limits,
     test: impl FnOnce(UnboundedSender<Command>, UnboundedReceiver<Report>) -> F,
-) {
+) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async move {
         let (send, commands) = unbounded_channel();
         let (reports, reported) = unbounded_channel();
-        tokio::task::spawn_local(run(commands, reports, LIMITS, Ledger::unlimited()));
+        tokio::task::spawn_local(run(commands, reports, limits, Ledger::unlimited()));
         let whole = tokio::time::timeout(Duration::from_secs(30), test(send, reported));
-        whole.await.expect("what the test waits for comes");
-    });
+        whole.await.expect("what the test waits for comes")
+    })
 }
 
 /// Guards against two attempts out for one request: a node that reads nothing has a whole request, and the cancel
 /// lies behind a body that its socket does not take. The attempt ends with the connection, and no sooner.
 #[test]
 fn an_attempt_whose_cancel_cannot_be_written_ends_with_its_connection() {
-    pooled(|send, mut reported| async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        send.send(at(listener.local_addr().unwrap())).unwrap();
-        send.send(Command::Send(order(1, 0))).unwrap();
-        let (stream, _) = listener.accept().await.unwrap();
-        assert!(matches!(reported.recv().await, Some(Report::Written(_))));
-        // More than all buffers between take; it counts as written once it is encoded.
-        send.send(Command::Send(order(2, 32 << 20))).unwrap();
-        assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+    pooled(LIMITS, |send, mut reported| async move {
+        let stream = clogged(&send, &mut reported).await;
         send.send(cancel(1)).unwrap();
         let Some(Report::Left { ticket, outcome, settles }) = reported.recv().await else { panic!() };
         assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
         assert!(settles > 0.0, "the node has yet to hear of it");
         // The node hears that the connection has ended.
-        let mut all = vec![0; 64 << 20];
-        let ended = async {
-            loop {
-                stream.readable().await.unwrap();
-                match stream.try_read(&mut all) {
-                    Ok(0) => break,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => break,
-                }
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(3), ended).await.expect("the connection ends");
+        tokio::time::timeout(Duration::from_secs(3), sent(stream)).await.expect("the connection ends");
     });
 }
 
 /// Guards against an order that is handed back because its node has moved, and is taken back at the same moment.
 #[test]
 fn an_order_that_is_cancelled_while_it_is_handed_back_goes_nowhere() {
-    pooled(|send, mut reported| async move {
+    pooled(LIMITS, |send, mut reported| async move {
         let old = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let new = TcpListener::bind("127.0.0.1:0").await.unwrap();
         send.send(at(old.local_addr().unwrap())).unwrap();
@@ -103,13 +85,8 @@
 
 /// Connections that a node that answers nothing has taken once it was sent so many requests at once.
 fn opened(handshake: f64, requests: u32) -> usize {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async move {
+    pooled(Limits { handshake, ..LIMITS }, |send, mut written| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (send, commands) = unbounded_channel();
-        let (reports, mut written) = unbounded_channel();
-        let limits = Limits { handshake, ..LIMITS };
-        tokio::task::spawn_local(run(commands, reports, limits, Ledger::unlimited()));
         send.send(at(listener.local_addr().unwrap())).unwrap();
         for request in 1..=requests {
             send.send(Command::Send(order(request, 0))).unwrap();
@@ -170,7 +147,7 @@
     let turns: [(&str, Turn); 2] =
         [("its client leaves", |o| o.ask.gone.set(true)), ("it is called off", |o| o.called_off.set(true))];
     for (what, turn) in turns {
-        pooled(|send, mut reported| async move {
+        pooled(LIMITS, |send, mut reported| async move {
             let stream = clogged(&send, &mut reported).await;
             let third = order(3, 0);
             send.send(Command::Send(third.clone())).unwrap();
@@ -196,7 +173,7 @@
 /// passes before there is one.
 #[test]
 fn a_repeat_is_not_begun_after_its_window() {
-    pooled(|send, mut reported| async move {
+    pooled(LIMITS, |send, mut reported| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         send.send(at(listener.local_addr().unwrap())).unwrap();
         let late = Order { begin_by: clock::now(), ..order(1, 0) };
@@ -212,7 +189,7 @@
 /// has come.
 #[test]
 fn a_connection_in_the_middle_of_stray_bytes_is_not_used() {
-    pooled(|send, mut reported| async move {
+    pooled(LIMITS, |send, mut reported| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         send.send(at(listener.local_addr().unwrap())).unwrap();
         send.send(Command::Send(order(1, 0))).unwrap();
@@ -235,7 +212,7 @@
 /// and not yet known to its node; one whose connection the node resets has ended.
 #[test]
 fn what_is_given_up_here_is_out_until_its_node_has_heard_of_it() {
-    pooled(|send, mut reported| async move {
+    pooled(LIMITS, |send, mut reported| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         send.send(at(listener.local_addr().unwrap())).unwrap();
         let write = async |request: u32, reported: &mut UnboundedReceiver<Report>| {
@@ -266,7 +243,7 @@
 /// and ends as reset; where the end was seen first, it goes on a new connection.
 #[test]
 fn an_order_and_the_end_of_its_resting_connection_cross_in_either_order() {
-    pooled(|send, mut reported| async move {
+    pooled(LIMITS, |send, mut reported| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         send.send(at(listener.local_addr().unwrap())).unwrap();
         let rested = async |request: u32, reported: &mut UnboundedReceiver<Report>| {
