--- a/src/brain.rs
+++ b/src/brain.rs
@@ -202,7 +202,7 @@
     sight: Sight,
     /// Mean sending time by class.
     work: Vec<f64>,
-    /// Hits by class, where sizes are untold, and who is refused by size.
+    /// Answers that told a class's sending time, where sizes are untold, and who is refused by size.
     hits: Vec<f64>,
     sizes: Vec<Sizes>,
     /// ν and π by count of beliefs, and the epoch of the last clamp of ν.
@@ -771,26 +771,25 @@
         let Some((slow, crowding)) = self.loaded(node) else { return };
         let Some(k) = self.nodes.get_mut(&node) else { return };
         let expected = k.lag + sending * slow;
-        let (class, flowing) = (usize::from(request.class.0), (end.took - k.lag).max(0.0));
+        let class = usize::from(request.class.0);
+        let flowed = end.took - end.source_wait - k.lag;
         if request.kb == 0.0 && (hit || self.settings.classes[class].never_kept) {
             // The plain mean at first: a guess that fades slowly makes pages look like films (ibf0141), and
             // what is never kept, which has no hits, for good (grand-large).
             self.hits[class] += 1.0;
-            let alone = (flowing - end.source_wait).max(0.0) / slow;
-            smooth(&mut self.work[class], alone, SMOOTH.max(1.0 / self.hits[class]));
+            smooth(&mut self.work[class], flowed.max(0.0) / slow, SMOOTH.max(1.0 / self.hits[class]));
         }
         if hit {
+            let flowing = (end.took - k.lag).max(0.0);
             k.pace.saw(now, flowing, sending * crowding);
             self.caches.saw(flowing, sending, seen.then.0);
             // Signed: where sizes are unknown the mean is right though each one is not.
             smooth(&mut k.lag, (end.took - sending * slow).clamp(-0.5, 0.5), SMOOTH);
         } else if filled {
-            let flowed = end.took - end.source_wait - k.lag;
             k.pace.saw(now, flowed, sending * crowding);
             let extra = end.took - expected - sending * (jam - slow).max(0.0);
             if !sibling && slow < STRETCHED && end.source_wait > 0.0 {
-                let flowing = (end.took - end.source_wait - k.lag).max(0.0);
-                self.link_in.saw(flowing, sending, seen.then.1);
+                self.link_in.saw(flowed.max(0.0), sending, seen.then.1);
             }
             if sibling {
                 smooth(&mut self.sibling_extra, extra, SMOOTH);
--- a/src/routing/sizes.rs
+++ b/src/routing/sizes.rs
@@ -16,9 +16,9 @@
 }
 
 impl Decided {
-    fn count(&mut self, fade: f64, sends: bool) {
-        self.all = self.all * fade + 1.0;
-        self.sent = self.sent * fade + f64::from(u8::from(sends));
+    fn count(&mut self, sends: bool) {
+        self.all += 1.0;
+        self.sent += f64::from(u8::from(sends));
     }
 
     /// The share that is sent; all while nothing is known.
@@ -45,13 +45,11 @@
         let refused = late && !(waited && owed);
         let fade = ((self.at - now) / MEMORY).exp().min(1.0);
         self.at = now;
-        self.class.count(fade, !refused);
-        for (i, decided) in self.by_size.iter_mut().enumerate() {
-            match i == step {
-                true => decided.count(fade, !refused),
-                false => (decided.all, decided.sent) = (decided.all * fade, decided.sent * fade),
-            }
+        for decided in self.by_size.iter_mut().chain([&mut self.class]) {
+            (decided.all, decided.sent) = (decided.all * fade, decided.sent * fade);
         }
+        self.class.count(!refused);
+        self.by_size[step].count(!refused);
         refused
     }
 }
