Share the two-cache set-up, the wait at either cache and the lab's front among tests

two_caches serves three tests that wrote it out, either three loops that had no end of their own and are bounded now; the lab's READY stands in the verdict alone, and the front beside the lab is found in one place.

--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -4,6 +4,7 @@
 use super::fronts::{end, member};
 use super::plan::{Fault, Kind, Target};
 use super::record::Told;
+use super::verdict::READY;
 use nix::sys::signal::Signal;
 use onyxyoke_stand_ins::fleet::{Health, Path};
 use onyxyoke_stand_ins::unix_ms;
@@ -18,8 +19,6 @@
 
 /// Caches drop purged copies by themselves within the settings' six seconds: so long after (seconds).
 const SETTLES: Duration = Duration::from_secs(5);
-/// A front that is not ready so long after it serves is never.
-const READY: Duration = Duration::from_secs(30);
 /// Clients come for so long after a front was told to end (seconds).
 const COMING: f64 = 0.4;
 /// A new process of a front serves so long beside the old before that is told to end (seconds).
@@ -201,7 +200,7 @@
     async fn start_again(&self, f: usize, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
         let began = Instant::now();
         let old = self.fronts[f].start(&self.tier, seed).await?;
-        let ready = timeout(READY, self.fronts[f].ready()).await;
+        let ready = timeout(Duration::from_secs_f64(READY.1), self.fronts[f].ready()).await;
         self.book.open().ready.push(ready.map_or(f64::INFINITY, |()| began.elapsed().as_secs_f64()));
         Ok(old)
     }
--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -39,7 +39,7 @@
 /// Beyond the N calls that a cold node bears, so many times the root of N and so many more are put down to chance.
 const CHANCE: (f64, f64) = (2.0, 2.0);
 /// Of the fronts that are started again, nine in ten are ready within the first, and all within the second (seconds).
-const READY: (f64, f64) = (10.0, 30.0);
+pub const READY: (f64, f64) = (10.0, 30.0);
 /// Herds are counted this long after an event (seconds).
 const HERD: f64 = 0.1;
 /// A node that is well again has its part after this (seconds).
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -15,20 +15,24 @@
     }
 }
 
-pub fn lab() -> Command {
-    let lab = PathBuf::from(env!("CARGO_BIN_EXE_onyxyoke-lab"));
-    let front = lab.with_file_name("onyxyoke");
+const LAB: &str = env!("CARGO_BIN_EXE_onyxyoke-lab");
+
+/// The front that was built beside the lab.
+fn built() -> PathBuf {
+    let front = Path::new(LAB).with_file_name("onyxyoke");
     assert!(front.exists(), "cargo test --workspace builds {}", front.display());
-    Command::new(lab)
+    front
+}
+
+pub fn lab() -> Command {
+    built();
+    Command::new(LAB)
 }
 
 /// The front that is played, apart from what another build may put beside the lab meanwhile. Faults can be planted in it:
 /// one that was built without would be called harmless, whatever the plan wants of it.
 fn front(folder: &Path) -> PathBuf {
-    let (built, kept) = (
-        PathBuf::from(env!("CARGO_BIN_EXE_onyxyoke-lab")).with_file_name("onyxyoke"),
-        folder.join("onyxyoke"),
-    );
+    let (built, kept) = (built(), folder.join("onyxyoke"));
     if std::fs::hard_link(&built, &kept).is_err() {
         std::fs::copy(&built, &kept).unwrap();
     }
@@ -86,15 +90,9 @@
     let front = front(&files.0);
     let _place = Place::take();
     for _ in 0..4 {
-        let out = lab()
-            .arg("fleet")
-            .arg(&file)
-            .arg("--front")
-            .arg(&front)
-            .arg("--json")
-            .arg(&figures)
-            .output()
-            .unwrap();
+        let mut play = lab();
+        play.arg("fleet").arg(&file).arg("--front").arg(&front).arg("--json").arg(&figures);
+        let out = play.output().unwrap();
         let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
         match out.status.code() {
             Some(0) => {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -31,6 +31,17 @@
     line.split(' ').find_map(|w| w.strip_prefix(&mark)).unwrap().parse().unwrap()
 }
 
+/// The next command at either of two cache nodes; is it the first one's?
+fn either(first: &Receiver<Served>, second: &Receiver<Served>) -> (Served, bool) {
+    let mut came = None;
+    eventually("a command at either cache node", || {
+        let at = |served: &Receiver<Served>, mine: bool| Some((served.try_recv().ok()?, mine));
+        came = at(first, true).or_else(|| at(second, false));
+        came.is_some()
+    });
+    came.unwrap()
+}
+
 fn nothing(served: &Receiver<Served>) {
     if let Ok(s) = served.try_recv() {
         panic!("{} {} reached the cache", s.verb, s.id);
@@ -143,25 +154,14 @@
 /// the first one fails it then.
 #[test]
 fn a_client_that_goes_gets_no_further_attempt() {
-    let ((one, at_one), (two, at_two)) = (cache_node(), cache_node());
-    let members =
-        vec![member(EDGE, "standard", one), member(OTHER, "standard", two), member(ORIGIN, "origin", two)];
-    let mut node = Node::start("crossing-gone", members, |_| ());
+    let (mut node, [(_, at_one), (_, at_two)]) = two_caches("crossing-gone");
     let mut c = node.connect();
     c.ask("1", 0xa1, "");
-    let mut asked = loop {
-        if let Some(s) = [&at_one, &at_two].iter().find_map(|r| r.try_recv().ok()) {
-            break s;
-        }
-    };
+    let (mut asked, _) = either(&at_one, &at_two);
     drop(c);
     // The cancel has come: only now the cache fails the request, which crosses nothing any more, and would have been a
     // reason for a further attempt.
-    let cancel = loop {
-        if let Some(s) = [&at_one, &at_two].iter().find_map(|r| r.try_recv().ok()) {
-            break s;
-        }
-    };
+    let (cancel, _) = either(&at_one, &at_two);
     assert_eq!((&*cancel.verb, &cancel.id), ("cancel", &asked.id));
     asked.answer("FAULT", "n=TCP_MISS", b"");
     node.signal("-TERM");
@@ -214,13 +214,7 @@
 /// coordinator: it is used before and after, and not between.
 #[test]
 fn a_node_that_drains_vanishes_and_returns_at_its_address_is_used_again() {
-    let ((cache, at_cache), (twin, at_twin)) = (cache_node(), cache_node());
-    let members = vec![
-        member(EDGE, "standard", cache),
-        member(OTHER, "standard", twin),
-        member(ORIGIN, "origin", twin),
-    ];
-    let node = Node::start("crossing-returns", members, |_| ());
+    let (node, [(cache, at_cache), (_, at_twin)]) = two_caches("crossing-returns");
     let (_, mut feed) = node.feeds.recv_timeout(PATIENCE).unwrap();
     let record = |id: u32, state: u8| record(id, state, cache);
     let frame = list;
@@ -231,14 +225,7 @@
         asked += 1;
         let fields = format!("call={asked:016x},ttl=3000,row={asked:016x},slice=0,set=17,heap=10.5");
         c.send(&["REQ", &asked.to_string(), "media", &fields, ""]);
-        let (mut served, mine) = loop {
-            if let Ok(s) = at_cache.try_recv() {
-                break (s, true);
-            }
-            if let Ok(s) = at_twin.try_recv() {
-                break (s, false);
-            }
-        };
+        let (mut served, mine) = either(&at_cache, &at_twin);
         served.hit(b"x");
         assert_eq!(c.answer()[1], "ok");
         mine
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -229,10 +229,7 @@
 /// A machine that has vanished takes connections and says nothing: the request moves on in time.
 #[test]
 fn a_silent_cache_does_not_hold_its_requests() {
-    let ((one, silent), (two, speaks)) = (cache_node(), cache_node());
-    let members =
-        vec![member(EDGE, "standard", one), member(OTHER, "standard", two), member(ORIGIN, "origin", two)];
-    let node = Node::start("silent", members, |_| ());
+    let (node, [(_, silent), (_, speaks)]) = two_caches("silent");
     let mut c = node.connect();
     // Objects spread by hash: those of the silent cache move on to the other once it is seen that this answers.
     let mut tags = Vec::new();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -239,6 +239,15 @@
     )
 }
 
+/// The same with two cache nodes, of which the second is the origin too; where each is, and what it gets.
+pub fn two_caches(name: &str) -> (Node, [(SocketAddr, Receiver<Served>); 2]) {
+    let caches = [cache_node(), cache_node()];
+    let [one, two] = [caches[0].0, caches[1].0];
+    let members =
+        vec![member(EDGE, "standard", one), member(OTHER, "standard", two), member(ORIGIN, "origin", two)];
+    (Node::start(name, members, |_| ()), caches)
+}
+
 pub fn next(served: &Receiver<Served>) -> Served {
     served.recv_timeout(PATIENCE).expect("a command at the cache node")
 }
