Let no stage of a rollout pass while what new fronts use is over its bound or not compared

Cause: memory has to be over for uses_s (10 s) and a stage asks for its soak (3 s) alone. The three stages take 15 to 20 s, and the 10 s began anew in each window without an old front of the same age beside (Gate::saw set over to None for want of a comparison as for a fair one), when fronts turned from young to old, and for good once the last old front was changed. Ruled out: refusals (none counted), late readings (stand-ins late by 3.9 ms). Mend: rollout::usage keeps what is known by front and process; a gap is no comparison, and old fronts of before stand in, at the load of now, where none is left. A stage waits while half of a location's new fronts are over and undecided, and until half of its own fronts were compared; what longest_stage_s ends, ends as stopped.

--- a/crates/lab/src/rollouts/tests.rs
+++ b/crates/lab/src/rollouts/tests.rs
@@ -103,3 +103,39 @@
     }
     assert!(late <= 2, "{late} of 20 after the second stage; classes are {CLASSES:?}");
 }
+
+/// Spans and limits of the rollouts that process tests play: the soak is shorter than the time for which memory has to be
+/// over its bound.
+fn with_a_short_soak(seed: u64) -> onyxyoke::rollout::Plan {
+    let mut plan = plan(12, seed);
+    let s = &mut plan.spans;
+    (s.watch_s, s.soak_s, s.longest_stage_s, s.longest_s) = (3.0, 3.0, 25.0, 120.0);
+    (s.window_s, s.stale_s, s.warm_s, s.patience_s, s.silent_s) = (0.5, 2.0, 4.0, 8.0, 2.0);
+    plan.limits.stages = vec![0.25, 1.0];
+    plan.limits.at_once = 0.5;
+    (plan.gates.least_requests, plan.gates.not_awaited) = (3.0, vec![1]);
+    plan
+}
+
+/// A stage passed while memory was over its bound for less than `uses_s`, so that a rollout with short stages was over
+/// before it was stopped.
+#[test]
+fn a_leak_is_stopped_however_short_the_soak() {
+    for seed in 1..31 {
+        let mut world = World::new(12, seed, Harm::Leak(12_000.0, 0.0));
+        let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], |_| (0.0, None));
+        assert_eq!((played.end, played.stage), (Some(End::Stopped), 0), "seed {seed}: {:?}", played.why);
+        assert!(played.why.is_some_and(|why| why.starts_with("memory")));
+    }
+}
+
+/// Killed at any act, the tool goes on from its records: no stage waits for what cannot be seen any more.
+#[test]
+fn a_harmless_change_with_a_short_soak_is_done() {
+    for seed in 1..31 {
+        let mut world = World::new(12, seed, Harm::None);
+        let killed = [seed as usize * 3];
+        let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &killed, |_| (0.0, None));
+        assert_eq!(played.end, Some(End::Done), "seed {seed}: {:?}", played.why);
+    }
+}
--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -1,8 +1,10 @@
 //! Is new worse than old? Both are compared over the same time at the same location, processes that just started with
 //! processes that just started, so that what hits both, or one location alone, or whoever starts empty, says nothing.
 
+use super::change::Run;
 use super::evidence::{Evidence, log_mean};
 use super::plan::Gates;
+use super::usage::UsageComparison;
 use std::collections::BTreeMap;
 
 /// What is compared.
@@ -47,9 +49,26 @@
     }
 }
 
+/// Why a stage cannot be judged yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
+#[cfg_attr(feature = "rollout", serde(rename_all = "kebab-case"))]
+pub enum Undecided {
+    /// New fronts use too much of this, though not for long yet.
+    TooMuch(Measure),
+    /// Most of the stage's fronts were not compared with old ones yet.
+    NotCompared,
+}
+
 /// What one front did in a window.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Window {
+    /// Which front, and its process.
+    pub front: usize,
+    /// Its process.
+    pub run: Run,
+    /// Seconds that the window covers.
+    pub span: f64,
     /// Where, and whether it runs the new side.
     pub location: usize,
     /// It runs what is rolled out.
@@ -83,9 +102,6 @@
 
 /// What is compared by class.
 pub const COUNTED: [Measure; 3] = [Measure::Unserved, Measure::Retries, Measure::Slow];
-/// Compared by front, with what is no difference at all whatever it is a multiple of (KB, descriptors, share of a core).
-const USED: [(Measure, f64); 3] =
-    [(Measure::Memory, 8_192.0), (Measure::Descriptors, 32.0), (Measure::Processor, 0.05)];
 /// So much is taken to be known of clumps before anything was seen.
 const PRIOR: f64 = 20.0;
 /// Of one front's bad events in one window so many count, and so many times what is usual for old ones: what fails
@@ -133,16 +149,15 @@
     soak: f64,
     /// Requests that new fronts ended in the stage, by class.
     asked: Vec<f64>,
-    /// By what is used: since when new fronts use too much, and how many times as much as old ones.
-    over: [Option<(f64, f64)>; USED.len()],
+    usage: UsageComparison,
 }
 
 impl Gate {
     /// For so many classes and stages.
     pub fn new(terms: Gates, classes: usize, stages: usize) -> Gate {
         let lines = vec![Default::default(); classes];
-        let over = Default::default();
-        Gate { terms, stages: stages.max(1), lines, began: 0.0, soak: 1.0, asked: vec![0.0; classes], over }
+        let usage = UsageComparison::new(&terms);
+        Gate { terms, stages: stages.max(1), lines, began: 0.0, soak: 1.0, asked: vec![0.0; classes], usage }
     }
 
     /// A stage begins: what earlier ones showed was judged.
@@ -150,6 +165,27 @@
         (self.began, self.soak) = (now, soak.max(1.0));
         self.asked.fill(0.0);
         self.lines.iter_mut().flatten().for_each(|l| l.by_start = Default::default());
+        self.usage.begin_stage();
+    }
+
+    /// What new and old fronts use.
+    pub fn usage(&mut self) -> &mut UsageComparison {
+        &mut self.usage
+    }
+
+    /// Nobody looked for so long: that time counts for nothing (seconds).
+    pub fn skip(&mut self, gap: f64) {
+        self.began += gap;
+        self.usage.skip(gap);
+    }
+
+    /// What keeps a stage of these fronts from being judged yet, beside requests that are still to come. No evidence is
+    /// not good evidence: they have to have been compared, and nothing that they use may be over its bound undecided.
+    pub fn undecided(&self, now: f64, fronts: &[usize]) -> Option<Undecided> {
+        match self.usage.undecided(now) {
+            Some(measure) => Some(Undecided::TooMuch(measure)),
+            None => (!self.usage.compared(fronts)).then_some(Undecided::NotCompared),
+        }
     }
 
     /// Requests that new fronts ended in this stage, by class.
@@ -206,14 +242,7 @@
             let ended = windows.iter().filter(|w| w.new).filter_map(|w| w.sums.get(class)).map(|s| s.asked);
             self.asked[class] += ended.sum::<f64>();
         }
-        for (i, (_, least)) in USED.into_iter().enumerate() {
-            let times = strata.values().filter_map(|fronts| times(fronts, i, least)).fold(0.0, f64::max);
-            self.over[i] = match self.over[i] {
-                _ if times <= self.terms.uses_times => None,
-                Some((since, _)) => Some((since, times)),
-                None => Some((now, times)),
-            };
-        }
+        self.usage.saw(now, windows);
     }
 
     /// What it says by now.
@@ -227,125 +256,12 @@
                 }
             }
         }
-        for (over, (measure, _)) in self.over.iter().zip(USED) {
-            if let Some((since, by)) = *over
-                && now - since >= self.terms.uses_s
-            {
-                return Verdict::Worse { measure, class: None, by, bound: self.terms.uses_times };
-            }
+        if let Some((measure, by)) = self.usage.too_much(now) {
+            return Verdict::Worse { measure, class: None, by, bound: self.terms.uses_times };
         }
         Verdict::Fair
     }
 }
 
-/// How many times as much the middle one of the new fronts uses as the most of the old ones of its age, if any is there
-/// to compare with, and if it is a difference at all.
-fn times(fronts: &[&Window], use_of: usize, least: f64) -> Option<f64> {
-    let mut new: Vec<f64> = fronts.iter().filter(|w| w.new).map(|w| w.uses[use_of]).collect();
-    let old = fronts.iter().filter(|w| !w.new).map(|w| w.uses[use_of]).reduce(f64::max)?;
-    new.sort_by(f64::total_cmp);
-    let middle = *new.get(new.len() / 2)?;
-    (middle - old > least && old > 0.0).then(|| middle / old)
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn gates() -> Gates {
-        Gates { false_stop: 0.01, ..Gates::default() }
-    }
-
-    /// Windows of a second in two locations, with `n` new fronts at the first and as many old ones beside them.
-    fn play(seed: u64, seconds: u32, mut bad: impl FnMut(u32, &Window, usize) -> f64) -> Option<u32> {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut gate = Gate::new(gates(), 2, 6);
-        gate.stage(0.0, 60.0);
-        for second in 0..seconds {
-            let mut windows = Vec::new();
-            for front in 0..24 {
-                let new = front < 4;
-                let mut w = Window {
-                    location: front % 2,
-                    new,
-                    young: false,
-                    sums: vec![Sum::default(); 2],
-                    uses: [1.0; 3],
-                };
-                for (class, rate) in [8.0, 0.3].into_iter().enumerate() {
-                    let chance = bad(second, &w, class);
-                    let asked = (rate + random.f64()) as u32;
-                    let unserved = (0..asked).filter(|_| random.f64() < chance).count() as f64;
-                    w.sums[class] = Sum { asked: f64::from(asked), unserved, ..Sum::default() };
-                }
-                windows.push(w);
-            }
-            gate.saw(f64::from(second), &windows);
-            if gate.verdict(f64::from(second)) != Verdict::Fair {
-                return Some(second);
-            }
-        }
-        None
-    }
-
-    #[test]
-    fn what_hits_both_or_one_location_stops_nothing() {
-        for seed in 0..40 {
-            assert_eq!(play(seed, 200, |_, _, _| 0.02), None, "seed {seed}");
-            let burst = |s: u32, _: &Window, _| if (50..80).contains(&s) { 0.6 } else { 0.01 };
-            assert_eq!(play(seed, 200, burst), None, "a burst, seed {seed}");
-            let lost = |s: u32, w: &Window, _| if s > 50 && w.location == 0 { 0.5 } else { 0.01 };
-            assert_eq!(play(seed, 200, lost), None, "one location, seed {seed}");
-        }
-    }
-
-    #[test]
-    fn what_is_worse_in_one_class_at_one_location_or_late_is_found() {
-        for seed in 0..20 {
-            let all = |_, w: &Window, _| if w.new { 0.1 } else { 0.01 };
-            assert!(play(seed, 60, all).is_some(), "seed {seed}");
-            let rare = |_, w: &Window, class| if w.new && class == 1 { 0.3 } else { 0.01 };
-            assert!(play(seed, 300, rare).is_some(), "the rare class, seed {seed}");
-            let there = |_, w: &Window, _| if w.new && w.location == 1 { 0.1 } else { 0.01 };
-            assert!(play(seed, 120, there).is_some(), "one location, seed {seed}");
-            let late = |s, w: &Window, _| if w.new && s > 30 { 0.1 } else { 0.01 };
-            assert!(play(seed, 90, late).is_some_and(|s| s > 30), "late, seed {seed}");
-        }
-    }
-
-    /// Guards fronts that differ: old ones whose failures come in clumps make clumps of the new ones' worth less.
-    #[test]
-    fn clumps_that_old_fronts_have_too_are_no_evidence() {
-        let mut stopped = 0;
-        for seed in 0..40 {
-            let mut random = fastrand::Rng::with_seed(seed ^ 77);
-            stopped +=
-                u32::from(play(seed, 200, |_, _, _| if random.f64() < 0.02 { 0.9 } else { 0.002 }).is_some());
-        }
-        assert!(stopped <= 1, "{stopped} of 40");
-    }
-
-    #[test]
-    fn a_leak_beside_old_fronts_of_the_same_age_stops() {
-        let mut gate = Gate::new(gates(), 1, 6);
-        gate.stage(0.0, 60.0);
-        let mut stopped = None;
-        for second in 0..120 {
-            let now = f64::from(second);
-            let one = |new: bool, kb: f64| Window {
-                location: 0,
-                new,
-                young: true,
-                sums: vec![],
-                uses: [kb, 40.0, 0.1],
-            };
-            let leak = 10_000.0 + now.max(20.0) * 500.0 - 10_000.0;
-            gate.saw(now, &[one(true, 12_000.0 + leak), one(false, 12_000.0), one(false, 14_000.0)]);
-            if let Verdict::Worse { measure, .. } = gate.verdict(now) {
-                assert_eq!(measure, Measure::Memory);
-                stopped.get_or_insert(second);
-            }
-        }
-        assert!(stopped.is_some_and(|s| (20..60).contains(&s)), "{stopped:?}");
-    }
-}
+mod tests;
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -8,12 +8,14 @@
 mod plan;
 mod readings;
 mod stages;
+mod usage;
 mod whole;
 
 pub use change::{Change, Event, Health, Notice, Order, Phase, Run, Side, Times};
 pub use evidence::{Evidence, tail};
-pub use gate::{COUNTED, Gate, Measure, Sum, Verdict, Window};
+pub use gate::{COUNTED, Gate, Measure, Sum, Undecided, Verdict, Window};
 pub use plan::{Built, By, Front, Gates, Limits, Mixing, Plan, Spans, mixing};
 pub use readings::{Counts, Delta, Reading, Series};
 pub use stages::{Seat, Stage, stages};
+pub use usage::{UsageBaseline, UsageComparison};
 pub use whole::{Act, End, Found, Record, Report, Whole, Word};
--- a/src/rollout/whole.rs
+++ b/src/rollout/whole.rs
@@ -3,10 +3,11 @@
 
 use super::change::{Change, Event, Health, Notice, Order, Phase as Step, Run, Side};
 use super::evidence::tail;
-use super::gate::{COUNTED, Gate, Sum, Verdict, Window};
+use super::gate::{COUNTED, Gate, Sum, Undecided, Verdict, Window};
 use super::plan::{By, Plan};
 use super::readings::{Delta, Reading, Series};
 use super::stages::{Seat, Stage, stages};
+use super::usage::UsageBaseline;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A span without a look that is longer was no look at the fronts: it counts for nothing (seconds).
@@ -65,6 +66,9 @@
         stages: Vec<(Vec<usize>, Vec<usize>)>,
         /// By class.
         base: Vec<f64>,
+        /// What old fronts used before, by location; a journal of an earlier build has none.
+        #[cfg_attr(feature = "rollout", serde(default))]
+        usage: Vec<UsageBaseline>,
     },
     /// A stage begins.
     Stage(usize),
@@ -143,6 +147,9 @@
     pub paused: bool,
     /// The whole does worse than before.
     pub held: bool,
+    /// Why the stage cannot be judged yet, beside requests that are still to come.
+    #[cfg_attr(feature = "rollout", serde(default))]
+    pub undecided: Option<Undecided>,
     /// Why it goes back, or went.
     pub why: Option<String>,
     /// How it ended.
@@ -286,11 +293,12 @@
     fn replay(&mut self, now: f64, records: &[Record]) {
         for record in records {
             match record {
-                Record::Staged { stages, base } => {
+                Record::Staged { stages, base, usage } => {
                     let stage =
                         |s: &(Vec<usize>, Vec<usize>)| Stage { fronts: s.0.clone(), control: s.1.clone() };
                     self.stages = stages.iter().map(stage).collect();
                     self.base.clone_from(base);
+                    self.gate.usage().restore(usage);
                 }
                 Record::Stage(stage) => {
                     (self.stage, self.phase) = (*stage, Phase::Changing);
@@ -457,6 +465,7 @@
             member.delta = None;
             member.again += gap;
         }
+        self.gate.skip(gap);
         self.recent.clear();
         self.troubles.clear();
         (self.began, self.stage_began) = (self.began + gap, self.stage_began + gap);
@@ -473,7 +482,7 @@
         let classes = self.plan.classes.len();
         let mut all = vec![vec![Sum::default(); classes]; self.sizes.len()];
         let mut windows = Vec::new();
-        for member in &mut self.members {
+        for (front, member) in self.members.iter_mut().enumerate() {
             let Some(delta) = member.delta.take() else { continue };
             let sums: Vec<Sum> = delta
                 .classes
@@ -494,7 +503,7 @@
                 member.watched = (member.watched.0 + asked, member.watched.1 + delta.span);
             }
             // In change, or something else than it should run: it stands for neither side.
-            let (true, Some((_, side))) = (member.change.settled(), member.change.serving()) else {
+            let (true, Some((run, side))) = (member.change.settled(), member.change.serving()) else {
                 continue;
             };
             if member.says != Some(Health::Yes(side)) {
@@ -508,13 +517,15 @@
                 let total = &mut self.sums[class][usize::from(!new)];
                 (total.asked, total.unserved) = (total.asked + sum.asked, total.unserved + sum.unserved);
             }
-            windows.push(Window { location: member.location, new, young, sums, uses });
+            let (location, span) = (member.location, delta.span);
+            windows.push(Window { front, run, span, location, new, young, sums, uses });
         }
         if self.phase == Phase::Watching {
             for (class, more) in all.iter().flat_map(|l| l.iter().enumerate()) {
                 let sum = &mut self.watched[class];
                 (sum.asked, sum.unserved) = (sum.asked + more.asked, sum.unserved + more.unserved);
             }
+            self.gate.usage().saw(now, &windows);
         } else {
             self.gate.saw(now, &windows);
             self.recent.push_back((now, all));
@@ -539,7 +550,8 @@
         let limits = &self.plan.limits;
         self.stages = stages(&seats, &limits.stages, limits.control, limits.by, self.plan.seed);
         let listed = self.stages.iter().map(|s| (s.fronts.clone(), s.control.clone())).collect();
-        self.keep(Record::Staged { stages: listed, base: self.base.clone() });
+        let usage = self.gate.usage().baselines(self.sizes.len());
+        self.keep(Record::Staged { stages: listed, base: self.base.clone(), usage });
         self.begin(now, 0);
     }
 
@@ -705,7 +717,8 @@
             .filter(|(class, _)| !gates.not_awaited.contains(class))
             .all(|(_, &asked)| asked >= gates.least_requests);
         let soaked = now - since >= self.plan.spans.soak_s;
-        if !soaked || !enough || self.held.is_some() || self.paused.is_some() {
+        let undecided = self.gate.undecided(now, &self.stages[self.stage].fronts).is_some();
+        if !soaked || !enough || undecided || self.held.is_some() || self.paused.is_some() {
             return;
         }
         self.keep(Record::Passed(self.stage));
@@ -792,6 +805,8 @@
             Phase::Ended(end) => format!("{end:?}").to_lowercase(),
         };
         let (evidence, bound) = self.gate.evidence();
+        let fronts = self.stages.get(self.stage).map(|stage| &stage.fronts);
+        let undecided = fronts.and_then(|fronts| self.gate.undecided(now, fronts));
         let pair = |s: &[Sum; 2]| [(s[0].asked, s[0].unserved), (s[1].asked, s[1].unserved)];
         Report {
             phase,
@@ -803,6 +818,7 @@
             silent: counts[3],
             paused: self.paused.is_some(),
             held: self.held.is_some(),
+            undecided,
             why: self.why.clone(),
             end: self.ended(),
             evidence,
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -41,7 +41,8 @@
         let output = known(name, text);
         assert!(output.status.success() && output.stdout.is_empty(), "{name}: everything counts");
     }
-    let listed = "a::fails | cargo test a | a lock | 28\nb_fails | cargo test b, seed 2 | the clock steps | 28";
+    let listed =
+        "a::fails | cargo test a | a lock | 28\nb_fails | cargo test b, seed 2 | the clock steps | 28";
     let output = known("two", Some(listed));
     assert!(output.status.success(), "{output:?}");
     assert_eq!(String::from_utf8(output.stdout).unwrap(), "a::fails\nb_fails\n");
