Take a rollout back only for what is asked after the patience ran out

Cause: the whole was judged by the last 10 s (RECENT) and may be worse for patience_s, 8 s in these tests: what failed in the first second was still counted when the patience ran out. Held began and ended by the same 10 s, so that any trouble was enough. Mend: rollout::fleet_health. Requests of before the patience ran out no longer speak for going back; until later ones say that the whole is worse, beyond chance, or well, it is held.

--- a/crates/lab/src/rollouts/tests.rs
+++ b/crates/lab/src/rollouts/tests.rs
@@ -139,3 +139,26 @@
         assert_eq!(played.end, Some(End::Done), "seed {seed}: {:?}", played.why);
     }
 }
+
+/// The rollout `troubles_of_both_sides_stop_nothing` went back 8 s after the whole had done worse, though that was over by
+/// then: what was worse at first was still among the requests of the last 10 s.
+#[test]
+fn a_trouble_of_both_sides_that_ends_in_time_stops_nothing() {
+    for seed in 1..31 {
+        let mut world = World::new(12, seed, Harm::None);
+        let trouble = |now: f64| (if (8.0..12.0).contains(&now) { 0.4 } else { 0.0 }, None);
+        let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], trouble);
+        assert_eq!(played.end, Some(End::Done), "seed {seed}: {:?}", played.why);
+        assert!(played.records.iter().any(|r| matches!(r, Record::Held(_))), "seed {seed}: it was seen");
+    }
+}
+
+/// Harm to neighbours shows in the whole alone, and lasts.
+#[test]
+fn a_whole_that_stays_worse_is_brought_back() {
+    for seed in 1..31 {
+        let mut world = World::new(12, seed, Harm::Neighbours(0.9));
+        let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], |_| (0.0, None));
+        assert_eq!(played.end, Some(End::Stopped), "seed {seed}: {:?}", played.why);
+    }
+}
--- a/crates/rollout/src/main.rs
+++ b/crates/rollout/src/main.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
-use onyxyoke::rollout::{End, Plan, Word};
+use onyxyoke::rollout::{End, Plan, Undecided, Word};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -173,4 +173,13 @@
     if r.held {
         println!("  held: the whole does worse than before");
     }
+    match r.undecided {
+        Some(Undecided::TooMuch(measure)) if r.end.is_none() => {
+            println!("  waits: new fronts use more {measure:?} than old ones")
+        }
+        Some(Undecided::NotCompared) if r.end.is_none() => {
+            println!("  waits: new fronts were not compared with old ones yet")
+        }
+        _ => {}
+    }
 }
--- /dev/null
+++ b/src/rollout/fleet_health/tests.rs
@@ -0,0 +1,65 @@
+//! The whole over windows of half a second of one location with one class.
+
+use super::*;
+
+const MARGIN: f64 = 0.03;
+const PATIENCE: f64 = 8.0;
+const WINDOW: f64 = 0.5;
+
+/// Plays so many seconds, of whose requests this share is not served; when the rollout would go back.
+fn play(seconds: f64, asked: f64, share: impl Fn(f64) -> f64) -> (Option<f64>, Vec<(f64, Changed)>) {
+    let mut health = FleetHealth::new(1, MARGIN, PATIENCE);
+    let mut changes = Vec::new();
+    for window in 1..=(seconds / WINDOW) as u32 {
+        let now = f64::from(window) * WINDOW;
+        let unserved = (asked * share(now)).round();
+        health.saw(now, vec![vec![Sum { asked, unserved, ..Sum::default() }]]);
+        changes.extend(health.look(now, &[0.25]).map(|changed| (now, changed)));
+        if health.worse_for_too_long(now).is_some() {
+            return (Some(now), changes);
+        }
+    }
+    (None, changes)
+}
+
+/// Requests that failed early in the patience were still among the last 10 s when it ran out.
+#[test]
+fn a_trouble_that_ends_within_the_patience_is_waited_for() {
+    for ends in [2.0, 4.0, 6.0, 8.0] {
+        let (back, changes) =
+            play(40.0, 12.0, |now| if (3.0..3.0 + ends).contains(&now) { 0.5 } else { 0.0 });
+        assert_eq!(back, None, "a trouble of {ends} s");
+        let seen: Vec<Changed> = changes.iter().map(|change| change.1).collect();
+        assert_eq!(seen, [Changed::Worse(0), Changed::Well], "a trouble of {ends} s");
+    }
+}
+
+#[test]
+fn a_trouble_that_lasts_is_not() {
+    let (back, changes) = play(40.0, 12.0, |now| if now >= 3.0 { 0.5 } else { 0.0 });
+    let began = changes[0].0;
+    assert!(
+        back.is_some_and(|at| at - began >= PATIENCE && at - began <= PATIENCE + 2.0),
+        "{back:?}, {began}"
+    );
+}
+
+/// One request in ten of a rare class: the evidence takes longer to come, and comes.
+#[test]
+fn a_slight_harm_to_a_rare_class_is_found_too() {
+    let (back, _) = play(200.0, 10.0, |now| if now >= 3.0 { 0.1 } else { 0.0 });
+    assert!(back.is_some_and(|at| at < 60.0), "{back:?}");
+}
+
+#[test]
+fn time_in_which_nobody_looked_does_not_count() {
+    let mut health = FleetHealth::new(1, MARGIN, PATIENCE);
+    let bad = || vec![vec![Sum { asked: 100.0, unserved: 50.0, ..Sum::default() }]];
+    health.saw(1.0, bad());
+    assert_eq!(health.look(1.0, &[0.25]), Some(Changed::Worse(0)));
+    health.skip(20.0);
+    health.saw(21.0, bad());
+    assert_eq!(health.worse_for_too_long(21.0), None);
+    health.saw(29.5, bad());
+    assert_eq!(health.worse_for_too_long(29.5), Some(0));
+}
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -4,6 +4,7 @@
 
 mod change;
 mod evidence;
+mod fleet_health;
 mod gate;
 mod plan;
 mod readings;
--- a/src/rollout/whole.rs
+++ b/src/rollout/whole.rs
@@ -3,12 +3,13 @@
 
 use super::change::{Change, Event, Health, Notice, Order, Phase as Step, Run, Side};
 use super::evidence::tail;
+use super::fleet_health::{Changed, FleetHealth};
 use super::gate::{COUNTED, Gate, Sum, Undecided, Verdict, Window};
 use super::plan::{By, Plan};
 use super::readings::{Delta, Reading, Series};
 use super::stages::{Seat, Stage, stages};
 use super::usage::UsageBaseline;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// A span without a look that is longer was no look at the fronts: it counts for nothing (seconds).
 const GAP: f64 = 5.0;
@@ -20,8 +21,6 @@
 const AGAIN: (f64, u32) = (3.0, 2);
 /// A front that could not be brought back is tried so many times before the others count as all that is left.
 const BACK_TRIES: u32 = 4;
-/// The whole is judged over so long, from so many requests of a class on (seconds).
-const RECENT: (f64, f64) = (10.0, 50.0);
 
 /// What an operator says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -202,14 +201,10 @@
     began: f64,
     stage_began: f64,
     paused: Option<f64>,
-    held: Option<(f64, usize)>,
     why: Option<String>,
     gate: Gate,
-    /// Share of unserved requests before anything changed, by class.
-    base: Vec<f64>,
+    health: FleetHealth,
     watched: Vec<Sum>,
-    /// The whole, by window: each location's classes.
-    recent: VecDeque<(f64, Vec<Vec<Sum>>)>,
     /// Processes that ended by themselves or fell silent: when, and of which side.
     troubles: Vec<(f64, usize, Side)>,
     /// Of this stage: new and old, by class.
@@ -267,12 +262,10 @@
             began: now,
             stage_began: now,
             paused: None,
-            held: None,
             why: None,
             gate,
-            base: vec![0.0; classes],
+            health: FleetHealth::new(classes, plan.gates.whole, plan.spans.patience_s),
             watched: vec![Sum::default(); classes],
-            recent: VecDeque::new(),
             troubles: Vec::new(),
             sums: vec![Default::default(); classes],
             window: now + plan.spans.window_s,
@@ -297,7 +290,7 @@
                     let stage =
                         |s: &(Vec<usize>, Vec<usize>)| Stage { fronts: s.0.clone(), control: s.1.clone() };
                     self.stages = stages.iter().map(stage).collect();
-                    self.base.clone_from(base);
+                    self.health.set_base(base.clone());
                     self.gate.usage().restore(usage);
                 }
                 Record::Stage(stage) => {
@@ -466,13 +459,12 @@
             member.again += gap;
         }
         self.gate.skip(gap);
-        self.recent.clear();
+        self.health.skip(gap);
         self.troubles.clear();
         (self.began, self.stage_began) = (self.began + gap, self.stage_began + gap);
         if let Phase::Soaking { since } = &mut self.phase {
             *since += gap;
         }
-        self.held = self.held.map(|(since, class)| (since + gap, class));
     }
 
     /// A window closes: what fronts did in it goes to the gate.
@@ -528,10 +520,7 @@
             self.gate.usage().saw(now, &windows);
         } else {
             self.gate.saw(now, &windows);
-            self.recent.push_back((now, all));
-            while self.recent.front().is_some_and(|r| r.0 < now - RECENT.0) {
-                self.recent.pop_front();
-            }
+            self.health.saw(now, all);
         }
     }
 
@@ -543,7 +532,8 @@
         if self.members.iter().any(|m| !m.change.settled()) {
             return;
         }
-        self.base = self.watched.iter().map(|s| s.unserved / s.asked.max(1.0)).collect();
+        let base: Vec<f64> = self.watched.iter().map(|s| s.unserved / s.asked.max(1.0)).collect();
+        self.health.set_base(base.clone());
         let rate = |m: &Member| m.watched.0 / m.watched.1.max(1.0);
         let seats: Vec<Seat> =
             self.members.iter().map(|m| Seat { location: m.location, rate: rate(m) }).collect();
@@ -551,7 +541,7 @@
         self.stages = stages(&seats, &limits.stages, limits.control, limits.by, self.plan.seed);
         let listed = self.stages.iter().map(|s| (s.fronts.clone(), s.control.clone())).collect();
         let usage = self.gate.usage().baselines(self.sizes.len());
-        self.keep(Record::Staged { stages: listed, base: self.base.clone(), usage });
+        self.keep(Record::Staged { stages: listed, base, usage });
         self.begin(now, 0);
     }
 
@@ -579,13 +569,11 @@
             let name = &self.plan.fronts[front].name;
             return Some(format!("front {name} could not be changed, {} times", AGAIN.1));
         }
-        let spans = &self.plan.spans;
-        if let Some((since, class)) = self.held
-            && now - since > spans.patience_s
-        {
+        if let Some(class) = self.health.worse_for_too_long(now) {
             let class = &self.plan.classes[class];
             return Some(format!("the whole fleet does worse than before in '{class}'"));
         }
+        let spans = &self.plan.spans;
         if now - self.began > spans.longest_s {
             return Some("it took longer than 'longest_s'".into());
         }
@@ -630,53 +618,13 @@
         None
     }
 
-    /// Does the whole do worse than before, whoever's fault it is?
-    fn whole(&mut self, now: f64) {
-        let margin = self.plan.gates.whole;
-        let share = |class: usize, location: Option<usize>| {
-            let mut sum = Sum::default();
-            for (_, locations) in &self.recent {
-                let wanted = locations.iter().enumerate().filter(|(l, _)| location.is_none_or(|x| x == *l));
-                for (_, sums) in wanted {
-                    (sum.asked, sum.unserved) =
-                        (sum.asked + sums[class].asked, sum.unserved + sums[class].unserved);
-                }
-            }
-            (sum.asked >= RECENT.1).then_some(sum)
-        };
-        let over = |class: usize, location: Option<usize>, by: f64| {
-            share(class, location).is_some_and(|s| s.unserved > s.asked * (self.base[class] + by))
-        };
-        // A few of a rare class are chance: it has to be more than what the margin allows, and by more than that.
-        let sure = |class: usize| {
-            let most = self.base[class] + margin;
-            share(class, None).is_some_and(|s| tail(s.unserved as u64, s.asked as u64, most) < CHANCE)
-        };
-        let classes = 0..self.base.len();
-        let worse = classes.clone().find(|&class| over(class, None, margin) && sure(class));
-        match (self.held, worse, classes.clone().find(|&class| over(class, None, margin / 2.0))) {
-            (None, Some(class), _) => {
-                self.held = Some((now, class));
-                self.keep(Record::Held(class));
-            }
-            (Some((_, class)), _, Some(_)) => {
-                // A location that does worse though it has fewer of the new fronts than one that does not is in trouble
-                // of its own: that is waited for, and counts for nothing.
-                let news: Vec<f64> = (0..self.sizes.len()).map(|l| self.news(l)).collect();
-                let worse = |l: &usize| over(class, Some(*l), margin);
-                let (bad, good): (Vec<usize>, Vec<usize>) = (0..news.len()).partition(worse);
-                let least = |all: &[usize]| all.iter().map(|&l| news[l]).reduce(f64::min);
-                if let Some(least) = least(&bad)
-                    && good.iter().any(|&l| news[l] > 0.8 * least)
-                {
-                    self.held = Some((now, class));
-                }
-            }
-            (Some(_), _, None) => {
-                self.held = None;
-                self.keep(Record::Freed);
-            }
-            _ => {}
+    /// Looks whether the whole does worse than before: nothing is changed while it does.
+    fn look_at_whole(&mut self, now: f64) {
+        let new_shares: Vec<f64> = (0..self.sizes.len()).map(|l| self.news(l)).collect();
+        match self.health.look(now, &new_shares) {
+            Some(Changed::Worse(class)) => self.keep(Record::Held(class)),
+            Some(Changed::Well) => self.keep(Record::Freed),
+            None => {}
         }
     }
 
@@ -689,7 +637,7 @@
 
     /// One step of a stage: fronts are changed, or it is watched.
     fn stage(&mut self, now: f64) {
-        self.whole(now);
+        self.look_at_whole(now);
         if let Some(why) = self.against(now) {
             return self.back(now, why, false);
         }
@@ -697,7 +645,7 @@
         let wanted: Vec<usize> = upto.filter(|&f| !self.members[f].change.towards(Side::New)).collect();
         let restarts: Vec<usize> = (0..self.members.len()).filter(|&f| self.members[f].restart).collect();
         let busy = self.members.iter().any(|m| !m.change.settled());
-        if self.paused.is_none() && self.held.is_none() {
+        if self.paused.is_none() && !self.health.in_trouble() {
             let turns =
                 wanted.iter().map(|&f| (f, Side::New)).chain(restarts.iter().map(|&f| (f, Side::Old)));
             for (front, to) in turns.collect::<Vec<_>>() {
@@ -718,7 +666,7 @@
             .all(|(_, &asked)| asked >= gates.least_requests);
         let soaked = now - since >= self.plan.spans.soak_s;
         let undecided = self.gate.undecided(now, &self.stages[self.stage].fronts).is_some();
-        if !soaked || !enough || undecided || self.held.is_some() || self.paused.is_some() {
+        if !soaked || !enough || undecided || self.health.in_trouble() || self.paused.is_some() {
             return;
         }
         self.keep(Record::Passed(self.stage));
@@ -817,7 +765,7 @@
             changing: counts[2],
             silent: counts[3],
             paused: self.paused.is_some(),
-            held: self.held.is_some(),
+            held: self.health.in_trouble(),
             undecided,
             why: self.why.clone(),
             end: self.ended(),
