Count requests of new fronts as judged only where old fronts are there to compare with

Found while looking where else a rollout passes for want of evidence: Gate::asked counted every request of a new front, also of a young one whose location has no young old front and of one whose control is in change, which is no evidence for either side (the share is 1 and Evidence::saw returns). Where no front of a location is old any more they count: the whole judges them. The new test fails without it (8 for 0). Gate::saw is split by job; its arithmetic is the same.

--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -81,6 +81,13 @@
     pub uses: [f64; 3],
 }
 
+impl Window {
+    /// Counts of a class; a front that tells of fewer classes had none.
+    fn sum(&self, class: usize) -> Sum {
+        self.sums.get(class).copied().unwrap_or_default()
+    }
+}
+
 /// What the gate says.
 #[derive(Debug, Clone, PartialEq)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
@@ -129,6 +136,46 @@
         sum.of(measure).min(COUNTS.0 + COUNTS.1 * usual * sum.asked)
     }
 
+    /// Takes a window of each cohort: fronts of one location and age, new and old.
+    fn saw<'a>(
+        &mut self,
+        cohorts: impl Iterator<Item = &'a Vec<&'a Window>>,
+        measure: Measure,
+        class: usize,
+        started: usize,
+    ) {
+        // What was known before this window.
+        let (clumps, known) = (self.clumps(), *self);
+        let count = |window: &Window| {
+            let sum = window.sum(class);
+            (known.counts(measure, &sum), sum.asked)
+        };
+        for fronts in cohorts {
+            let total = |new: bool| {
+                let counted = fronts.iter().filter(|w| w.new == new).map(|w| count(w));
+                counted.fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1))
+            };
+            let (new, old) = (total(true), total(false));
+            let share = new.1 / (new.1 + old.1);
+            for evidence in &mut self.by_start[..started] {
+                evidence.saw(new.0, new.0 + old.0, share, clumps);
+            }
+            self.saw_old(old, fronts.iter().filter(|w| !w.new).map(|w| count(w)));
+        }
+    }
+
+    /// How old fronts differ among themselves, for the windows that follow: their sum, and the events and requests of each.
+    fn saw_old(&mut self, sum: (f64, f64), each: impl Iterator<Item = (f64, f64)>) {
+        let rate = sum.0 / sum.1.max(1.0);
+        for (bad, asked) in each {
+            if asked * rate > 0.0 {
+                self.spread += (bad - asked * rate).powi(2) / (asked * rate);
+                self.compared += 1.0 - asked / sum.1;
+            }
+        }
+        self.usual = (self.usual.0 + sum.0, self.usual.1 + sum.1);
+    }
+
     fn clumps(&self) -> f64 {
         ((self.spread + PRIOR) / (self.compared + PRIOR)).max(1.0)
     }
@@ -147,7 +194,7 @@
     /// When the stage began, and how long it is expected to take.
     began: f64,
     soak: f64,
-    /// Requests that new fronts ended in the stage, by class.
+    /// Requests of new fronts in the stage that can be judged, by class.
     asked: Vec<f64>,
     usage: UsageComparison,
 }
@@ -188,7 +235,7 @@
         }
     }
 
-    /// Requests that new fronts ended in this stage, by class.
+    /// Requests that new fronts ended in this stage and that can be judged, by class.
     pub fn asked(&self) -> &[f64] {
         &self.asked
     }
@@ -203,44 +250,25 @@
         ((self.lines.len() * COUNTED.len() * self.stages) as f64 / self.terms.false_stop).ln()
     }
 
-    /// What fronts did over the same window.
-    pub fn saw(&mut self, now: f64, windows: &[Window]) {
-        let mut strata: BTreeMap<(usize, bool), Vec<&Window>> = BTreeMap::new();
-        for w in windows {
-            strata.entry((w.location, w.young)).or_default().push(w);
+    /// What fronts did over the same window. `old_left` tells by location whether any front there still runs the old side:
+    /// where none does, new fronts are judged by the whole fleet alone.
+    pub fn saw(&mut self, now: f64, windows: &[Window], old_left: &[bool]) {
+        let mut cohorts: BTreeMap<(usize, bool), Vec<&Window>> = BTreeMap::new();
+        for window in windows {
+            cohorts.entry((window.location, window.young)).or_default().push(window);
         }
         let started = 1 + (((now - self.began) / self.soak * STARTS as f64) as usize).min(STARTS - 1);
-        for class in 0..self.lines.len() {
-            for (i, measure) in COUNTED.into_iter().enumerate() {
-                let line = &mut self.lines[class][i];
-                // What was known before this window.
-                let (clumps, known) = (line.clumps(), *line);
-                for fronts in strata.values() {
-                    let count = |w: &&&Window| {
-                        let sum = w.sums.get(class).copied().unwrap_or_default();
-                        (known.counts(measure, &sum), sum.asked)
-                    };
-                    let sum = |new: bool| {
-                        let counted = fronts.iter().filter(|w| w.new == new).map(|w| count(&w));
-                        counted.fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1))
-                    };
-                    let (new, old) = (sum(true), sum(false));
-                    let share = new.1 / (new.1 + old.1);
-                    let saw = |e: &mut Evidence| e.saw(new.0, new.0 + old.0, share, clumps);
-                    line.by_start[..started].iter_mut().for_each(saw);
-                    // How the old ones differ among themselves, for the windows that follow.
-                    let rate = old.0 / old.1.max(1.0);
-                    for (bad, asked) in fronts.iter().filter(|w| !w.new).map(|w| count(&w)) {
-                        if asked * rate > 0.0 {
-                            line.spread += (bad - asked * rate).powi(2) / (asked * rate);
-                            line.compared += 1.0 - asked / old.1;
-                        }
-                    }
-                    line.usual = (line.usual.0 + old.0, line.usual.1 + old.1);
+        for (class, lines) in self.lines.iter_mut().enumerate() {
+            for (line, measure) in lines.iter_mut().zip(COUNTED) {
+                line.saw(cohorts.values(), measure, class, started);
+            }
+            for ((location, _), fronts) in &cohorts {
+                let alone = !old_left.get(*location).copied().unwrap_or(false);
+                if alone || fronts.iter().any(|w| !w.new) {
+                    let ended = fronts.iter().filter(|w| w.new).map(|w| w.sum(class).asked);
+                    self.asked[class] += ended.sum::<f64>();
                 }
             }
-            let ended = windows.iter().filter(|w| w.new).filter_map(|w| w.sums.get(class)).map(|s| s.asked);
-            self.asked[class] += ended.sum::<f64>();
         }
         self.usage.saw(now, windows);
     }
--- a/src/rollout/gate/tests.rs
+++ b/src/rollout/gate/tests.rs
@@ -33,7 +33,7 @@
             }
             windows.push(w);
         }
-        gate.saw(f64::from(second), &windows);
+        gate.saw(f64::from(second), &windows, &[true, true]);
         if gate.verdict(f64::from(second)) != Verdict::Fair {
             return Some(second);
         }
@@ -96,7 +96,7 @@
             uses: [kb, 40.0, 0.1],
         };
         let leak = 10_000.0 + now.max(20.0) * 500.0 - 10_000.0;
-        gate.saw(now, &[one(0, 12_000.0 + leak), one(1, 12_000.0), one(2, 14_000.0)]);
+        gate.saw(now, &[one(0, 12_000.0 + leak), one(1, 12_000.0), one(2, 14_000.0)], &[true]);
         if let Verdict::Worse { measure, .. } = gate.verdict(now) {
             assert_eq!(measure, Measure::Memory);
             stopped.get_or_insert(second);
@@ -104,3 +104,28 @@
     }
     assert!(stopped.is_some_and(|s| (20..60).contains(&s)), "{stopped:?}");
 }
+
+/// Requests of new fronts counted as judged though no old front was there to compare with.
+#[test]
+fn what_has_no_old_front_beside_it_does_not_count_as_judged() {
+    let mut gate = Gate::new(gates(), 1, 6);
+    gate.stage(0.0, 60.0);
+    let one = |front: usize, new: bool, young: bool| Window {
+        front,
+        run: 1,
+        span: 1.0,
+        location: 0,
+        new,
+        young,
+        sums: vec![Sum { asked: 8.0, ..Sum::default() }],
+        uses: [1.0; 3],
+    };
+    gate.saw(1.0, &[one(0, true, true), one(1, false, false)], &[true]);
+    assert_eq!(gate.asked(), [0.0], "the old front there is no young one");
+    gate.saw(2.0, &[one(0, true, true), one(1, false, true)], &[true]);
+    assert_eq!(gate.asked(), [8.0]);
+    gate.saw(3.0, &[one(0, true, true)], &[true]);
+    assert_eq!(gate.asked(), [8.0], "the old front is in change");
+    gate.saw(4.0, &[one(0, true, true), one(1, true, true)], &[false]);
+    assert_eq!(gate.asked(), [24.0], "none is left: they are judged by the whole fleet");
+}
--- a/src/rollout/whole.rs
+++ b/src/rollout/whole.rs
@@ -519,7 +519,8 @@
             }
             self.gate.usage().saw(now, &windows);
         } else {
-            self.gate.saw(now, &windows);
+            let old_left: Vec<bool> = (0..self.sizes.len()).map(|l| self.news(l) < 1.0).collect();
+            self.gate.saw(now, &windows, &old_left);
             self.health.saw(now, all);
         }
     }
