Soak starts and ends of fronts by seed: signals in series, the earliest kill, crowds, broken answers

Built from faults that any plan may have: front-cycled, crowd, news-silent, node-breaking; clients may keep several connections and use them until the kill. A refused connection and a wrong end of a process are rules of their own.

--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -158,10 +158,17 @@
     async fn send(self: Rc<Self>, front: usize, place: usize, holds: bool, again: bool) {
         let mut at = front;
         for _ in 0..4 {
-            if self.fronts[at].address.get().is_some()
-                && let Ok(line) = self.line(at, again).await
-            {
-                return self.send_on(&line, place, holds, again).await;
+            let there = &self.fronts[at];
+            if there.address.get().is_some() || there.lingers.get() {
+                match self.line(at, again).await {
+                    Ok(line) => return self.send_on(&line, place, holds, again).await,
+                    Err(e)
+                        if e.kind() == io::ErrorKind::ConnectionRefused && there.address.get().is_some() =>
+                    {
+                        self.book.open().refused.push((self.tier.unix(), at));
+                    }
+                    Err(_) => {}
+                }
             }
             let others: Vec<usize> = (0..self.fronts.len())
                 .filter(|f| {
@@ -209,8 +216,13 @@
     /// A connection of a front with room, or a new one.
     async fn line(self: &Rc<Self>, front: usize, new: bool) -> io::Result<Rc<Line>> {
         let with_room = |l: &&Rc<Line>| !l.ended.get() && l.open.borrow().len() < OPEN;
-        if let Some(line) = self.lines.borrow()[front].iter().find(with_room).filter(|_| !new) {
-            return Ok(line.clone());
+        let may_open = self.fronts[front].address.get().is_some();
+        let lines: Vec<Rc<Line>> = self.lines.borrow()[front].iter().filter(with_room).cloned().collect();
+        if !new && !lines.is_empty() && (lines.len() >= self.plan.clients.connections || !may_open) {
+            // One connection that has room is used before a second, unless several are kept.
+            let several = self.plan.clients.connections > 1;
+            let drawn = if several { self.random.borrow_mut().random_range(0..lines.len()) } else { 0 };
+            return Ok(lines[drawn].clone());
         }
         let address = self.fronts[front].address.get().ok_or(io::ErrorKind::NotConnected)?;
         let stream = TcpStream::connect(address).await?;
--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -1,6 +1,7 @@
 //! Carries faults out, each at its time and on whom it names.
 
 use super::Fleet;
+use super::crowd;
 use super::fronts::{end, member};
 use super::plan::{Fault, Kind, Target};
 use super::record::Told;
@@ -20,9 +21,9 @@
 /// Caches drop purged copies by themselves within the settings' six seconds: so long after (seconds).
 const SETTLES: Duration = Duration::from_secs(5);
 /// Clients come for so long after a front was told to end (seconds).
-const COMING: f64 = 0.4;
+pub(super) const COMING: f64 = 0.4;
 /// A new process of a front serves so long beside the old before that is told to end (seconds).
-const BESIDE: f64 = 0.5;
+pub(super) const BESIDE: f64 = 0.5;
 
 impl Fleet {
     /// Sets all faults up.
@@ -61,7 +62,8 @@
         picked
     }
 
-    fn seed(&self) -> u64 {
+    /// A seed for a process.
+    pub(super) fn seed(&self) -> u64 {
         self.random.borrow_mut().random()
     }
 
@@ -91,6 +93,12 @@
                 }
             }
             Kind::FrontReplaced | Kind::FrontRestarted => {}
+            Kind::FrontCycled { series, gap_s } if on => self.cycle_each(fronts, series, gap_s, span).await,
+            Kind::FrontCycled { .. } => {}
+            Kind::Crowd { connections } if on => {
+                fronts.iter().for_each(|&f| crowd::gather(self, f, connections, span));
+            }
+            Kind::Crowd { .. } => {}
             Kind::NodeKilled | Kind::NodeReplaced | Kind::NodeDrained => {
                 for &n in nodes {
                     let fleet = self.clone();
@@ -114,8 +122,12 @@
             Kind::NodeFailing { share } => {
                 self.health(nodes, |h| h.failing = if on { share } else { 0.0 });
             }
+            Kind::NodeBreaking { share } => {
+                self.health(nodes, |h| h.breaking = if on { share } else { 0.0 });
+            }
             Kind::NewsLate => fronts.iter().for_each(|&f| self.fronts[f].coordinator.hold(on)),
             Kind::NewsCut => fronts.iter().for_each(|&f| self.fronts[f].coordinator.cut(on)),
+            Kind::NewsSilent => fronts.iter().for_each(|&f| self.fronts[f].coordinator.silence(on)),
             Kind::NewsRepeated => fronts.iter().for_each(|&f| self.fronts[f].coordinator.repeat(on)),
             Kind::NewsPartial => {
                 let ids: Vec<u32> = nodes.iter().filter(|_| on).map(|&n| self.tier.nodes[n].id()).collect();
@@ -142,6 +154,7 @@
             Kind::NodeSilent
                 | Kind::NodeSlow { .. }
                 | Kind::NodeFailing { .. }
+                | Kind::NodeBreaking { .. }
                 | Kind::PathSilent
                 | Kind::PathReset
                 | Kind::PathDelayed { .. }
@@ -197,7 +210,7 @@
     }
 
     /// Starts a front's process again, and notes how long after that it takes clients.
-    async fn start_again(&self, f: usize, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
+    pub(super) async fn start_again(&self, f: usize, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
         let began = Instant::now();
         let old = self.fronts[f].start(&self.tier, seed).await?;
         let ready = timeout(Duration::from_secs_f64(READY.1), self.fronts[f].ready()).await;
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -66,6 +66,8 @@
     /// It is meant to be up: an end by itself is a crash.
     pub meant: Cell<bool>,
     pub crashed: Cell<bool>,
+    /// Its clients go on using the connections that they have, though no new ones come.
+    pub lingers: Cell<bool>,
 }
 
 impl Front {
@@ -117,6 +119,7 @@
             child: RefCell::new(None),
             meant: Cell::new(false),
             crashed: Cell::new(false),
+            lingers: Cell::new(false),
         }))
     }
 
@@ -133,16 +136,7 @@
         }
         let listed = tier.nodes.iter().filter_map(|n| member(tier, n.place, self.place, 0));
         self.coordinator.knows(listed.map(|m| (m.id, m.state)));
-        let mut child = Command::new(&self.path)
-            .env_remove("ONYXYOKE_OPERATOR")
-            .env("NODE_ADMIN_ADDR", "127.0.0.1:0")
-            .env("NODE_CONFIG", &file)
-            .env("TMPDIR", &self.folder)
-            .stdin(Stdio::null())
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|e| format!("'{}' does not start: {e}", self.path.display()))?;
+        let mut child = self.spawn(Stdio::piped())?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let (sender, serves) = oneshot::channel();
         let this = self.clone();
@@ -171,6 +165,38 @@
         Ok(self.child.borrow_mut().replace(child))
     }
 
+    /// Starts a process by the settings as they are, and waits for nothing.
+    pub fn spawn(&self, log: Stdio) -> Result<Child, Box<dyn Error>> {
+        let child = Command::new(&self.path)
+            .env_remove("ONYXYOKE_OPERATOR")
+            .env("NODE_ADMIN_ADDR", "127.0.0.1:0")
+            .env("NODE_CONFIG", self.settings_file())
+            .env("TMPDIR", &self.folder)
+            .stdin(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| format!("'{}' does not start: {e}", self.path.display()))?;
+        Ok(child)
+    }
+
+    /// Has it read its settings again: the usable ones, with another limit of memory, or a file that is none.
+    pub fn reload(&self, usable: bool) {
+        let mut config = self.config.borrow().clone();
+        config["limits"]["memory_mb"] = json!(config["limits"]["memory_mb"].as_u64().unwrap_or(64) + 1);
+        let text = if usable { config.to_string() } else { "{".to_owned() };
+        let next = self.folder.join("config.next");
+        if std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, self.settings_file())).is_ok() {
+            self.signal(Signal::SIGHUP);
+        }
+    }
+
+    /// Its newest process, which is meant to be up no more.
+    pub fn take_process(&self) -> Option<Child> {
+        self.meant.set(false);
+        self.child.borrow_mut().take()
+    }
+
     /// Waits until it says that it takes clients.
     pub async fn ready(&self) {
         while !self.healthy().await.unwrap_or(false) {
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -2,13 +2,15 @@
 //! fronts that share nothing, judged by what nodes and clients saw.
 
 mod clients;
+mod crowd;
+mod cycle;
 mod faults;
 mod fronts;
-mod plan;
+pub mod plan;
 mod plot;
-mod record;
+pub mod record;
 mod rollout;
-mod verdict;
+pub mod verdict;
 
 use clients::Clients;
 use fronts::Front;
@@ -97,11 +99,7 @@
     if let Some(front) = &options.front {
         plan.programs = vec![plan::Program { name: "now".into(), path: Some(front.clone()), share: 1.0 }];
     }
-    let near = plan.fronts * (plan.nodes / plan.locations + plan.parents + 2);
-    descriptors(DESCRIPTORS + 2 * near as u64)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(THREADS).enable_all().build()?;
-    let (verdict, book, processor) =
-        LocalSet::new().block_on(&runtime, play(&plan, options.seed, options.logs.as_deref()))?;
+    let (verdict, book, processor) = play_alone(&plan, options.seed, options.logs.as_deref())?;
     print!("{verdict}");
     if let Some(folder) = &options.logs {
         record::write_requests(&folder.join("requests.csv"), &book.open())?;
@@ -127,6 +125,17 @@
     Ok(verdict.held())
 }
 
+/// The verdict, what was seen, and the processor time of a front in the mean and of the rig (seconds).
+pub type Played = (Verdict, Arc<Book>, (f64, f64));
+
+/// Plays a plan on threads of its own.
+pub fn play_alone(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Played, Box<dyn Error>> {
+    let near = plan.fronts * (plan.nodes / plan.locations + plan.parents + 2);
+    descriptors(DESCRIPTORS + 2 * near as u64)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(THREADS).enable_all().build()?;
+    LocalSet::new().block_on(&runtime, play(plan, seed, logs))
+}
+
 /// Lets this process hold so many descriptors.
 fn descriptors(count: u64) -> Result<(), String> {
     use nix::sys::resource::{Resource, getrlimit, setrlimit};
@@ -168,11 +177,7 @@
     rollout: Option<Rc<rollout::Driven>>,
 }
 
-async fn play(
-    plan: &Plan,
-    seed: u64,
-    logs: Option<&Path>,
-) -> Result<(Verdict, Arc<Book>, (f64, f64)), Box<dyn Error>> {
+async fn play(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Played, Box<dyn Error>> {
     if let Some(folder) = logs {
         std::fs::create_dir_all(folder).map_err(|e| format!("'{}': {e}", folder.display()))?;
     }
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -97,6 +97,8 @@
     pub load: f64,
     /// Share of requests that run at the origin, once, and leave no copy.
     pub holds: f64,
+    /// Connections that the clients of a front keep open and use.
+    pub connections: usize,
 }
 
 /// What goes wrong, with whom, and from and until when.
@@ -126,6 +128,11 @@
     FrontReplaced,
     /// Fronts end by SIGTERM, one after the other over the span, and start again once they have.
     FrontRestarted,
+    /// These signals go to a front's process, in turn over the span if there are several fronts. A process that is told to end
+    /// is killed as early as the platform may, while its clients use their open connections; another takes its place.
+    FrontCycled { series: SignalSeries, gap_s: f64 },
+    /// So many connections to each of these fronts that say nothing, or half of a request.
+    Crowd { connections: usize },
     /// Nodes are gone: connections are refused; they come back empty and cold.
     NodeKilled,
     /// Nodes are gone, and others with new ids listen at their addresses after the span.
@@ -140,6 +147,8 @@
     NodeSlow { times: f64 },
     /// This share of requests is answered at once with an error.
     NodeFailing { share: f64 },
+    /// This share of answers breaks off in the middle, and its connection ends.
+    NodeBreaking { share: f64 },
     /// Nothing passes between these fronts and these nodes.
     PathSilent,
     /// Connections between these fronts and these nodes end.
@@ -153,6 +162,8 @@
     NewsLate,
     /// The coordinator of these fronts ends every connection as it comes.
     NewsCut,
+    /// The coordinator of these fronts takes every connection and says nothing at all.
+    NewsSilent,
     /// The coordinator tells these fronts everything again and again, from the first event on.
     NewsRepeated,
     /// The coordinator tells these fronts nothing of these nodes, so that their list is another than that of others.
@@ -165,6 +176,53 @@
     Purged,
 }
 
+/// What a front's process is sent, and what is started beside it; each step comes `gap_s` after the one before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum SignalSeries {
+    /// SIGTERM; another process starts once it has ended.
+    Term,
+    /// SIGTERM twice.
+    TermTwice,
+    /// SIGTERM, then SIGHUP.
+    HangupInTerm,
+    /// SIGHUP twice, then SIGTERM.
+    TermInHangup,
+    /// SIGTERM; another process starts while it closes.
+    SuccessorInTerm,
+    /// Another process starts, and the first is told to end once that is ready.
+    Replaced,
+    /// The same, with two SIGTERM.
+    ReplacedTermTwice,
+    /// SIGHUP, another process starts, and the first is told to end once that is ready.
+    SuccessorInHangup,
+    /// Another process starts and is told to end before it is ready; then the first is told to end.
+    TermBeforeReady,
+    /// SIGHUP with an unusable file, then with a usable one, then twice more.
+    Hangups,
+}
+
+impl SignalSeries {
+    /// All that there are.
+    pub const ALL: [SignalSeries; 10] = [
+        SignalSeries::Term,
+        SignalSeries::TermTwice,
+        SignalSeries::HangupInTerm,
+        SignalSeries::TermInHangup,
+        SignalSeries::SuccessorInTerm,
+        SignalSeries::Replaced,
+        SignalSeries::ReplacedTermTwice,
+        SignalSeries::SuccessorInHangup,
+        SignalSeries::TermBeforeReady,
+        SignalSeries::Hangups,
+    ];
+
+    /// Its name in plans and reports.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+    }
+}
+
 /// Of these, by place; else of these locations, or of all; of what is left this share, drawn by the seed.
 #[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -205,6 +263,7 @@
             objects: 3_000,
             load: 0.4,
             holds: 0.05,
+            connections: 1,
         }
     }
 }
@@ -284,6 +343,7 @@
             share(c.busy_share) && share(c.holds),
             "'clients.busy_share' or 'clients.holds' is not from 0 to 1",
         )?;
+        must((1..=64).contains(&c.connections), "'clients.connections' is not from 1 to 64")?;
         must((1.0..=100.0).contains(&c.busy_times), "'clients.busy_times' is not from 1 to 100")?;
         must((0.1..=3.0).contains(&c.zipf), "'clients.zipf' is not from 0.1 to 3")?;
         must((10..=1_000_000).contains(&c.objects), "'clients.objects' is not from 10 to 1000000")?;
@@ -295,7 +355,9 @@
             must(r.end.as_deref().is_none_or(|e| known(e, &ends)), "'rollout.end' is none that there is")?;
             let words = r.words.iter().all(|w| known(&w.1, &["pause", "resume", "abort"]));
             must(words, "'rollout.words' has one that is not 'pause', 'resume' or 'abort'")?;
-            let fixed = |f: &Fault| matches!(f.kind, Kind::FrontReplaced | Kind::FrontRestarted);
+            let fixed = |f: &Fault| {
+                matches!(f.kind, Kind::FrontReplaced | Kind::FrontRestarted | Kind::FrontCycled { .. })
+            };
             must(
                 !self.faults.iter().any(fixed) && self.programs.len() == 1,
                 "'rollout' goes with one program and without fronts that the rig replaces or restarts",
@@ -325,9 +387,12 @@
                 Kind::NodeSlow { times } | Kind::Burst { times } => {
                     ("times", (0.01..=1000.0).contains(&times))
                 }
-                Kind::NodeFailing { share: s } | Kind::Hot { share: s } | Kind::PathHalfOpen { share: s } => {
-                    ("share", share(s))
-                }
+                Kind::NodeFailing { share: s }
+                | Kind::NodeBreaking { share: s }
+                | Kind::Hot { share: s }
+                | Kind::PathHalfOpen { share: s } => ("share", share(s)),
+                Kind::FrontCycled { gap_s, .. } => ("gap_s", (0.0..=10.0).contains(&gap_s)),
+                Kind::Crowd { connections } => ("connections", (1..=5_000).contains(&connections)),
                 Kind::PathDelayed { seconds } => ("seconds", (0.0..=60.0).contains(&seconds)),
                 _ => ("", true),
             };
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -1,5 +1,6 @@
 //! What nodes and clients saw, as it came: the verdict is drawn from this and from nothing that fronts say.
 
+use super::plan::SignalSeries;
 use hdrhistogram::Histogram;
 use onyxyoke_stand_ins::fleet::{Came, Record};
 use std::io::{self, Write};
@@ -52,6 +53,15 @@
     pub front: Option<usize>,
 }
 
+/// A front's process was sent a series of signals, in Unix seconds; until the last process that was told to end is gone.
+#[derive(Debug, Clone)]
+pub struct Cycle {
+    pub front: usize,
+    pub from: f64,
+    pub until: f64,
+    pub series: SignalSeries,
+}
+
 /// A node as the verdict knows it.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeInfo {
@@ -73,6 +83,11 @@
     pub troubled: Vec<(usize, f64, f64)>,
     /// Operators' calls that were not answered with a yes within a second.
     pub unheard: usize,
+    /// Connections that were refused where the platform counts on a process.
+    pub refused: Vec<(f64, usize)>,
+    /// Series of signals, and processes that did not end as they should: when, which front, and how.
+    pub cycles: Vec<Cycle>,
+    pub ends: Vec<(f64, usize, String)>,
     /// Fronts that were started again: how long after that they took clients (seconds).
     pub ready: Vec<f64>,
     /// Nodes that restarted cold: when.
@@ -106,6 +121,9 @@
             purged: Vec::new(),
             troubled: Vec::new(),
             unheard: 0,
+            refused: Vec::new(),
+            cycles: Vec::new(),
+            ends: Vec::new(),
             ready: Vec::new(),
             cold: Vec::new(),
             events: Vec::new(),
--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -1,7 +1,7 @@
 //! What a record comes to: how even, how idle, how many at once, what was served, and the rules. A pure function.
 
-use super::plan::Bounds;
-use super::record::{Attempt, End, Seen, WINDOW};
+use super::plan::{Bounds, SignalSeries};
+use super::record::{Asked, Attempt, End, Seen, WINDOW};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -40,6 +40,10 @@
 const CHANCE: (f64, f64) = (2.0, 2.0);
 /// Of the fronts that are started again, nine in ten are ready within the first, and all within the second (seconds).
 pub const READY: (f64, f64) = (10.0, 30.0);
+/// What was asked so long before a series of signals, and so long after its end, is counted with it: the longest deadline, and
+/// what comes up after a start (seconds).
+const BEFORE_CYCLE: f64 = 5.0;
+const AFTER_CYCLE: f64 = 0.5;
 /// Herds are counted this long after an event (seconds).
 const HERD: f64 = 0.1;
 /// A node that is well again has its part after this (seconds).
@@ -86,11 +90,40 @@
     pub figures: Figures,
     /// Broken rules, by name, with how often and an example.
     pub rules: BTreeMap<String, (usize, String)>,
+    /// What fronts' processes were sent, with what became of requests meanwhile.
+    pub cycles: BTreeMap<SignalSeries, CycleFigures>,
     pub bounds: Vec<String>,
     /// The stand-ins ran late: nothing above says anything of the fronts.
     pub none: bool,
 }
 
+/// What became of a front's requests while its process was sent signals, and shortly after.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct CycleFigures {
+    pub times: usize,
+    pub asked: usize,
+    pub lost: usize,
+    pub duplicated: usize,
+    pub late: usize,
+    pub refused_connections: usize,
+    pub wrong_ends: usize,
+}
+
+impl CycleFigures {
+    /// The sum of two.
+    pub fn and(self, more: CycleFigures) -> CycleFigures {
+        CycleFigures {
+            times: self.times + more.times,
+            asked: self.asked + more.asked,
+            lost: self.lost + more.lost,
+            duplicated: self.duplicated + more.duplicated,
+            late: self.late + more.late,
+            refused_connections: self.refused_connections + more.refused_connections,
+            wrong_ends: self.wrong_ends + more.wrong_ends,
+        }
+    }
+}
+
 impl Verdict {
     pub fn held(&self) -> bool {
         !self.none && self.rules.is_empty() && self.bounds.is_empty()
@@ -112,6 +145,7 @@
     f.rig_late_ms = seen.late.value_at_quantile(0.99) as f64 / 1000.0;
     verdict.none = seen.late.value_at_quantile(0.99) > RIG_LATE;
     rules(seen, terms, &mut verdict);
+    cycles(seen, terms, &mut verdict);
     let bounds = &terms.bounds;
     let f = verdict.figures.clone();
     let mut bound = |name: &str, value: f64, bound: Option<f64>, least: bool| {
@@ -269,6 +303,42 @@
     (f.back_least, f.back_most) = (least, most);
 }
 
+/// When an answer is late.
+fn answer_by(asked: &Asked, terms: &Terms) -> f64 {
+    asked.at + asked.deadline + terms.answer_slack + SOCKETS
+}
+
+/// What broke while fronts' processes came and went, by what they were sent.
+fn cycles(seen: &Seen, terms: &Terms, verdict: &mut Verdict) {
+    for cycle in &seen.cycles {
+        let during = |at: f64, front: usize| {
+            front == cycle.front && (cycle.from - BEFORE_CYCLE..cycle.until + AFTER_CYCLE).contains(&at)
+        };
+        let figures = verdict.cycles.entry(cycle.series).or_default();
+        figures.times += 1;
+        for asked in seen.asked.iter().filter(|a| during(a.at, a.front)) {
+            let late = asked.end.is_some_and(|(at, end)| at > answer_by(asked, terms) && end != End::Lost);
+            figures.asked += 1;
+            figures.lost += usize::from(!asked.excused && matches!(asked.end, None | Some((_, End::Lost))));
+            figures.duplicated += usize::from(asked.again > 0);
+            figures.late += usize::from(late);
+        }
+        figures.refused_connections += seen.refused.iter().filter(|r| during(r.0, r.1)).count();
+        figures.wrong_ends += seen.ends.iter().filter(|e| during(e.0, e.1)).count();
+    }
+    let since = |at: f64| at - seen.began;
+    for (at, front, what) in &seen.ends {
+        verdict.broken(
+            "a process ends and starts as it is told",
+            format!("front {front} at {:.2} s: {what}", since(*at)),
+        );
+    }
+    for (at, front) in &seen.refused {
+        let example = format!("front {front} at {:.2} s", since(*at));
+        verdict.broken("a process takes connections as long as the platform sends some", example);
+    }
+}
+
 fn rules(seen: &Seen, terms: &Terms, verdict: &mut Verdict) {
     let since = |at: f64| at - seen.began;
     for a in &seen.asked {
@@ -279,7 +349,7 @@
         if a.spoilt {
             verdict.broken("whole and unchanged", what("bytes of another object"));
         }
-        let by = a.at + a.deadline + terms.answer_slack + SOCKETS;
+        let by = answer_by(a, terms);
         match a.end {
             _ if a.excused => {}
             Some((at, End::Served | End::Refused | End::Failed)) if at > by => {
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clients;
 pub mod front;
+mod lifecycle;
 mod schedule;
 mod verdict;
 
@@ -25,6 +26,15 @@
 /// How a soak is run.
 #[derive(clap::Args)]
 pub struct Options {
+    /// Fronts start, are reloaded, replaced and ended under load, in place of one front under a memory limit
+    #[arg(long)]
+    lifecycle: bool,
+    /// With --lifecycle: runs, each from a seed of its own, from `--seed` on
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// With --lifecycle: a folder for each run's plan, for what was seen, and for the fronts' logs
+    #[arg(long)]
+    logs: Option<PathBuf>,
     /// How long
     #[arg(long, default_value_t = 20.0)]
     minutes: f64,
@@ -62,6 +72,9 @@
         Some(path) => path.clone(),
         None => std::env::current_exe()?.with_file_name("onyxyoke"),
     };
+    if options.lifecycle {
+        return lifecycle::run(options, &program);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let verdict = LocalSet::new().block_on(&runtime, soak(options, program))?;
     print!("{verdict}");
--- a/crates/stand-ins/src/coordinator.rs
+++ b/crates/stand-ins/src/coordinator.rs
@@ -58,6 +58,8 @@
     pub late: Cell<bool>,
     /// No connection stays while this is set.
     cut: Cell<bool>,
+    /// Nothing at all is said while this is set, not even that nothing is new.
+    silent: Cell<bool>,
     /// Everything is told again and again while this is set.
     repeats: Cell<bool>,
     /// Of these nothing is told, and what was to be told of them.
@@ -79,6 +81,7 @@
             told: Notify::new(),
             late: Cell::new(false),
             cut: Cell::new(false),
+            silent: Cell::new(false),
             repeats: Cell::new(false),
             left_out: RefCell::default(),
             withheld: RefCell::default(),
@@ -145,6 +148,12 @@
         self.told.notify_waiters();
     }
 
+    /// Takes every connection and says nothing on it, or speaks again.
+    pub fn silence(&self, silent: bool) {
+        self.silent.set(silent);
+        self.told.notify_waiters();
+    }
+
     /// Tells each event three times, and all from the first on once it was told; or only what is new.
     pub fn repeat(&self, repeats: bool) {
         self.repeats.set(repeats);
@@ -180,6 +189,10 @@
                 return;
             }
             let more = self.told.notified();
+            if self.silent.get() {
+                more.await;
+                continue;
+            }
             if self.repeats.get() && again < last {
                 let at = (again - self.first) as usize;
                 let Some((kind, payload, _)) = self.events.borrow().get(at).cloned() else { return };
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -48,6 +48,8 @@
     pub slow: f64,
     /// This share of requests is answered at once with an error.
     pub failing: f64,
+    /// This share of answers breaks off in the middle, and its connection ends.
+    pub breaking: f64,
     /// When it started, in Unix seconds, if it is still cold; it has its whole link `cold.1` seconds after.
     pub started: f64,
     /// Share of its link at the start, and time until it has all (seconds).
@@ -134,7 +136,7 @@
 impl Node {
     /// A node that was up for long.
     pub fn new(place: usize, id: u32, kind: Kind, usual: f64, zone: String) -> Arc<Node> {
-        let health = Health { slow: 1.0, failing: 0.0, started: 0.0, cold: (1.0, 1.0) };
+        let health = Health { slow: 1.0, failing: 0.0, breaking: 0.0, started: 0.0, cold: (1.0, 1.0) };
         let state = State {
             link: Link::new(usual),
             health,
@@ -487,9 +489,9 @@
             filled: false,
             origin: false,
         };
-        let failing = locked(&node.state).health.failing;
-        if failing > 0.0 && (unix_ms() ^ object).wrapping_mul(0x9e37_79b9) % 1000 < (failing * 1000.0) as u64
-        {
+        let Health { failing, breaking, .. } = locked(&node.state).health;
+        let drawn = (unix_ms() ^ object).wrapping_mul(0x9e37_79b9) % 1000;
+        if drawn < (failing * 1000.0) as u64 {
             let out = Out { tier: self, attempt: self.record.came(came) };
             answer(write, &path, &format!("{} FAULT - 0\r\n\r\n", asked.id), &[]).await;
             return drop(out);
@@ -537,6 +539,12 @@
         let ttfb = (wait * 1000.0) as u64;
         let head =
             format!("{} HIT n={note},etag={object:x},made={made},ttfb={ttfb} {}\r\n", asked.id, body.len());
+        if drawn < (breaking * 1000.0) as u64 {
+            let mut write = write.lock().await;
+            let _ = write.write_all(head.as_bytes()).await;
+            let _ = write.shutdown().await;
+            return drop(out);
+        }
         answer(write, &path, &head, body.as_bytes()).await;
         drop(out);
     }
