Take a process that has ended for no successor

The first logged 'a newer process serves beside this one: the door is shut' with no such process. Cause: a process notes its pid in $TMPDIR as soon as it listens, the note outlived it, and Keeper::succeeded took any pid but its own for a successor. Two tests noted a pid that no process has for a successor, which is now rightly none: they note one that lives, and the other case beside it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -297,10 +297,14 @@
     // Health says no from here on, but whoever comes is still served until the closing window is over and
     // all that was taken is answered; what would take longer is failed before SIGKILL may come.
     ready.set(false);
-    // A successor takes the clients: nothing waits for this process at its listener or on an idle connection.
-    if keeper.is_some_and(|keeper| keeper.succeeded()) {
-        log!("a newer process serves beside this one: the door is shut");
-        door.shut();
+    // A successor takes the clients: nothing waits for this process at its listener or on an idle connection. One that was
+    // ended itself is none: this process takes clients to the end of the closing window, as if there had never been another.
+    if let Some(keeper) = keeper {
+        if keeper.succeeded() {
+            log!("a newer process serves beside this one: the door is shut");
+            door.shut();
+        }
+        keeper.withdraw();
     }
     let told = clock::now();
     let killed = told + longest.min(KILL.0) + KILL.1;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -37,10 +37,21 @@
         }
     }
 
-    /// Does a newer process of the front serve beside this one?
+    /// Does a newer process of the front serve beside this one? One that has ended takes no clients, whatever it noted.
     pub fn succeeded(&self) -> bool {
-        let noted = std::fs::read_to_string(&self.live).ok().and_then(|pid| pid.trim().parse::<u32>().ok());
-        noted.is_some_and(|pid| pid != std::process::id())
+        self.noted().is_some_and(|pid| pid != std::process::id() && is_alive(pid))
+    }
+
+    /// This process is about to end: if it is the newest, none is noted any more.
+    pub fn withdraw(&self) {
+        if self.noted() == Some(std::process::id()) {
+            let _ = std::fs::remove_file(&self.live);
+        }
+    }
+
+    /// The newest process of the front, as it noted itself.
+    fn noted(&self) -> Option<u32> {
+        std::fs::read_to_string(&self.live).ok()?.trim().parse().ok()
     }
 
     /// What the file says, if that changed since this process last wrote or read it.
@@ -91,5 +102,14 @@
     }
 }
 
+/// Is there a process of this pid that has not ended? Where the system does not tell, it is taken to be there.
+fn is_alive(pid: u32) -> bool {
+    match std::fs::read_to_string(format!("/proc/{pid}/stat")) {
+        // "PID (NAME) STATE …", in which the name may hold anything: Z and X have ended.
+        Ok(stat) => !stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with(['Z', 'X'])),
+        Err(e) => e.kind() != io::ErrorKind::NotFound || !std::path::Path::new("/proc/self").exists(),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -21,8 +21,16 @@
     assert!(!old.succeeded(), "none is noted");
     old.live();
     assert!(!old.succeeded(), "it is the newest itself");
-    std::fs::write(&old.live, "4294967295").unwrap();
+    let other_process = std::os::unix::process::parent_id().to_string();
+    std::fs::write(&old.live, &other_process).unwrap();
     assert!(old.succeeded() && new.succeeded());
+    old.withdraw();
+    assert!(old.succeeded(), "another's note stays");
+    std::fs::write(&old.live, "4294967295").unwrap();
+    assert!(!old.succeeded() && !new.succeeded(), "one that has ended takes over from nobody");
+    old.live();
+    old.withdraw();
+    assert!(!old.live.exists());
     new.amend(Hand::Cordon(NodeId(9)), 5.0).unwrap();
     assert_eq!(old.look().map(|k| k.cordoned), Some(vec![NodeId(9)]));
     new.amend(Hand::Uncordon(NodeId(9)), 6.0).unwrap();
