--- a/crates/lab/src/fleet/verdict/tests.rs
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `verdict.rs`.
 
-use super::super::record::{Asked, NodeInfo, Told};
+use super::super::record::{Asked, Cycle, NodeInfo, Told};
 use super::*;
 use onyxyoke_stand_ins::fleet::Came;
 
@@ -60,7 +60,11 @@
 #[test]
 fn each_planted_fault_is_found_by_its_name_and_no_other() {
     type Plant = fn(&mut Seen);
-    let plants: [(&str, Plant); 14] = [
+    let plants: [(&str, Plant); 16] = [
+        ("a process ends and starts as it is told", |s| s.ends.push((1005.0, 1, "exit 1".into()))),
+        ("a process takes connections as long as the platform sends some", |s| {
+            s.refused.push((1005.0, 1));
+        }),
         ("operators are answered within 1 s", |s| s.unheard = 1),
         ("one final answer", |s| s.asked[5].again = 1),
         ("one final answer", |s| s.asked[5].end = Some((1009.0, End::Served))),
@@ -160,3 +164,24 @@
     let v = judged(|s| (0..100).for_each(|_| s.late.saturating_record(2 * RIG_LATE)));
     assert!(v.none && !v.held());
 }
+
+/// What is lost of a front's requests is counted with the series of signals that it was under, and with no other.
+#[test]
+fn losses_are_counted_by_the_series_of_signals() {
+    let cycle = |front, from, series| Cycle { front, from, until: from + 4.0, series };
+    let v = judged(|seen| {
+        seen.cycles.push(cycle(1, 1006.0, SignalSeries::Term));
+        seen.cycles.push(cycle(2, 1006.0, SignalSeries::Replaced));
+        let place = |front: usize, at: f64| move |a: &Asked| a.front == front && a.at > at;
+        let lost = seen.asked.iter().position(place(1, 1007.0)).unwrap();
+        seen.asked[lost].end = Some((1008.0, End::Lost));
+        let twice = seen.asked.iter().position(place(2, 1007.0)).unwrap();
+        seen.asked[twice].again = 1;
+        seen.refused.push((1006.2, 1));
+        seen.ends.push((1009.0, 2, "exit 1".into()));
+    });
+    let (term, replaced) = (v.cycles[&SignalSeries::Term], v.cycles[&SignalSeries::Replaced]);
+    assert_eq!((term.times, term.lost, term.duplicated, term.refused_connections), (1, 1, 0, 1));
+    assert_eq!((replaced.lost, replaced.duplicated, replaced.wrong_ends), (0, 1, 1));
+    assert!(term.asked > 20 && !v.held());
+}
