Call the rollout's parts by the field's names, and split its controller by job

whole.rs (760 lines) becomes controller/ (what is heard and decided, observation, crashes, rollback, report) and records.rs.

--- a/crates/lab/src/rollouts/explore.rs
+++ b/crates/lab/src/rollouts/explore.rs
@@ -3,7 +3,7 @@
 //! one that serves.
 
 use super::world::{FAULTS, Harm, Script, World, plan, play};
-use onyxyoke::rollout::{End, Plan, Record, Side, Word};
+use onyxyoke::rollout::{OperatorCommand, Outcome, Plan, Record, Side};
 use std::collections::BTreeMap;
 
 /// A rollout without a fault is over by then (seconds).
@@ -24,7 +24,7 @@
 
 /// Plays it with these faults, words of the operator, and kills of the tool after so many acts; how it ended, or what
 /// did not hold.
-pub fn holds(script: &Script, words: &[(f64, Word)], killed: &[usize]) -> Result<End, String> {
+pub fn holds(script: &Script, words: &[(f64, OperatorCommand)], killed: &[usize]) -> Result<Outcome, String> {
     holds_by(&small(), script, words, killed)
 }
 
@@ -32,16 +32,16 @@
 pub fn holds_by(
     plan: &Plan,
     script: &Script,
-    words: &[(f64, Word)],
+    words: &[(f64, OperatorCommand)],
     killed: &[usize],
-) -> Result<End, String> {
+) -> Result<Outcome, String> {
     let mut world = World::new(3, 1, Harm::None);
     let played = play(&mut world, plan, script, words, killed, |_| (0.0, None));
     let held = match played.end {
         _ if played.broken.is_some() => false,
-        Some(End::Done) => world.runs(Side::New),
-        Some(End::Stopped | End::Aborted) => world.runs(Side::Old),
-        Some(End::Failed) => played.records.iter().any(|r| matches!(r, Record::Stuck(_))),
+        Some(Outcome::Done) => world.runs(Side::New),
+        Some(Outcome::Stopped | Outcome::Aborted) => world.runs(Side::Old),
+        Some(Outcome::Failed) => played.records.iter().any(|r| matches!(r, Record::RollbackFailed(_))),
         None => false,
     };
     let end = played.end.filter(|_| held);
--- a/crates/lab/src/rollouts/mod.rs
+++ b/crates/lab/src/rollouts/mod.rs
@@ -5,7 +5,7 @@
 mod plain;
 mod world;
 
-use onyxyoke::rollout::{By, End, Seat, stages};
+use onyxyoke::rollout::{GroupBy, Outcome, Placement, stages};
 use plain::Judge;
 use serde::Serialize;
 use std::error::Error;
@@ -140,17 +140,17 @@
             None => {
                 let played = play(&mut world, &plan, &Vec::new(), &[], &[], trouble);
                 broken += u64::from(
-                    !matches!(played.end, Some(End::Done | End::Stopped)) || played.broken.is_some(),
+                    !matches!(played.end, Some(Outcome::Done | Outcome::Stopped)) || played.broken.is_some(),
                 );
                 if options.rollouts == 1 {
                     println!("{}: {:?}", case.name, played.why);
                 }
-                (played.end == Some(End::Stopped), played.stage, played.seconds)
+                (played.end == Some(Outcome::Stopped), played.stage, played.seconds)
             }
             Some(judge) => {
-                let seat = |i| Seat { location: i % 3, rate: 1.0 };
-                let seats: Vec<Seat> = (0..options.fronts).map(seat).collect();
-                let made = stages(&seats, &plan.limits.stages, 0.01, By::Front, seed);
+                let seat = |i| Placement { location: i % 3, rate: 1.0 };
+                let seats: Vec<Placement> = (0..options.fronts).map(seat).collect();
+                let made = stages(&seats, &plan.limits.stages, 0.01, GroupBy::Front, seed);
                 let judged = plain::play(&mut world, judge, &made, trouble);
                 (judged.stopped, judged.stage, judged.seconds)
             }
--- a/crates/lab/src/rollouts/tests.rs
+++ b/crates/lab/src/rollouts/tests.rs
@@ -2,11 +2,11 @@
 
 use super::explore::{LENGTH, holds, holds_by, pairs, small};
 use super::world::{CLASSES, FAULTS, Fault, Harm, Script, World, plan, play};
-use onyxyoke::rollout::{End, Record, Side, Word};
+use onyxyoke::rollout::{OperatorCommand, Outcome, Record, Side};
 
 #[test]
 fn every_single_fault_ends_in_all_old_or_all_new() {
-    assert_eq!(holds(&vec![], &[], &[]), Ok(End::Done));
+    assert_eq!(holds(&vec![], &[], &[]), Ok(Outcome::Done));
     let mut ends = std::collections::BTreeMap::new();
     for at in (0..LENGTH as u32 * 2).map(|t| f64::from(t) / 2.0) {
         for front in 0..3 {
@@ -15,8 +15,8 @@
                 *ends.entry(format!("{end:?}")).or_insert(0) += 1;
             }
         }
-        for word in [Word::Pause, Word::Abort] {
-            let end = holds(&vec![], &[(at, word), (at + 4.0, Word::Resume)], &[]);
+        for word in [OperatorCommand::Pause, OperatorCommand::Abort] {
+            let end = holds(&vec![], &[(at, word), (at + 4.0, OperatorCommand::Resume)], &[]);
             assert!(end.is_ok(), "{end:?}");
         }
     }
@@ -28,7 +28,7 @@
 fn every_single_fault_of_a_reload_ends_in_all_old_or_all_new() {
     let mut plan = small();
     plan.limits.reload = true;
-    assert_eq!(holds_by(&plan, &vec![], &[], &[]), Ok(End::Done));
+    assert_eq!(holds_by(&plan, &vec![], &[], &[]), Ok(Outcome::Done));
     for at in (0..LENGTH as u32 * 2).map(|t| f64::from(t) / 2.0) {
         for front in 0..3 {
             for fault in FAULTS {
@@ -36,7 +36,7 @@
                 assert!(end.is_ok(), "{end:?}");
             }
         }
-        let end = holds_by(&plan, &vec![], &[(at, Word::Abort)], &[]);
+        let end = holds_by(&plan, &vec![], &[(at, OperatorCommand::Abort)], &[]);
         assert!(end.is_ok(), "{end:?}");
     }
 }
@@ -53,10 +53,10 @@
     let mut world = World::new(3, 1, Harm::None);
     let played = play(&mut world, &small(), &vec![], &[], &[], |_| (0.0, None));
     for act in 0..played.records.len() * 2 {
-        assert_eq!(holds(&vec![], &[], &[act]), Ok(End::Done), "killed at act {act}");
+        assert_eq!(holds(&vec![], &[], &[act]), Ok(Outcome::Done), "killed at act {act}");
         // Killed before it could keep the word, it was not heard: an operator says it again.
-        let words = [(6.0, Word::Abort), (8.0, Word::Abort)];
-        assert_eq!(holds(&vec![], &words, &[act]), Ok(End::Aborted), "killed at act {act}");
+        let words = [(6.0, OperatorCommand::Abort), (8.0, OperatorCommand::Abort)];
+        assert_eq!(holds(&vec![], &words, &[act]), Ok(Outcome::Aborted), "killed at act {act}");
         let end = holds(&vec![(4.0, 1, Fault::Crashed)], &[], &[act, act + 3]);
         assert!(end.is_ok(), "{end:?}");
     }
@@ -78,12 +78,12 @@
         // 46 % of the fronts end at once in the third stage.
         let script: Script = (0..30).filter(|f| f % 13 < 6).map(|f| (130.0, f, Fault::Crashed)).collect();
         let played = play(&mut world, &plan(30, seed), &script, &[], &[], |_| (0.0, None));
-        assert_eq!(played.end, Some(End::Done), "{played:?}");
+        assert_eq!(played.end, Some(Outcome::Done), "{played:?}");
         let mut world = World::new(30, seed, Harm::None);
         let burst = |now: f64| (if (60.0..80.0).contains(&now) { 0.4 } else { 0.0 }, None);
         let played = play(&mut world, &plan(30, seed), &vec![], &[], &[], burst);
-        assert_eq!(played.end, Some(End::Done), "{:?}", played.why);
-        let held = |r: &Record| matches!(r, Record::Held(_));
+        assert_eq!(played.end, Some(Outcome::Done), "{:?}", played.why);
+        let held = |r: &Record| matches!(r, Record::Paused(_));
         assert!(played.records.iter().any(held), "nothing is changed in a burst");
     }
 }
@@ -96,7 +96,7 @@
             let harm = Harm::Unserved { share: 0.1, class, location: None, after: 0.0 };
             let mut world = World::new(100, seed, harm);
             let played = play(&mut world, &plan(100, seed), &vec![], &[], &[], |_| (0.0, None));
-            assert_eq!(played.end, Some(End::Stopped), "seed {seed}");
+            assert_eq!(played.end, Some(Outcome::Stopped), "seed {seed}");
             late += usize::from(played.stage > 1);
             assert!((world.harmed as f64) < 0.02 * world.asked as f64);
         }
@@ -124,7 +124,7 @@
     for seed in 1..31 {
         let mut world = World::new(12, seed, Harm::Leak(12_000.0, 0.0));
         let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], |_| (0.0, None));
-        assert_eq!((played.end, played.stage), (Some(End::Stopped), 0), "seed {seed}: {:?}", played.why);
+        assert_eq!((played.end, played.stage), (Some(Outcome::Stopped), 0), "seed {seed}: {:?}", played.why);
         assert!(played.why.is_some_and(|why| why.starts_with("memory")));
     }
 }
@@ -136,7 +136,7 @@
         let mut world = World::new(12, seed, Harm::None);
         let killed = [seed as usize * 3];
         let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &killed, |_| (0.0, None));
-        assert_eq!(played.end, Some(End::Done), "seed {seed}: {:?}", played.why);
+        assert_eq!(played.end, Some(Outcome::Done), "seed {seed}: {:?}", played.why);
     }
 }
 
@@ -148,8 +148,8 @@
         let mut world = World::new(12, seed, Harm::None);
         let trouble = |now: f64| (if (8.0..12.0).contains(&now) { 0.4 } else { 0.0 }, None);
         let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], trouble);
-        assert_eq!(played.end, Some(End::Done), "seed {seed}: {:?}", played.why);
-        assert!(played.records.iter().any(|r| matches!(r, Record::Held(_))), "seed {seed}: it was seen");
+        assert_eq!(played.end, Some(Outcome::Done), "seed {seed}: {:?}", played.why);
+        assert!(played.records.iter().any(|r| matches!(r, Record::Paused(_))), "seed {seed}: it was seen");
     }
 }
 
@@ -159,6 +159,6 @@
     for seed in 1..31 {
         let mut world = World::new(12, seed, Harm::Neighbours(0.9));
         let played = play(&mut world, &with_a_short_soak(seed), &vec![], &[], &[], |_| (0.0, None));
-        assert_eq!(played.end, Some(End::Stopped), "seed {seed}: {:?}", played.why);
+        assert_eq!(played.end, Some(Outcome::Stopped), "seed {seed}: {:?}", played.why);
     }
 }
--- a/crates/lab/src/rollouts/world.rs
+++ b/crates/lab/src/rollouts/world.rs
@@ -1,9 +1,9 @@
 //! Fronts as a rollout sees them, modelled in virtual time: processes that start, answer, end and fail, with counters
-//! drawn at random. What decides is the code that ships, `onyxyoke::rollout::Whole`.
+//! drawn at random. What decides is the code that ships, `onyxyoke::rollout::RolloutController`.
 
 use onyxyoke::rollout::{
-    Act, Built, Counts, End, Event, Found, Front, Health, Order, Plan, Reading, Record, Run, Side, Whole,
-    Word,
+    Action, Built, Counts, Event, Found, Front, Health, OperatorCommand, Outcome, Plan, ProcessCommand,
+    Reading, Record, RolloutController, Run, Side,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -209,11 +209,11 @@
         self.machines[front].processes.iter().any(|p| p.ready)
     }
 
-    fn tell(&mut self, front: usize, order: Order, heard: &mut Vec<(usize, Event)>) {
+    fn tell(&mut self, front: usize, order: ProcessCommand, heard: &mut Vec<(usize, Event)>) {
         let now = self.now;
         let machine = &mut self.machines[front];
         match order {
-            Order::Start(run, side) => {
+            ProcessCommand::Start(run, side) => {
                 machine.next = machine.next.max(run + 1);
                 let fault = machine.faults.pop();
                 if fault == Some(Fault::NotStarted) {
@@ -228,19 +228,19 @@
                 }
                 machine.processes.push(process);
             }
-            Order::Term(run) => {
+            ProcessCommand::Term(run) => {
                 let process = machine.processes.iter_mut().find(|p| p.run == run);
                 if let Some(p) = process.filter(|p| !p.deaf) {
                     p.told.get_or_insert(now);
                     p.ends = p.ends.min(now + LEAVE);
                 }
             }
-            Order::Kill(run) => {
+            ProcessCommand::Kill(run) => {
                 if let Some(p) = machine.processes.iter_mut().find(|p| p.run == run) {
                     p.ends = now;
                 }
             }
-            Order::Reload(run, side) => {
+            ProcessCommand::Reload(run, side) => {
                 if let Some(p) = machine.processes.iter_mut().find(|p| p.run == run && !p.deaf) {
                     p.side = side;
                 }
@@ -373,7 +373,7 @@
 /// How a rollout went.
 #[derive(Debug, Clone)]
 pub struct Played {
-    pub end: Option<End>,
+    pub end: Option<Outcome>,
     /// The stage in which it ended.
     pub stage: usize,
     pub why: Option<String>,
@@ -391,12 +391,12 @@
     world: &mut World,
     plan: &Plan,
     script: &Script,
-    words: &[(f64, Word)],
+    words: &[(f64, OperatorCommand)],
     killed: &[usize],
     mut trouble: impl FnMut(f64) -> (f64, Option<usize>),
 ) -> Played {
     let mut records: Vec<Record> = Vec::new();
-    let mut whole = Whole::new(world.now, plan.clone(), world.found(), &records);
+    let mut controller = RolloutController::new(world.now, plan.clone(), world.found(), &records);
     let (mut script, mut words) = (script.clone(), words.to_vec());
     let mut played =
         Played { end: None, stage: 0, why: None, seconds: 0.0, broken: None, records: Vec::new() };
@@ -421,17 +421,17 @@
         let mut readings = Vec::new();
         world.ask(&mut heard, &mut readings);
         let now = world.now;
-        heard.into_iter().for_each(|(front, event)| whole.hear(now, front, event));
-        readings.into_iter().for_each(|(front, reading)| whole.read(now, front, reading));
+        heard.into_iter().for_each(|(front, event)| controller.hear(now, front, event));
+        readings.into_iter().for_each(|(front, reading)| controller.read(now, front, reading));
         words.retain(|&(at, word)| {
             if at <= now {
-                whole.say(now, word);
+                controller.say(now, word);
             }
             at > now
         });
-        whole.step(now);
+        controller.step(now);
         let mut after = Vec::new();
-        for act in whole.take() {
+        for act in controller.take() {
             if killed.contains(&acts) {
                 restart = true;
                 acts += 1;
@@ -439,30 +439,30 @@
             }
             acts += 1;
             match act {
-                Act::Keep(record) => records.push(record),
-                Act::Tell(front, order) => world.tell(front, order, &mut after),
+                Action::Keep(record) => records.push(record),
+                Action::Tell(front, order) => world.tell(front, order, &mut after),
             }
         }
-        after.into_iter().for_each(|(front, event)| whole.hear(now, front, event));
+        after.into_iter().for_each(|(front, event)| controller.hear(now, front, event));
         if restart {
-            whole = Whole::new(now, plan.clone(), world.found(), &records);
+            controller = RolloutController::new(now, plan.clone(), world.found(), &records);
         }
         let down = (0..plan.fronts.len()).find(|f| !spared.contains(f) && !world.serves(*f));
         if let Some(front) = down {
             played.broken.get_or_insert(format!("front {front} has no process that serves at {now}"));
         }
-        if let Some(end) = whole.ended() {
+        if let Some(end) = controller.ended() {
             played.end = Some(end);
             break;
         }
     }
     // What was told last, and processes that are still to end.
-    for act in whole.take() {
-        if let Act::Keep(record) = act {
+    for act in controller.take() {
+        if let Action::Keep(record) = act {
             records.push(record);
         }
     }
-    let report = whole.report(world.now);
+    let report = controller.report(world.now);
     (played.stage, played.why, played.seconds) = (report.stage, report.why, world.now);
     played.records = records;
     played
--- a/crates/rollout/src/drive.rs
+++ b/crates/rollout/src/drive.rs
@@ -8,7 +8,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use nix::sys::signal::Signal;
 use onyxyoke::rollout::{
-    Act, By, End, Event, Found, Health, Notice, Order, Plan, Record, Report, Run, Side, Whole, Word,
+    Action, Event, Found, GroupBy, Health, OperatorCommand, Outcome, Plan, ProcessCommand, ProcessEvent,
+    Record, Report, RolloutController, Run, Side,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -65,7 +66,7 @@
 }
 
 /// Leaves a word for the tool that drives, or the one that will.
-pub fn leave(state: &Path, word: Word) -> Result<PathBuf> {
+pub fn leave(state: &Path, word: OperatorCommand) -> Result<PathBuf> {
     let folder = words(state);
     std::fs::create_dir_all(&folder).with_context(|| format!("'{}'", folder.display()))?;
     let name = format!("{:020}-{}", (unix() * 1e6) as u64, std::process::id());
@@ -92,7 +93,7 @@
 struct Drive {
     state: PathBuf,
     checked: Checked,
-    whole: Whole,
+    controller: RolloutController,
     journal: Journal,
     processes: BTreeMap<(usize, Run), Process>,
     asking: BTreeSet<(usize, Run)>,
@@ -101,13 +102,13 @@
     /// The rule of homes that old processes follow.
     homes: Option<u32>,
     /// Orders whose records are not on disk yet.
-    orders: Vec<(usize, Order)>,
+    orders: Vec<(usize, ProcessCommand)>,
     windows: std::fs::File,
     began: Instant,
 }
 
 /// Runs it to its end, or goes on with it; the plan is that of the file, or the one that was begun in this folder.
-pub fn run(state: &Path, plan: &Path) -> Result<End> {
+pub fn run(state: &Path, plan: &Path) -> Result<Outcome> {
     std::fs::create_dir_all(state).with_context(|| format!("'{}'", state.display()))?;
     let _lease = Lease::take(state)?;
     let (mut journal, records) = Journal::open(&state.join("journal"))?;
@@ -149,21 +150,32 @@
         let found = found(&plan, &records, &heard);
         let homes = heard.iter().filter(|h| h.2.health == Health::Yes(Side::Old));
         let homes = homes.filter_map(|h| h.2.version.map(|v| v.homes)).next();
-        let mut whole = Whole::new(0.0, plan.clone(), found, &records);
+        let mut controller = RolloutController::new(0.0, plan.clone(), found, &records);
         let windows =
             std::fs::OpenOptions::new().create(true).append(true).open(state.join("windows.jsonl"))?;
-        let acts = whole.take();
+        let acts = controller.take();
         let mut orders = Vec::new();
         for act in acts {
             match act {
-                Act::Keep(record) => journal.push(&record),
-                Act::Tell(front, order) => orders.push((front, order)),
+                Action::Keep(record) => journal.push(&record),
+                Action::Tell(front, order) => orders.push((front, order)),
             }
         }
         let (asking, due) = (BTreeSet::new(), BTreeMap::new());
         let state = state.to_owned();
-        let drive =
-            Drive { state, checked, whole, journal, processes, asking, due, homes, orders, windows, began };
+        let drive = Drive {
+            state,
+            checked,
+            controller,
+            journal,
+            processes,
+            asking,
+            due,
+            homes,
+            orders,
+            windows,
+            began,
+        };
         drive.go().await
     }))
 }
@@ -209,7 +221,7 @@
         all[*front].next = all[*front].next.max(run + 1);
     }
     for record in records {
-        if let Record::Ordered { front, order: Order::Start(run, _) } = record {
+        if let Record::Ordered { front, order: ProcessCommand::Start(run, _) } = record {
             all[*front].next = all[*front].next.max(run + 1);
         }
     }
@@ -226,14 +238,14 @@
 /// Objects that have other homes at the new side halve the hits of a location that has both.
 fn refuse_homes(plan: &Plan, homes: Option<u32>, heard: &mut Heard) {
     let differs = heard.version.is_some_and(|v| homes.is_some_and(|h| h != v.homes));
-    if differs && heard.health == Health::Yes(Side::New) && plan.limits.by == By::Front {
+    if differs && heard.health == Health::Yes(Side::New) && plan.limits.by == GroupBy::Front {
         tracing::error!("the new build has another rule of homes: 'limits.by' has to be \"location\"");
         heard.health = Health::Other;
     }
 }
 
 impl Drive {
-    async fn go(mut self) -> Result<End> {
+    async fn go(mut self) -> Result<Outcome> {
         let (sender, mut heard) = mpsc::unbounded_channel::<(usize, Run, Heard)>();
         let bar = ProgressBar::new(self.checked.plan.fronts.len() as u64);
         if let Ok(style) = ProgressStyle::with_template("{elapsed_precise} {bar:30} {pos}/{len} {msg}") {
@@ -253,19 +265,19 @@
             let now = self.began.elapsed().as_secs_f64();
             self.look(now);
             self.words(now);
-            self.whole.step(now);
+            self.controller.step(now);
             self.act();
             self.ask_all(now, &sender);
             if now >= status_at {
                 status_at = now + STATUS;
                 self.status(now);
-                let report = self.whole.report(now);
+                let report = self.controller.report(now);
                 bar.set_position(report.new as u64);
                 let most = report.evidence.iter().flatten().copied().fold(0.0, f64::max);
                 bar.set_message(format!("new; {}; evidence {most:.1} of {:.1}", report.phase, report.bound));
             }
             // Its last records have to be on disk.
-            if let Some(end) = self.whole.ended()
+            if let Some(end) = self.controller.ended()
                 && self.orders.is_empty()
                 && self.journal.sync().is_ok()
             {
@@ -286,9 +298,9 @@
         }
         refuse_homes(&self.checked.plan, self.homes, &mut said);
         let now = self.began.elapsed().as_secs_f64();
-        self.whole.hear(now, front, Event::Said(run, said.health));
+        self.controller.hear(now, front, Event::Said(run, said.health));
         if let Some(reading) = said.reading {
-            self.whole.read(now, front, reading);
+            self.controller.read(now, front, reading);
         }
     }
 
@@ -304,7 +316,7 @@
         for (front, run) in ended {
             self.processes.remove(&(front, run));
             self.due.remove(&(front, run));
-            self.whole.hear(now, front, Event::Ended(run));
+            self.controller.hear(now, front, Event::Ended(run));
         }
     }
 
@@ -318,7 +330,7 @@
             let word = std::fs::read_to_string(&path).ok().and_then(|t| serde_json::from_str(&t).ok());
             if let Some(word) = word {
                 tracing::info!("an operator says {word:?}");
-                self.whole.say(now, word);
+                self.controller.say(now, word);
                 self.act();
                 // Taken once it is on disk; said again it changes nothing.
                 if !self.journal.synced() {
@@ -331,13 +343,13 @@
 
     /// Keeps records, then does what they tell. While the journal cannot be written nothing is done.
     fn act(&mut self) {
-        for act in self.whole.take() {
+        for act in self.controller.take() {
             match act {
-                Act::Keep(record) => {
+                Action::Keep(record) => {
                     tell(&self.checked.plan, &record);
                     self.journal.push(&record);
                 }
-                Act::Tell(front, order) => self.orders.push((front, order)),
+                Action::Tell(front, order) => self.orders.push((front, order)),
             }
         }
         if let Err(e) = self.journal.sync() {
@@ -348,7 +360,7 @@
         }
     }
 
-    fn order(&mut self, front: usize, order: Order) {
+    fn order(&mut self, front: usize, order: ProcessCommand) {
         let plan = &self.checked.plan;
         let spec = &plan.fronts[front];
         let signal = |run: Run, signal| {
@@ -357,7 +369,7 @@
             }
         };
         match order {
-            Order::Start(run, side) => {
+            ProcessCommand::Start(run, side) => {
                 let built = if side == Side::Old { &plan.old } else { &plan.new };
                 let kept = host::kept(&self.state, spec, side);
                 // One that is to read its settings again in service needs the front's own file.
@@ -371,13 +383,13 @@
                     Err(e) => {
                         tracing::error!("front '{}': {e:#}", spec.name);
                         let now = self.began.elapsed().as_secs_f64();
-                        self.whole.hear(now, front, Event::NotStarted(run));
+                        self.controller.hear(now, front, Event::NotStarted(run));
                     }
                 }
             }
-            Order::Term(run) => signal(run, Signal::SIGTERM),
-            Order::Kill(run) => signal(run, Signal::SIGKILL),
-            Order::Reload(run, side) => {
+            ProcessCommand::Term(run) => signal(run, Signal::SIGTERM),
+            ProcessCommand::Kill(run) => signal(run, Signal::SIGKILL),
+            ProcessCommand::Reload(run, side) => {
                 if let Err(e) = put(&host::kept(&self.state, spec, side), &spec.settings) {
                     tracing::error!("front '{}': '{}': {e}", spec.name, spec.settings.display());
                 }
@@ -397,7 +409,7 @@
                 continue;
             }
             // One that does not serve yet is looked at more often.
-            let serving = self.whole.serving(front).is_some_and(|s| s.0 == run);
+            let serving = self.controller.serving(front).is_some_and(|s| s.0 == run);
             self.due.insert((front, run), now + if serving { every } else { every.min(0.2) });
             self.asking.insert((front, run));
             let (asked, sender) = (ask(&self.checked, front, run, process), sender.clone());
@@ -408,9 +420,9 @@
     }
 
     fn status(&mut self, now: f64) {
-        let report = self.whole.report(now);
+        let report = self.controller.report(now);
         let front = |(i, spec): (usize, &onyxyoke::rollout::Front)| {
-            let serving = self.whole.serving(i);
+            let serving = self.controller.serving(i);
             let process = serving.and_then(|s| self.processes.get(&(i, s.0)));
             FrontStatus {
                 name: spec.name.clone(),
@@ -418,7 +430,7 @@
                 side: serving.map(|s| s.1),
                 pid: process.map(|p| p.pid),
                 operators: process.and_then(|p| p.operators).map(|a| a.to_string()),
-                settled: self.whole.change(i).settled(),
+                settled: self.controller.change(i).settled(),
             }
         };
         let fronts = self.checked.plan.fronts.iter().enumerate().map(front).collect();
@@ -435,14 +447,16 @@
 fn tell(plan: &Plan, record: &Record) {
     let name = |front: &usize| &plan.fronts[*front].name;
     match record {
-        Record::Noticed { front, notice: Notice::Changed(side) } => {
+        Record::Noticed { front, notice: ProcessEvent::Changed(side) } => {
             tracing::info!("{}: {side:?}", name(front))
         }
         Record::Noticed { front, notice } => tracing::warn!("{}: {notice:?}", name(front)),
         Record::Ordered { front, order } => tracing::debug!("{}: {order:?}", name(front)),
-        Record::Back { why, .. } => tracing::error!("going back: {why}"),
-        Record::Stuck(front) => tracing::error!("{} CANNOT BE BROUGHT BACK; the others go on", name(front)),
-        Record::Held(class) => {
+        Record::RollbackStarted { why, .. } => tracing::error!("going back: {why}"),
+        Record::RollbackFailed(front) => {
+            tracing::error!("{} CANNOT BE BROUGHT BACK; the others go on", name(front))
+        }
+        Record::Paused(class) => {
             tracing::warn!(
                 "the whole does worse than before in '{}': nothing is changed",
                 plan.classes[*class]
--- a/crates/rollout/src/file.rs
+++ b/crates/rollout/src/file.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, Result, bail};
 use onyxyoke::config;
 use onyxyoke::net::admin::build;
-use onyxyoke::rollout::{By, Front, Mixing, Plan, Seat, Side, mixing, stages};
+use onyxyoke::rollout::{Front, GroupBy, Mixing, Placement, Plan, Side, mixing, stages};
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -58,7 +58,7 @@
                     "the setting '{key}' is who a front is, or where clients reach it: it can't be rolled out"
                 )
             }
-            Mixing::AtOnce if plan.limits.by != By::Location => bail!(
+            Mixing::AtOnce if plan.limits.by != GroupBy::Location => bail!(
                 "the setting '{key}' must be the same at all fronts of a location: 'limits.by' has to be \"location\""
             ),
             how if plan.limits.reload && *how != Mixing::Reload => {
@@ -105,7 +105,8 @@
 pub fn tell(checked: &Checked) -> String {
     let plan = &checked.plan;
     let (locations, places) = plan.locations();
-    let seats: Vec<Seat> = locations.into_iter().map(|location| Seat { location, rate: 1.0 }).collect();
+    let seats: Vec<Placement> =
+        locations.into_iter().map(|location| Placement { location, rate: 1.0 }).collect();
     let limits = &plan.limits;
     let all = stages(&seats, &limits.stages, limits.control, limits.by, plan.seed);
     let s = &plan.spans;
--- a/crates/rollout/src/journal.rs
+++ b/crates/rollout/src/journal.rs
@@ -141,7 +141,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use onyxyoke::rollout::{Notice, Order, Side, Word};
+    use onyxyoke::rollout::{OperatorCommand, ProcessCommand, ProcessEvent, Side};
 
     #[test]
     fn what_was_torn_is_dropped_and_what_was_changed_is_an_error() {
@@ -149,9 +149,9 @@
         let _ = std::fs::remove_file(&path);
         let records = [
             Record::Began { name: "a".into(), fronts: 3 },
-            Record::Ordered { front: 1, order: Order::Start(2, Side::New) },
-            Record::Noticed { front: 1, notice: Notice::Changed(Side::New) },
-            Record::Said(Word::Abort),
+            Record::Ordered { front: 1, order: ProcessCommand::Start(2, Side::New) },
+            Record::Noticed { front: 1, notice: ProcessEvent::Changed(Side::New) },
+            Record::CommandReceived(OperatorCommand::Abort),
         ];
         let (mut journal, none) = Journal::open(&path).unwrap();
         assert!(none.is_empty());
--- a/crates/rollout/src/main.rs
+++ b/crates/rollout/src/main.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
-use onyxyoke::rollout::{End, Plan, Undecided, Word};
+use onyxyoke::rollout::{OperatorCommand, Outcome, Plan, Undecided};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -96,10 +96,10 @@
             let end = drive::run(state, file)?;
             println!("{}", format!("{end:?}").to_lowercase());
             return Ok(match end {
-                End::Done => 0,
-                End::Stopped => 3,
-                End::Aborted => 4,
-                End::Failed => 5,
+                Outcome::Done => 0,
+                Outcome::Stopped => 3,
+                Outcome::Aborted => 4,
+                Outcome::Failed => 5,
             });
         }
         Command::Status { json, live } => loop {
@@ -116,9 +116,9 @@
             }
             std::thread::sleep(Duration::from_secs(1));
         },
-        Command::Pause => say(state, Word::Pause)?,
-        Command::Resume => say(state, Word::Resume)?,
-        Command::Abort => say(state, Word::Abort)?,
+        Command::Pause => say(state, OperatorCommand::Pause)?,
+        Command::Resume => say(state, OperatorCommand::Resume)?,
+        Command::Abort => say(state, OperatorCommand::Abort)?,
         Command::Report { out } => {
             report::write(state, &file::read(&state.join("plan.json"))?, out)?;
             println!("{}", out.display());
@@ -128,7 +128,7 @@
 }
 
 /// Leaves a word, and waits until the tool that drives has it on disk.
-fn say(state: &Path, word: Word) -> Result<()> {
+fn say(state: &Path, word: OperatorCommand) -> Result<()> {
     anyhow::ensure!(state.join("journal").exists(), "'{}' holds no rollout", state.display());
     let path = drive::leave(state, word)?;
     let by = Instant::now() + Duration::from_secs(10);
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::drive::Moment;
 use anyhow::{Context, Result};
-use onyxyoke::rollout::{COUNTED, Notice, Plan, Record, Side};
+use onyxyoke::rollout::{COUNTED, Plan, ProcessEvent, Record, Side};
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::path::Path;
@@ -103,7 +103,9 @@
     page += "<h2>What happened</h2><ol>";
     for record in &records {
         let line = match record {
-            Record::Ordered { .. } | Record::Noticed { notice: Notice::Changed(Side::Old), .. } => continue,
+            Record::Ordered { .. } | Record::Noticed { notice: ProcessEvent::Changed(Side::Old), .. } => {
+                continue;
+            }
             Record::Noticed { front, notice } => format!("{}: {notice:?}", plan.fronts[*front].name),
             Record::Staged { stages, .. } => format!("{} stages", stages.len()),
             other => format!("{other:?}"),
--- a/src/rollout/change.rs
+++ b/src/rollout/change.rs
@@ -42,7 +42,7 @@
 /// What is to be done with a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
-pub enum Order {
+pub enum ProcessCommand {
     /// Start it, to run this.
     Start(Run, Side),
     /// SIGTERM.
@@ -56,7 +56,7 @@
 /// What came of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
-pub enum Notice {
+pub enum ProcessEvent {
     /// The front now runs this.
     Changed(Side),
     /// The process that was to run this did not start, gave no yes within its time, ended, or ran something else. The one
@@ -177,7 +177,7 @@
         reload: bool,
         runs: &[(Run, Health, Side)],
         next: Run,
-        orders: &mut Vec<Order>,
+        orders: &mut Vec<ProcessCommand>,
     ) -> Change {
         let said = |h: Health| if let Health::Yes(side) = h { Some(side) } else { None };
         let mut change = Change { next, serving: None, ..Change::new(times, reload, 0, Side::Old) };
@@ -187,17 +187,17 @@
             [.., (old, was, side), (new, is, _)] => {
                 // Whatever is older still was to end.
                 let older = runs[..runs.len() - 2].iter().map(|r| r.0);
-                orders.extend(older.clone().map(Order::Term));
+                orders.extend(older.clone().map(ProcessCommand::Term));
                 change.leftovers.extend(older.map(|run| (run, now)));
                 if let Some(side) = said(is) {
                     change.serving = Some((new, side));
                     change.phase = Phase::Leaving { old, since: now, killed: false };
-                    orders.push(Order::Term(old));
+                    orders.push(ProcessCommand::Term(old));
                 } else {
                     // Withdrawn, it costs nothing; whether it would have come is not known.
                     change.serving = Some((old, said(was).unwrap_or(side)));
                     change.phase = Phase::Withdrawing { next: new, since: now, killed: false, to: Side::New };
-                    orders.push(Order::Term(new));
+                    orders.push(ProcessCommand::Term(new));
                 }
             }
         }
@@ -250,25 +250,25 @@
     }
 
     /// A settled front goes to this side; one that is there starts a process anew all the same.
-    pub fn go(&mut self, now: f64, to: Side, orders: &mut Vec<Order>) {
+    pub fn go(&mut self, now: f64, to: Side, orders: &mut Vec<ProcessCommand>) {
         let (true, Some((run, side))) = (self.settled(), self.serving) else { return };
         if self.reload && side != to {
             self.phase = Phase::Reloading { to, since: now, back: false };
-            return orders.push(Order::Reload(run, to));
+            return orders.push(ProcessCommand::Reload(run, to));
         }
         let next = self.number();
         self.phase = Phase::Coming { next, to, since: now, yes: None };
-        orders.push(Order::Start(next, to));
+        orders.push(ProcessCommand::Start(next, to));
     }
 
     /// What is on its way to the new side is not wanted any more.
-    pub fn call_back(&mut self, now: f64, orders: &mut Vec<Order>) {
+    pub fn call_back(&mut self, now: f64, orders: &mut Vec<ProcessCommand>) {
         match self.phase {
             Phase::Coming { next, to: Side::New, .. } => self.withdraw(now, next, Side::New, orders),
             Phase::Reloading { to: Side::New, back: false, .. } => {
                 let Some((run, side)) = self.serving else { return };
                 self.phase = Phase::Reloading { to: Side::New, since: now, back: true };
-                orders.push(Order::Reload(run, side));
+                orders.push(ProcessCommand::Reload(run, side));
             }
             _ => {}
         }
@@ -280,7 +280,7 @@
     }
 
     /// Starts a process where none serves: of what ran before, which is known to serve.
-    fn revive(&mut self, now: f64, tries: u32, orders: &mut Vec<Order>) {
+    fn revive(&mut self, now: f64, tries: u32, orders: &mut Vec<ProcessCommand>) {
         // What was to end still has to.
         if let Phase::Leaving { old: run, since, .. } | Phase::Withdrawing { next: run, since, .. } =
             self.phase
@@ -289,11 +289,17 @@
         }
         let next = self.number();
         self.phase = Phase::Down { next, since: now, failed: false, tries };
-        orders.push(Order::Start(next, Side::Old));
+        orders.push(ProcessCommand::Start(next, Side::Old));
     }
 
     /// Hears of one of its processes; what is to be done, and what came of it.
-    pub fn hear(&mut self, now: f64, event: Event, orders: &mut Vec<Order>, notices: &mut Vec<Notice>) {
+    pub fn hear(
+        &mut self,
+        now: f64,
+        event: Event,
+        orders: &mut Vec<ProcessCommand>,
+        notices: &mut Vec<ProcessEvent>,
+    ) {
         match event {
             Event::Said(run, health) => self.said(now, run, health, orders, notices),
             Event::NotStarted(run) | Event::Ended(run) => self.ended(now, run, orders, notices),
@@ -305,8 +311,8 @@
         now: f64,
         run: Run,
         health: Health,
-        orders: &mut Vec<Order>,
-        notices: &mut Vec<Notice>,
+        orders: &mut Vec<ProcessCommand>,
+        notices: &mut Vec<ProcessEvent>,
     ) {
         if self.serving.is_some_and(|s| s.0 == run) {
             match health {
@@ -326,13 +332,13 @@
                     self.silent = None;
                     match before {
                         Some((old, _)) => {
-                            orders.push(Order::Term(old));
+                            orders.push(ProcessCommand::Term(old));
                             self.phase = Phase::Leaving { old, since: now, killed: false };
                         }
                         // The one before ended by itself meanwhile.
                         None => {
                             self.phase = Phase::Settled;
-                            notices.push(Notice::Changed(to));
+                            notices.push(ProcessEvent::Changed(to));
                         }
                     }
                 }
@@ -343,7 +349,7 @@
                 if let Health::Yes(side) = health {
                     self.serving = Some((next, side));
                     self.phase = Phase::Settled;
-                    notices.push(Notice::Changed(side));
+                    notices.push(ProcessEvent::Changed(side));
                 }
             }
             Phase::Reloading { to, back, .. } if self.serving.is_some_and(|s| s.0 == run) => {
@@ -351,46 +357,52 @@
                 if health == Health::Yes(wanted) {
                     self.phase = Phase::Settled;
                     self.serving = Some((run, wanted));
-                    notices.push(if back { Notice::GaveUp(to) } else { Notice::Changed(to) });
+                    notices.push(if back { ProcessEvent::GaveUp(to) } else { ProcessEvent::Changed(to) });
                 }
             }
             _ => {}
         }
     }
 
-    fn withdraw(&mut self, now: f64, next: Run, to: Side, orders: &mut Vec<Order>) {
-        orders.push(Order::Term(next));
+    fn withdraw(&mut self, now: f64, next: Run, to: Side, orders: &mut Vec<ProcessCommand>) {
+        orders.push(ProcessCommand::Term(next));
         self.phase = Phase::Withdrawing { next, since: now, killed: false, to };
     }
 
-    fn ended(&mut self, now: f64, run: Run, orders: &mut Vec<Order>, notices: &mut Vec<Notice>) {
+    fn ended(
+        &mut self,
+        now: f64,
+        run: Run,
+        orders: &mut Vec<ProcessCommand>,
+        notices: &mut Vec<ProcessEvent>,
+    ) {
         self.leftovers.retain(|l| l.0 != run);
         let served = self.serving.filter(|s| s.0 == run);
         if let Some((_, side)) = served {
             self.serving = None;
             self.silent = None;
-            notices.push(Notice::Crashed(side));
+            notices.push(ProcessEvent::Crashed(side));
         }
         match self.phase {
             Phase::Coming { next, to, .. } if next == run => {
-                notices.push(Notice::GaveUp(to));
+                notices.push(ProcessEvent::GaveUp(to));
                 self.rest(now, orders);
             }
             // It may yet say yes; if not, another is started then.
             Phase::Coming { .. } => {}
             Phase::Withdrawing { next, to, .. } if next == run => {
-                notices.push(Notice::GaveUp(to));
+                notices.push(ProcessEvent::GaveUp(to));
                 self.rest(now, orders);
             }
             Phase::Leaving { old, .. } if old == run => {
                 self.phase = Phase::Settled;
-                notices.extend(self.serving.map(|s| Notice::Changed(s.1)));
+                notices.extend(self.serving.map(|s| ProcessEvent::Changed(s.1)));
             }
             Phase::Down { next, since, tries, .. } if next == run => {
                 self.phase = Phase::Down { next, since: since.max(now), failed: true, tries };
             }
             Phase::Reloading { to, .. } if served.is_some() => {
-                notices.push(Notice::GaveUp(to));
+                notices.push(ProcessEvent::GaveUp(to));
                 self.revive(now, 0, orders);
             }
             Phase::Settled | Phase::Leaving { .. } | Phase::Withdrawing { .. } if served.is_some() => {
@@ -401,7 +413,7 @@
     }
 
     /// Nothing more is under way; where nothing serves, a process is started.
-    fn rest(&mut self, now: f64, orders: &mut Vec<Order>) {
+    fn rest(&mut self, now: f64, orders: &mut Vec<ProcessCommand>) {
         self.phase = Phase::Settled;
         if self.serving.is_none() {
             self.revive(now, 0, orders);
@@ -409,13 +421,13 @@
     }
 
     /// Time has passed.
-    pub fn tick(&mut self, now: f64, orders: &mut Vec<Order>, notices: &mut Vec<Notice>) {
+    pub fn tick(&mut self, now: f64, orders: &mut Vec<ProcessCommand>, notices: &mut Vec<ProcessEvent>) {
         let times = self.times;
         for (run, since) in &mut self.leftovers {
             if now - *since > times.end {
                 *since = now;
-                orders.push(Order::Kill(*run));
-                notices.push(Notice::Killed);
+                orders.push(ProcessCommand::Kill(*run));
+                notices.push(ProcessEvent::Killed);
             }
         }
         match &mut self.phase {
@@ -428,9 +440,9 @@
             Phase::Leaving { old: run, since, killed, .. }
             | Phase::Withdrawing { next: run, since, killed, .. } => {
                 if now - *since > times.end {
-                    orders.push(Order::Kill(*run));
+                    orders.push(ProcessCommand::Kill(*run));
                     if !*killed {
-                        notices.push(Notice::Killed);
+                        notices.push(ProcessEvent::Killed);
                     }
                     (*killed, *since) = (true, now);
                 }
@@ -438,12 +450,12 @@
             &mut Phase::Down { next, since, failed, tries } => {
                 let late = !failed && now - since > times.start;
                 if late {
-                    orders.push(Order::Kill(next));
+                    orders.push(ProcessCommand::Kill(next));
                     self.leftovers.push((next, now));
                 }
                 if late || failed && now - since > times.again * f64::from(1 << tries.min(4)) {
                     if tries + 1 == TRIES {
-                        notices.push(Notice::Lost);
+                        notices.push(ProcessEvent::Lost);
                     }
                     self.revive(now, tries + 1, orders);
                 }
@@ -455,13 +467,13 @@
                 let Some((run, side)) = self.serving else { return };
                 if back {
                     // It does not heed its settings either way: a process beside it is the way that is left.
-                    notices.push(Notice::GaveUp(to));
+                    notices.push(ProcessEvent::GaveUp(to));
                     let next = self.number();
                     self.phase = Phase::Coming { next, to: side, since: now, yes: None };
-                    return orders.push(Order::Start(next, side));
+                    return orders.push(ProcessCommand::Start(next, side));
                 }
                 self.phase = Phase::Reloading { to, since: now, back: true };
-                orders.push(Order::Reload(run, side));
+                orders.push(ProcessCommand::Reload(run, side));
             }
         }
     }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -3,20 +3,22 @@
 //! time and what was seen it returns what is to be done, and `onyxyoke-rollout` does it. No part of a front's path.
 
 mod change;
+mod controller;
 mod evidence;
 mod fleet_health;
 mod gate;
 mod plan;
 mod readings;
+mod records;
 mod stages;
 mod usage;
-mod whole;
 
-pub use change::{Change, Event, Health, Notice, Order, Phase, Run, Side, Times};
+pub use change::{Change, Event, Health, Phase, ProcessCommand, ProcessEvent, Run, Side, Times};
+pub use controller::{Report, RolloutController};
 pub use evidence::{Evidence, tail};
 pub use gate::{COUNTED, Gate, Measure, Sum, Undecided, Verdict, Window};
-pub use plan::{Built, By, Front, Gates, Limits, Mixing, Plan, Spans, mixing};
+pub use plan::{Built, Front, Gates, GroupBy, Limits, Mixing, Plan, Timeouts, mixing};
 pub use readings::{Counts, Delta, Reading, Series};
-pub use stages::{Seat, Stage, stages};
+pub use records::{Action, Found, OperatorCommand, Outcome, Record};
+pub use stages::{Placement, Stage, stages};
 pub use usage::{UsageBaseline, UsageComparison};
-pub use whole::{Act, End, Found, Record, Report, Whole, Word};
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -46,7 +46,7 @@
 
 /// Spans (seconds).
 #[cfg_attr(feature = "rollout", serde(default))]
-pub struct Spans {
+pub struct Timeouts {
     /// Fronts are watched for so long before anything changes.
     pub watch_s: f64,
     /// A stage is watched for so long at least after its last front changed, and so long at most.
@@ -83,7 +83,7 @@
     /// Old fronts that are restarted beside new ones to compare with, at most this share of all; one is always.
     pub control: f64,
     /// What a stage takes: fronts spread over locations, or whole locations.
-    pub by: By,
+    pub by: GroupBy,
     /// Settings are changed in service, by SIGHUP; for keys that take effect so, and no other program.
     pub reload: bool,
 }
@@ -119,7 +119,7 @@
     pub classes: Vec<String>,
     /// Spans.
     #[cfg_attr(feature = "rollout", serde(default))]
-    pub spans: Spans,
+    pub spans: Timeouts,
     /// Limits.
     #[cfg_attr(feature = "rollout", serde(default))]
     pub limits: Limits,
@@ -135,16 +135,16 @@
 /// What a stage takes.
 #[cfg_attr(feature = "rollout", derive(Serialize, Deserialize, JsonSchema), serde(rename_all = "kebab-case"))]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum By {
+pub enum GroupBy {
     /// Fronts of all locations.
     Front,
     /// Whole locations, for settings that fronts of one location must have in common.
     Location,
 }
 
-impl Default for Spans {
+impl Default for Timeouts {
     fn default() -> Self {
-        Spans {
+        Timeouts {
             watch_s: 60.0,
             soak_s: 120.0,
             longest_stage_s: 1_800.0,
@@ -161,7 +161,7 @@
     }
 }
 
-impl Spans {
+impl Timeouts {
     /// Those of one front's change.
     pub fn times(&self) -> Times {
         Times { start: self.start_s, steady: self.steady_s, end: self.end_s, again: 1.0 }
@@ -174,7 +174,7 @@
             stages: vec![0.01, 0.05, 0.2, 0.5, 1.0],
             at_once: 0.2,
             control: 0.2,
-            by: By::Front,
+            by: GroupBy::Front,
             reload: false,
         }
     }
@@ -313,7 +313,7 @@
             new: built("new"),
             fronts: (0..fronts).map(front).collect(),
             classes: vec!["media".into(), "holds".into()],
-            spans: Spans::default(),
+            spans: Timeouts::default(),
             limits: Limits::default(),
             gates: Gates::default(),
             seed: 1,
--- a/src/rollout/stages.rs
+++ b/src/rollout/stages.rs
@@ -1,12 +1,12 @@
 //! Which fronts a stage takes: spread over locations and over busy and quiet ones, so that it is comparable with what
 //! stays; and which old ones are restarted beside them.
 
-use super::plan::By;
+use super::plan::GroupBy;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A front as a stage sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Seat {
+pub struct Placement {
     /// Its location, by number.
     pub location: usize,
     /// Requests a second that it ended before anything changed.
@@ -24,7 +24,7 @@
 
 /// The stages: one front, then the shares. Each front is in one. Within a location the order goes through the fronts
 /// by load from a drawn start in steps that leave no gap, so that every prefix has busy and quiet ones.
-pub fn stages(seats: &[Seat], shares: &[f64], control: f64, by: By, seed: u64) -> Vec<Stage> {
+pub fn stages(seats: &[Placement], shares: &[f64], control: f64, by: GroupBy, seed: u64) -> Vec<Stage> {
     let locations = seats.iter().map(|s| s.location + 1).max().unwrap_or(0);
     let draw = |n: usize| xxh3_64_with_seed(&(n as u64).to_le_bytes(), seed);
     let mut queues: Vec<Vec<usize>> = (0..locations)
@@ -36,7 +36,7 @@
         .filter(|q| !q.is_empty())
         .collect();
     queues.sort_by_key(|q| draw(q[0]));
-    let by_location = by == By::Location;
+    let by_location = by == GroupBy::Location;
     let mut order = Vec::with_capacity(seats.len());
     if by_location {
         order.extend(queues.iter().flatten().copied());
@@ -109,9 +109,9 @@
         ) {
             let mut seats = Vec::new();
             for (location, n) in counts.iter().enumerate() {
-                seats.extend((0..*n).map(|i| Seat { location, rate: if i % 3 == 0 { 10.0 } else { 1.0 } }));
+                seats.extend((0..*n).map(|i| Placement { location, rate: if i % 3 == 0 { 10.0 } else { 1.0 } }));
             }
-            let by = if by_location { By::Location } else { By::Front };
+            let by = if by_location { GroupBy::Location } else { GroupBy::Front };
             let made = stages(&seats, &[0.01, 0.05, 0.2, 0.5, 1.0], 0.2, by, seed);
             let mut all: Vec<usize> = made.iter().flat_map(|s| s.fronts.clone()).collect();
             all.sort_unstable();
@@ -139,17 +139,17 @@
     /// Guards a first front that is always of the largest location.
     #[test]
     fn the_first_front_is_of_any_location() {
-        let seats: Vec<Seat> = (0..100).map(|i| Seat { location: i % 3, rate: 1.0 }).collect();
-        let first = |seed| seats[stages(&seats, &[1.0], 0.2, By::Front, seed)[0].fronts[0]].location;
+        let seats: Vec<Placement> = (0..100).map(|i| Placement { location: i % 3, rate: 1.0 }).collect();
+        let first = |seed| seats[stages(&seats, &[1.0], 0.2, GroupBy::Front, seed)[0].fronts[0]].location;
         let used: std::collections::BTreeSet<usize> = (0..40).map(first).collect();
         assert_eq!(used.len(), 3);
     }
 
     #[test]
     fn a_prefix_has_busy_and_quiet_fronts() {
-        let seats: Vec<Seat> = (0..64).map(|i| Seat { location: 0, rate: f64::from(i) }).collect();
+        let seats: Vec<Placement> = (0..64).map(|i| Placement { location: 0, rate: f64::from(i) }).collect();
         for seed in 0..20 {
-            let made = stages(&seats, &[0.125, 0.5, 1.0], 0.2, By::Front, seed);
+            let made = stages(&seats, &[0.125, 0.5, 1.0], 0.2, GroupBy::Front, seed);
             let rates: Vec<f64> =
                 made[0].fronts.iter().chain(&made[1].fronts).map(|f| seats[*f].rate).collect();
             let mean = rates.iter().sum::<f64>() / rates.len() as f64;
