--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::Ok,
@@ -85,7 +86,7 @@
     broker.effects().for_each(drop);
     let ask = |broker: &mut Broker, now, tag| {
         let (object, call) = (ObjectId(tag), tag.to_string().into());
-        let ask = Ask { object, deadline: now + 60.0, call, ..Ask::default() };
+        let ask = ClientRequest { object, deadline: now + 60.0, call, ..ClientRequest::default() };
         broker.ask(now, Caller { connection: 1, tag }, ask);
     };
     ask(&mut broker, 1000.0, 1);
@@ -214,7 +215,14 @@
                 let deadline = w.now + f64::from(tenths) / 10.0;
                 let call = next.to_string().into();
                 let (class, object) = (ClassId(class.into()), ObjectId(object.into()));
-                let ask = Ask { class, object, group: GroupId(3), deadline, call, ..Ask::default() };
+                let ask = ClientRequest {
+                    class,
+                    object,
+                    group: GroupId(3),
+                    deadline,
+                    call,
+                    ..ClientRequest::default()
+                };
                 w.owed.insert(next, (deadline, class.0));
                 broker.ask(w.now, Caller { connection: 1, tag: next }, ask);
             }
@@ -301,8 +309,8 @@
     runner.run(&vec(step, 1..150), play).unwrap_or_else(|e| panic!("{e}"));
 }
 
-fn ask(deadline: f64) -> Ask {
-    Ask { deadline, call: "1".into(), object: ObjectId(5), ..Ask::default() }
+fn ask(deadline: f64) -> ClientRequest {
+    ClientRequest { deadline, call: "1".into(), object: ObjectId(5), ..ClientRequest::default() }
 }
 
 /// Guards against a connection that never confirms a withdrawal: the request is answered all the same.
@@ -353,9 +361,9 @@
         b.ask(1000.0, Caller { connection: 1, tag }, ask);
         b.effects().find_map(|e| if let Effect::Answer { answer, .. } = e { Some(answer) } else { None })
     };
-    let ours = || Ask { team: Some(0), ..ask(1001.0) };
+    let ours = || ClientRequest { team: Some(0), ..ask(1001.0) };
     assert_eq!(answer(&mut b, 1, ask(1001.0)), Some(Answer::Forbidden), "no team");
-    assert_eq!(answer(&mut b, 2, Ask { class: ClassId(1), ..ours() }), Some(Answer::Forbidden));
+    assert_eq!(answer(&mut b, 2, ClientRequest { class: ClassId(1), ..ours() }), Some(Answer::Forbidden));
     assert_eq!(answer(&mut b, 3, ours()), None, "out");
     assert_eq!(answer(&mut b, 4, ours()), Some(Answer::OverBudget(1.0)));
 }
--- a/src/broker/tenants.rs
+++ b/src/broker/tenants.rs
@@ -1,7 +1,7 @@
 //! Teams: what each may ask for (its contract) and how much (its budget). Contracts are fixed and shared
 //! with the fronts, budgets are the core's. Where no team is configured, nobody is limited.
 
-use super::Ask;
+use super::ClientRequest;
 use crate::interface::ClassId;
 
 /// A team, by its place in [`Contracts`].
@@ -58,7 +58,7 @@
     }
 
     /// Does a contract cover the request?
-    pub fn covers(&self, ask: &Ask) -> bool {
+    pub fn covers(&self, ask: &ClientRequest) -> bool {
         if self.none() {
             return true;
         }
@@ -169,11 +169,11 @@
         assert_eq!(c.route("/talks/1"), Some((0, ClassId(0))));
         assert_eq!(c.route("/talks/inner/1"), Some((1, ClassId(1))));
         assert_eq!(c.route("/talks-private/1"), None, "a prefix must not reach into a neighbour's name");
-        let ask = |team, class, path: &str| Ask {
+        let ask = |team, class, path: &str| ClientRequest {
             team,
             class: ClassId(class),
             path: Some(path.into()),
-            ..Ask::default()
+            ..ClientRequest::default()
         };
         assert!(c.covers(&ask(Some(0), 0, "/talks/1")));
         assert!(!c.covers(&ask(Some(0), 1, "/talks/1")), "a class outside the contract");
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::resp::{self, Broken, Command};
 use super::{Buffer, INPUT, Output, Seat, Unreadable, amount, number};
-use crate::broker::{Answer, Ask, Caller, Contracts, Count, Figures, Input};
+use crate::broker::{Answer, Caller, ClientRequest, Contracts, Count, Figures, Input};
 use crate::clock;
 use crate::config::Classes;
 use crate::interface::*;
@@ -72,7 +72,7 @@
 
 impl Front {
     /// Takes memory for a request and for its body, which it has from then on.
-    fn hold(&self, mut ask: Ask, body: &[u8]) -> Result<Ask, Refused> {
+    fn hold(&self, mut ask: ClientRequest, body: &[u8]) -> Result<ClientRequest, Refused> {
         ask.hold(&self.memory, self.classes.never_kept(ask.class), body.len())?;
         ask.body = body.to_vec();
         Ok(ask)
@@ -503,10 +503,16 @@
 /// Reads a request's fields; `None` if one that is needed is missing, stands twice or cannot be used. Unknown
 /// ones are passed over. Guards the cache nodes, which end a connection with all that is open on it over what
 /// they cannot read, and the core, which a far deadline would keep busy.
-fn parse(now: f64, class: ClassId, classes: &Classes, contracts: &Contracts, fields: &[u8]) -> Option<Ask> {
+fn parse(
+    now: f64,
+    class: ClassId,
+    classes: &Classes,
+    contracts: &Contracts,
+    fields: &[u8],
+) -> Option<ClientRequest> {
     const NAMES: [&[u8]; 10] =
         [b"call", b"ttl", b"rep", b"dedupe", b"row", b"slice", b"set", b"heap", b"org", b"seen"];
-    let mut ask = Ask { class, ..Ask::default() };
+    let mut ask = ClientRequest { class, ..ClientRequest::default() };
     let mut ttl = None;
     let mut had = [false; NAMES.len()];
     for field in fields.split(|&b| b == b',') {
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -5,7 +5,7 @@
 use super::exchange::{Exchange, Progress, Side};
 use super::frames::{self, Frame};
 use super::{Buffer, coordinator, lines, resp};
-use crate::broker::{Answer, Ask, Input, News, Order, Report, Ticket};
+use crate::broker::{Answer, ClientRequest, Input, News, Order, Report, Ticket};
 use crate::config::Classes;
 use crate::interface::*;
 use crate::memory::{Holder, Ledger, Limit, PURPOSES, Plan, Purpose};
@@ -25,7 +25,7 @@
     // Clients of even calls hold a copy.
     let have = call.is_multiple_of(2).then(|| "e0".into());
     let asset = "00000000000000aa".into();
-    let ask = Ask { call: format!("{call:016x}").into(), asset, have, ..Ask::default() };
+    let ask = ClientRequest { call: format!("{call:016x}").into(), asset, have, ..ClientRequest::default() };
     Order {
         ticket: Ticket { request: RequestId(request), attempt: 0 },
         ask: ask.into(),
@@ -322,7 +322,7 @@
     (o.source, o.rank, o.age, o.class) = (None, 0, 0.0, "holds".into());
     let (body, key, have) = (b"a\r\nb".to_vec(), Some("k1".into()), Some("e1".into()));
     let (call, asset) = (o.ask.call.clone(), o.ask.asset.clone());
-    o.ask = Ask { body, key, have, call, asset, ..Ask::default() }.into();
+    o.ask = ClientRequest { body, key, have, call, asset, ..ClientRequest::default() }.into();
     assert!(lines::serve(&mut out, &o, 5));
     let line = "serve 0000000000000007 sort=holds,asset=00000000000000aa,slice=0,patience=5,op=k1,\
         flags=merge+local,have=e1 4\r\na\r\nb\r\n";
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `pool.rs`.
 
 use super::*;
-use crate::broker::Ask;
+use crate::broker::ClientRequest;
 use crate::interface::{FillOptions, Node, RequestId};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -10,7 +10,11 @@
     Limits { connect_within: 5.0, idle: 5.0, streams: 100, connections: 64, handshake: 0.08 };
 
 fn order(request: u32, body: usize) -> Order {
-    let ask = Ask { call: format!("{request:016x}").into(), body: vec![b'x'; body], ..Ask::default() };
+    let ask = ClientRequest {
+        call: format!("{request:016x}").into(),
+        body: vec![b'x'; body],
+        ..ClientRequest::default()
+    };
     Order {
         ticket: Ticket { request: RequestId(request), attempt: 0 },
         ask: ask.into(),
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -6,7 +6,7 @@
 pub mod token;
 pub mod uri;
 
-use crate::broker::{Answer, Ask, Caller, Content, Contracts, Input};
+use crate::broker::{Answer, Caller, ClientRequest, Content, Contracts, Input};
 use crate::interface::*;
 use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
 use crate::net::{Buffer, INPUT, LOOK, Output, Seat, closed, last_word, linger};
@@ -113,11 +113,11 @@
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
-type Admitted = Result<Ask, Denied>;
+type Admitted = Result<ClientRequest, Rejection>;
 
 /// Turned away before the core hears of it.
 #[derive(Debug, PartialEq)]
-struct Denied {
+struct Rejection {
     status: u16,
     why: &'static str,
 }
@@ -125,7 +125,7 @@
 /// What a whole head takes may come out of the reserve: half heads, however many, must not keep it out.
 const WHOLE_HEAD: Holder = Holder { purpose: Purpose::Signed, team: None, precious: true };
 /// There is no memory for it.
-const BUSY: Denied = Denied { status: 503, why: "busy; try again" };
+const BUSY: Rejection = Rejection { status: 503, why: "busy; try again" };
 /// What a header line takes beside its text (bytes).
 const FIELD: usize = 2 * size_of::<String>();
 
@@ -133,7 +133,7 @@
     /// Checks a request whose head arrived at `now`: its method, its target, its link. From here on it is
     /// authorised; neither an expiry nor a change of keys cuts what it asked for.
     fn admit(&self, now: f64, request: &http::Request) -> Admitted {
-        let denied = |status, why| Err(Denied { status, why });
+        let denied = |status, why| Err(Rejection { status, why });
         let Some(target) = uri::target(&request.target) else { return denied(400, "malformed target") };
         let Some((team, class)) = self.contracts.route(&target.path) else {
             return denied(403, "no contract covers the path");
@@ -176,7 +176,7 @@
         let etag = etag.and_then(|t| t.strip_prefix('"')?.strip_suffix('"'));
         // One object is one copy, whatever token it is asked for with.
         let object = xxh3_64(target.path.as_bytes());
-        Ok(Ask {
+        Ok(ClientRequest {
             class,
             object: ObjectId(object),
             deadline: now + rules.deadline - MARGIN,
@@ -186,7 +186,7 @@
             key: key.map(Into::into),
             have: etag.filter(plain).map(Into::into),
             path: Some(target.path.into()),
-            ..Ask::default()
+            ..ClientRequest::default()
         })
     }
 }
@@ -268,7 +268,7 @@
             let keep = request.keep && (admitted.is_ok() || request.length == 0);
             let end = if keep { ("Connection", "keep-alive") } else { ("Connection", "close") };
             match admitted {
-                Err(Denied { status, why }) => {
+                Err(Rejection { status, why }) => {
                     let challenge = [end, ("WWW-Authenticate", "URISigningPackage")];
                     let wait = format!("{}", self.front.wait.max(1.0).ceil());
                     let later = [end, ("Retry-After", &*wait)];
@@ -368,7 +368,7 @@
     }
 
     /// Hands the request to the core and waits for its answer; `None` if the client left before.
-    async fn ask(&mut self, stream: &TcpStream, ask: Ask) -> io::Result<Option<Answer>> {
+    async fn ask(&mut self, stream: &TcpStream, ask: ClientRequest) -> io::Result<Option<Answer>> {
         self.tag += 1;
         let caller = Caller { connection: self.number, tag: self.tag };
         let ended = |_| io::Error::other("the broker has ended");
@@ -404,7 +404,7 @@
     }
 
     /// Takes memory for a request and its body; what does not fit is refused before its body is read.
-    fn hold(&self, mut ask: Ask, body: usize) -> Admitted {
+    fn hold(&self, mut ask: ClientRequest, body: usize) -> Admitted {
         let rules = self.front.classes.get(usize::from(ask.class.0));
         let held = ask.hold(&self.front.memory, rules.is_some_and(|c| c.never_kept), body);
         held.map_err(|Refused { .. }| BUSY).map(|()| ask)
