--- a/crates/lab/src/emulate/world.rs
+++ b/crates/lab/src/emulate/world.rs
@@ -147,7 +147,7 @@
     fill: bool,
 }
 
-enum Due {
+enum ScheduledEvent {
     Arrival(usize),
     Alarm(usize, u64),
     Begin(u64),
@@ -168,7 +168,7 @@
     popularity: Zipf<f64>,
     now: f64,
     due: BinaryHeap<Reverse<(u64, u64)>>,
-    what: HashMap<u64, Due>,
+    what: HashMap<u64, ScheduledEvent>,
     next: u64,
     fronts: Vec<Director>,
     rates: Vec<f64>,
@@ -233,14 +233,14 @@
             let director = world.director(front);
             world.fronts.push(director);
             let first = world.random.random_range(0.0..1.0) / world.rates[front];
-            world.later(first, Due::Arrival(front));
+            world.later(first, ScheduledEvent::Arrival(front));
         }
         for (i, fault) in world.plan.faults.clone().into_iter().enumerate() {
-            world.later(fault.from, Due::Fault(i, true));
-            world.later(fault.until, Due::Fault(i, false));
+            world.later(fault.from, ScheduledEvent::Fault(i, true));
+            world.later(fault.until, ScheduledEvent::Fault(i, false));
         }
-        world.later(WINDOW, Due::Window);
-        world.later(WINDOW, Due::Warm);
+        world.later(WINDOW, ScheduledEvent::Window);
+        world.later(WINDOW, ScheduledEvent::Warm);
         world
     }
 
@@ -271,7 +271,7 @@
         }
     }
 
-    fn later(&mut self, after: f64, what: Due) {
+    fn later(&mut self, after: f64, what: ScheduledEvent) {
         self.next += 1;
         self.due.push(Reverse(((self.now + after.max(0.0)).to_bits(), self.next)));
         self.what.insert(self.next, what);
@@ -291,38 +291,38 @@
         }
     }
 
-    fn turn(&mut self, what: Due) {
+    fn turn(&mut self, what: ScheduledEvent) {
         match what {
-            Due::Arrival(front) => self.arrive(front),
-            Due::Alarm(front, token) => self.tell(front, Event::Alarm { token }),
-            Due::Begin(name) => {
+            ScheduledEvent::Arrival(front) => self.arrive(front),
+            ScheduledEvent::Alarm(front, token) => self.tell(front, Event::Alarm { token }),
+            ScheduledEvent::Begin(name) => {
                 if let Some(t) = self.transfers.get(&name).copied() {
                     let work = self.open.get(&(t.front, t.request)).map_or(0.0, |a| a.work);
                     self.caches[t.node].link.add(self.now, name, work);
                     self.plan_link(t.node);
                 }
             }
-            Due::Link(node, version) => {
+            ScheduledEvent::Link(node, version) => {
                 if self.caches[node].link.version == version {
                     for name in self.caches[node].link.whole(self.now) {
                         if let Some(t) = self.transfers.remove(&name) {
                             self.names.remove(&(t.front, t.request, t.attempt));
-                            self.later(WAY / 2.0, Due::End(t, Outcome::Ok));
+                            self.later(WAY / 2.0, ScheduledEvent::End(t, Outcome::Ok));
                         }
                     }
                     self.plan_link(node);
                 }
             }
-            Due::End(transfer, outcome) => self.ended(transfer, outcome),
-            Due::Expire(front, request) => self.expire(front, request),
-            Due::Fault(i, on) => self.fault(i, on),
-            Due::Listed(node) => {
+            ScheduledEvent::End(transfer, outcome) => self.ended(transfer, outcome),
+            ScheduledEvent::Expire(front, request) => self.expire(front, request),
+            ScheduledEvent::Fault(i, on) => self.fault(i, on),
+            ScheduledEvent::Listed(node) => {
                 let nodes: std::sync::Arc<[Node]> = [self.node(&self.caches[node])].into();
                 for front in 0..self.fronts.len() {
                     self.tell(front, Event::List { kind: ListKind::Delta, nodes: nodes.clone() });
                 }
             }
-            Due::Warm => {
+            ScheduledEvent::Warm => {
                 let s = &self.settings;
                 let (from, time) = (s.cold_from, s.cold_for);
                 for node in 0..self.caches.len() {
@@ -333,14 +333,14 @@
                         self.plan_link(node);
                     }
                 }
-                self.later(WINDOW, Due::Warm);
+                self.later(WINDOW, ScheduledEvent::Warm);
             }
-            Due::Window => {
+            ScheduledEvent::Window => {
                 for (i, cache) in self.caches.iter_mut().enumerate() {
                     self.seen.done[i].push(cache.link.take_done(self.now) / cache.usual);
                     self.seen.came[i].push(0);
                 }
-                self.later(WINDOW, Due::Window);
+                self.later(WINDOW, ScheduledEvent::Window);
             }
         }
     }
@@ -361,7 +361,7 @@
 
     fn arrive(&mut self, front: usize) {
         let gap = Exp::new(self.rates[front]).expect("a rate above zero").sample(&mut self.random);
-        self.later(gap, Due::Arrival(front));
+        self.later(gap, ScheduledEvent::Arrival(front));
         // Clients of a front that is gone go to one that is not.
         let front = match front < self.first_up {
             true => self.random.random_range(self.first_up..self.fronts.len()),
@@ -377,7 +377,7 @@
         let expires = self.now + deadline;
         self.seen.work_asked += work;
         self.open.insert((front, request), Asked { object, work, at: self.now, expires, attempts: 0 });
-        self.later(deadline, Due::Expire(front, request));
+        self.later(deadline, ScheduledEvent::Expire(front, request));
         let request = Request {
             id: RequestId(request),
             object: ObjectId(object),
@@ -425,7 +425,7 @@
                     self.seen.failed += u64::from(self.open.remove(&(front, request.0)).is_some());
                 }
                 Action::Cancel { request, attempt } => self.cancel(front, request.0, attempt),
-                Action::Alarm { token, after } => self.later(after, Due::Alarm(front, token)),
+                Action::Alarm { token, after } => self.later(after, ScheduledEvent::Alarm(front, token)),
                 _ => {}
             }
         }
@@ -450,7 +450,7 @@
             *last += 1;
         }
         if !self.caches[at].up {
-            return self.later(WAY, Due::End(t, Outcome::ConnectFailed));
+            return self.later(WAY, ScheduledEvent::End(t, Outcome::ConnectFailed));
         }
         if self.caches[at].held.copies.contains(&object) {
             self.seen.hits += 1;
@@ -458,7 +458,7 @@
         {
             if !self.caches[sibling].held.copies.contains(&object) {
                 t.note = Note::SourceLacks;
-                return self.later(2.0 * WAY, Due::End(t, Outcome::Miss));
+                return self.later(2.0 * WAY, ScheduledEvent::End(t, Outcome::Miss));
             }
             (t.source_wait, t.note, t.fill) = (2.0 * WAY, Note::Filled, true);
             // What it gives takes of its link too.
@@ -467,14 +467,14 @@
             self.plan_link(sibling);
         } else if source == node {
             t.note = Note::None;
-            return self.later(WAY, Due::End(t, Outcome::Miss));
+            return self.later(WAY, ScheduledEvent::End(t, Outcome::Miss));
         } else {
             (t.source_wait, t.note, t.fill) = (PARENT_WAIT, Note::Filled, true);
             let parent = self.parents.entry(source.0).or_default();
             if source.0 == THE_ORIGIN || !parent.copies.contains(&object) {
                 if held_only && source.0 != THE_ORIGIN {
                     t.note = Note::SourceLacks;
-                    return self.later(PARENT_WAIT, Due::End(t, Outcome::Miss));
+                    return self.later(PARENT_WAIT, ScheduledEvent::End(t, Outcome::Miss));
                 }
                 parent.keep(object, HELD[1]);
                 (t.source_wait, t.note) = (PARENT_WAIT + ORIGIN_WAIT, Note::FilledFromOrigin);
@@ -486,13 +486,13 @@
         let name = self.next;
         self.transfers.insert(name, t);
         self.names.insert((front, request, attempt), name);
-        self.later(WAY / 2.0 + t.source_wait, Due::Begin(name));
+        self.later(WAY / 2.0 + t.source_wait, ScheduledEvent::Begin(name));
     }
 
     fn plan_link(&mut self, node: usize) {
         if let Some(at) = self.caches[node].link.next_end() {
             let version = self.caches[node].link.version;
-            self.later(at - self.now, Due::Link(node, version));
+            self.later(at - self.now, ScheduledEvent::Link(node, version));
         }
     }
 
@@ -506,7 +506,7 @@
 
     fn cancel(&mut self, front: usize, request: u32, attempt: u16) {
         if let Some(t) = self.drop_transfer(front, request, attempt) {
-            self.later(0.0, Due::End(t, Outcome::Cancelled));
+            self.later(0.0, ScheduledEvent::End(t, Outcome::Cancelled));
         }
     }
 
@@ -593,14 +593,14 @@
                         for name in lost {
                             if let Some(t) = self.transfers.remove(&name) {
                                 self.names.remove(&(t.front, t.request, t.attempt));
-                                self.later(0.0, Due::End(t, Outcome::Reset));
+                                self.later(0.0, ScheduledEvent::End(t, Outcome::Reset));
                             }
                         }
                     } else {
                         (cache.held, cache.ready_at) = (Held::default(), self.now);
                     }
                     // The list comes late.
-                    self.later(if on { 3.0 } else { 1.0 }, Due::Listed(node));
+                    self.later(if on { 3.0 } else { 1.0 }, ScheduledEvent::Listed(node));
                 }
             }
         }
--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -3,7 +3,7 @@
 
 use super::fronts::Front;
 use super::plan::Plan;
-use super::record::{Asked, Book, End};
+use super::record::{Asked, End, EventLog};
 use crate::soak::clients::answer;
 use onyxyoke_stand_ins::fleet::{Tier, object, read_body, work};
 use rand::rngs::SmallRng;
@@ -43,7 +43,7 @@
 pub struct Clients {
     plan: Plan,
     tier: Arc<Tier>,
-    book: Arc<Book>,
+    book: Arc<EventLog>,
     fronts: Vec<Rc<Front>>,
     lines: RefCell<Vec<Vec<Rc<Line>>>>,
     random: RefCell<SmallRng>,
@@ -59,7 +59,7 @@
     pub fn new(
         plan: &Plan,
         tier: Arc<Tier>,
-        book: Arc<Book>,
+        book: Arc<EventLog>,
         fronts: Vec<Rc<Front>>,
         seed: u64,
     ) -> Rc<Clients> {
--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -4,7 +4,7 @@
 use super::crowd;
 use super::fronts::{end, member};
 use super::plan::{Fault, Kind, Target};
-use super::record::Told;
+use super::record::NotificationRecord;
 use super::verdict::READY;
 use nix::sys::signal::Signal;
 use onyxyoke_stand_ins::fleet::{Health, Path};
@@ -308,7 +308,7 @@
             }
             let at = if on { self.tier.unix() } else { first };
             let mut seen = self.book.open();
-            seen.told.push(Told { at, node: n, state: u8::from(on), front: None });
+            seen.told.push(NotificationRecord { at, node: n, state: u8::from(on), front: None });
             match seen.troubled.iter_mut().rev().find(|t| t.0 == n && t.2 == f64::MAX) {
                 Some(t) if !on => t.2 = at,
                 _ => seen.troubled.push((n, at, f64::MAX)),
@@ -324,7 +324,7 @@
             let told = front.coordinator.heard().into_iter().filter_map(|(at, id, state)| {
                 // What is told late of an id says nothing of the node that has come in its place.
                 let &(node, until) = names.get(&id)?;
-                (at < until).then_some(Told { at, node, state, front: Some(front.place) })
+                (at < until).then_some(NotificationRecord { at, node, state, front: Some(front.place) })
             });
             seen.told.extend(told);
         }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 use plan::Plan;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use record::{Book, NodeInfo, WINDOW};
+use record::{EventLog, NodeInfo, WINDOW};
 use serde::Serialize;
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -27,7 +27,7 @@
 use std::time::Duration;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep};
-use verdict::{Cold, Terms, Verdict};
+use verdict::{Cold, Verdict, VerdictCriteria};
 
 /// Which plan, and what is left of it.
 #[derive(clap::Args)]
@@ -126,7 +126,7 @@
 }
 
 /// The verdict, what was seen, and the processor time of a front in the mean and of the rig (seconds).
-pub type Played = (Verdict, Arc<Book>, (f64, f64));
+pub type Played = (Verdict, Arc<EventLog>, (f64, f64));
 
 /// Plays a plan on threads of its own.
 pub fn play_alone(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Played, Box<dyn Error>> {
@@ -165,7 +165,7 @@
 struct Fleet {
     plan: Plan,
     tier: Arc<Tier>,
-    book: Arc<Book>,
+    book: Arc<EventLog>,
     fronts: Vec<Rc<Front>>,
     clients: Rc<Clients>,
     cold: Cold,
@@ -174,7 +174,7 @@
     /// The place of each node by the ids that it has had, and until when it had them (Unix seconds).
     names: std::cell::RefCell<std::collections::HashMap<u32, (usize, f64)>>,
     random: std::cell::RefCell<StdRng>,
-    rollout: Option<Rc<rollout::Driven>>,
+    rollout: Option<Rc<rollout::RolloutRun>>,
 }
 
 async fn play(plan: &Plan, seed: u64, logs: Option<&Path>) -> Result<Played, Box<dyn Error>> {
@@ -216,8 +216,8 @@
     }
     let clients = Clients::new(plan, tier.clone(), book.clone(), fronts.clone(), seed);
     let name = format!("fleet-{}-{seed}", std::process::id());
-    let driven = plan.rollout.as_ref().map(|r| rollout::Driven::new(r, name.clone(), &folder.0));
-    let _leftovers = driven.as_ref().map(|_| rollout::Leftovers(name));
+    let driven = plan.rollout.as_ref().map(|r| rollout::RolloutRun::new(r, name.clone(), &folder.0));
+    let _leftovers = driven.as_ref().map(|_| rollout::ProcessCleanup(name));
     let begun = tier.unix();
     book.open().began = begun;
     for node in &tier.nodes {
@@ -283,7 +283,7 @@
         let ticks = |i: usize| s.rsplit(") ").next().and_then(|s| s.split(' ').nth(i)?.parse::<f64>().ok());
         (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / 100.0
     });
-    let terms = Terms {
+    let terms = VerdictCriteria {
         from: begun + plan.judged_from,
         until,
         cold,
@@ -334,7 +334,7 @@
 }
 
 /// The nodes, by place: caches, then parents, then the origin.
-fn tier(plan: &Plan, flow: f64) -> (Arc<Tier>, Arc<Book>) {
+fn tier(plan: &Plan, flow: f64) -> (Arc<Tier>, Arc<EventLog>) {
     let all = plan.nodes + plan.parents + 1;
     let ids = ids(all);
     let kind = |n: usize| match n {
@@ -351,6 +351,6 @@
         link: if n < plan.nodes { plan.link(n) } else { ABOVE },
         cache: n < plan.nodes,
     });
-    let book = Arc::new(Book::new(infos.collect()));
+    let book = Arc::new(EventLog::new(infos.collect()));
     (Tier::new((0..all).map(node).collect(), flow, book.clone()), book)
 }
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -2,7 +2,7 @@
 
 use super::plan::SignalSeries;
 use hdrhistogram::Histogram;
-use onyxyoke_stand_ins::fleet::{Came, Record};
+use onyxyoke_stand_ins::fleet::{ObservedAttempt, Record};
 use std::io::{self, Write};
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -10,7 +10,7 @@
 /// An attempt at a node; Unix seconds.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempt {
-    pub came: Came,
+    pub came: ObservedAttempt,
     pub ended: Option<f64>,
 }
 
@@ -46,7 +46,7 @@
 
 /// A front was told something of a node, or all fronts were by their operators, in Unix seconds.
 #[derive(Debug, Clone, Copy)]
-pub struct Told {
+pub struct NotificationRecord {
     pub at: f64,
     pub node: usize,
     pub state: u8,
@@ -76,7 +76,7 @@
     pub nodes: Vec<NodeInfo>,
     pub attempts: Vec<Attempt>,
     pub asked: Vec<Asked>,
-    pub told: Vec<Told>,
+    pub told: Vec<NotificationRecord>,
     /// When everything was purged, and when fronts were told.
     pub purged: Vec<f64>,
     /// When a node was up again, or slow no more; and from when on it was not.
@@ -107,7 +107,7 @@
 
 /// A record that many tasks write to.
 #[derive(Debug)]
-pub struct Book(Mutex<Seen>);
+pub struct EventLog(Mutex<Seen>);
 
 impl Seen {
     /// Nothing was seen yet.
@@ -134,9 +134,9 @@
     }
 }
 
-impl Book {
-    pub fn new(nodes: Vec<NodeInfo>) -> Book {
-        Book(Mutex::new(Seen::new(nodes)))
+impl EventLog {
+    pub fn new(nodes: Vec<NodeInfo>) -> EventLog {
+        EventLog(Mutex::new(Seen::new(nodes)))
     }
 
     pub fn open(&self) -> MutexGuard<'_, Seen> {
@@ -144,8 +144,8 @@
     }
 }
 
-impl Record for Book {
-    fn came(&self, came: Came) -> usize {
+impl Record for EventLog {
+    fn came(&self, came: ObservedAttempt) -> usize {
         let attempts = &mut self.open().attempts;
         attempts.push(Attempt { came, ended: None });
         attempts.len() - 1
--- a/crates/lab/src/fleet/rollout.rs
+++ b/crates/lab/src/fleet/rollout.rs
@@ -47,9 +47,9 @@
 }
 
 /// Ends whatever a rollout started, when a rig ends however it ends.
-pub struct Leftovers(pub String);
+pub struct ProcessCleanup(pub String);
 
-impl Drop for Leftovers {
+impl Drop for ProcessCleanup {
     fn drop(&mut self) {
         for p in processes(&self.0) {
             let _ = kill(Pid::from_raw(p.pid), Signal::SIGKILL);
@@ -58,7 +58,7 @@
 }
 
 /// One rollout, driven.
-pub struct Driven {
+pub struct RolloutRun {
     spec: Rollout,
     pub name: String,
     folder: PathBuf,
@@ -68,11 +68,11 @@
     pub killed: Cell<usize>,
 }
 
-impl Driven {
-    pub fn new(spec: &Rollout, name: String, folder: &Path) -> Rc<Driven> {
+impl RolloutRun {
+    pub fn new(spec: &Rollout, name: String, folder: &Path) -> Rc<RolloutRun> {
         let folder = folder.join("rollout");
         let (tool, code, killed) = (RefCell::new(None), Cell::new(None), Cell::new(0));
-        Rc::new(Driven { spec: spec.clone(), name, folder, tool, code, killed })
+        Rc::new(RolloutRun { spec: spec.clone(), name, folder, tool, code, killed })
     }
 
     /// Writes the tool's plan: the fronts as they run now.
--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -9,7 +9,7 @@
 
 /// What the judge is told beside the record.
 #[derive(Debug, Clone)]
-pub struct Terms {
+pub struct VerdictCriteria {
     /// The judged span, in Unix seconds.
     pub from: f64,
     pub until: f64,
@@ -135,7 +135,7 @@
 }
 
 /// Judges a record.
-pub fn judge(seen: &Seen, terms: &Terms) -> Verdict {
+pub fn judge(seen: &Seen, terms: &VerdictCriteria) -> Verdict {
     let mut verdict = Verdict { figures: clients(seen, terms), ..Verdict::default() };
     let f = &mut verdict.figures;
     evenness(seen, terms, f);
@@ -167,7 +167,7 @@
     verdict
 }
 
-fn clients(seen: &Seen, terms: &Terms) -> Figures {
+fn clients(seen: &Seen, terms: &VerdictCriteria) -> Figures {
     let judged = || seen.asked.iter().filter(|a| (terms.from..terms.until).contains(&a.at));
     let all = judged().count().max(1) as f64;
     let share = |end: End| judged().filter(|a| a.end.is_some_and(|e| e.1 == end)).count() as f64 / all;
@@ -197,7 +197,7 @@
 }
 
 /// Nodes of one location that were up and well all the time, by place.
-fn whole(seen: &Seen, terms: &Terms, location: usize) -> Vec<usize> {
+fn whole(seen: &Seen, terms: &VerdictCriteria, location: usize) -> Vec<usize> {
     let troubled = |n: usize| seen.troubled.iter().any(|t| t.0 == n && t.1 < terms.until && t.2 > terms.from);
     let here = |n: &usize| seen.nodes[*n].cache && seen.nodes[*n].location == location && !troubled(*n);
     (0..seen.nodes.len()).filter(here).collect()
@@ -209,7 +209,7 @@
     seen.done[node][at(from)..at(until)].iter().sum()
 }
 
-fn evenness(seen: &Seen, terms: &Terms, f: &mut Figures) {
+fn evenness(seen: &Seen, terms: &VerdictCriteria, f: &mut Figures) {
     (f.most, f.least) = (0.0, f64::MAX);
     for location in 0..terms.fronts.len() {
         let nodes = whole(seen, terms, location);
@@ -223,7 +223,7 @@
 }
 
 /// The longest time in which a node that was well had nothing to do, while its location was asked once a node at least.
-fn idle(seen: &Seen, terms: &Terms) -> f64 {
+fn idle(seen: &Seen, terms: &VerdictCriteria) -> f64 {
     let mut longest = 0.0f64;
     for location in 0..terms.fronts.len() {
         let nodes = whole(seen, terms, location);
@@ -260,7 +260,7 @@
 }
 
 /// The largest herd in the seconds after events, beside the largest of as many calm moments.
-fn herd(seen: &Seen, terms: &Terms, f: &mut Figures) {
+fn herd(seen: &Seen, terms: &VerdictCriteria, f: &mut Figures) {
     let spans = |at: f64| (0..20).map(move |i| at + f64::from(i) * HERD);
     let inside = |at: &f64| (terms.from..terms.until).contains(at);
     for &event in seen.events.iter().filter(|e| inside(e)) {
@@ -282,7 +282,7 @@
 }
 
 /// The part that nodes have that are well again.
-fn back(seen: &Seen, terms: &Terms, f: &mut Figures) {
+fn back(seen: &Seen, terms: &VerdictCriteria, f: &mut Figures) {
     let mut parts: BTreeMap<u64, (f64, f64, f64)> = BTreeMap::new();
     for &(node, _, well) in seen.troubled.iter().filter(|t| t.2 < terms.until - BACK - 4.0) {
         let others = whole(seen, terms, seen.nodes[node].location);
@@ -304,12 +304,12 @@
 }
 
 /// When an answer is late.
-fn answer_by(asked: &Asked, terms: &Terms) -> f64 {
+fn answer_by(asked: &Asked, terms: &VerdictCriteria) -> f64 {
     asked.at + asked.deadline + terms.answer_slack + SOCKETS
 }
 
 /// What broke while fronts' processes came and went, by what they were sent.
-fn cycles(seen: &Seen, terms: &Terms, verdict: &mut Verdict) {
+fn cycles(seen: &Seen, terms: &VerdictCriteria, verdict: &mut Verdict) {
     for cycle in &seen.cycles {
         let during = |at: f64, front: usize| {
             front == cycle.front && (cycle.from - BEFORE_CYCLE..cycle.until + AFTER_CYCLE).contains(&at)
@@ -339,7 +339,7 @@
     }
 }
 
-fn rules(seen: &Seen, terms: &Terms, verdict: &mut Verdict) {
+fn rules(seen: &Seen, terms: &VerdictCriteria, verdict: &mut Verdict) {
     let since = |at: f64| at - seen.began;
     for a in &seen.asked {
         let what = |why: &str| format!("{why}, asked of front {} at {:.2} s", a.front, since(a.at));
--- a/crates/lab/src/fleet/verdict/tests.rs
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -1,11 +1,11 @@
 //! Tests of `verdict.rs`.
 
-use super::super::record::{Asked, Cycle, NodeInfo, Told};
+use super::super::record::{Asked, Cycle, NodeInfo, NotificationRecord};
 use super::*;
-use onyxyoke_stand_ins::fleet::Came;
+use onyxyoke_stand_ins::fleet::ObservedAttempt;
 
 /// Twenty seconds in which two caches of one location do half of the work each, for three fronts.
-fn calm() -> (Seen, Terms) {
+fn calm() -> (Seen, VerdictCriteria) {
     let node = NodeInfo { location: 0, link: 4.0, cache: true };
     let above = NodeInfo { cache: false, ..node };
     let mut seen = Seen::new(vec![node, node, above]);
@@ -13,7 +13,7 @@
     for i in 0..200 {
         let at = 1000.0 + f64::from(i) * 0.1;
         let (node, front) = (i as usize % 2, i as usize % 3);
-        let came = Came {
+        let came = ObservedAttempt {
             at,
             node,
             front,
@@ -31,7 +31,7 @@
         seen.asked.push(Asked { at, front, aim, deadline, object, end, made, again, spoilt, excused });
     }
     (0..2).for_each(|n| seen.done[n] = vec![0.1; 40]);
-    let terms = Terms {
+    let terms = VerdictCriteria {
         from: 1000.0,
         until: 1020.0,
         cold: Cold { from: 0.2, time: 10.0, multiple: 2.0, window: 1.0 },
@@ -81,13 +81,18 @@
             s.attempts[9].came.key = Some(1);
         }),
         ("nothing new to a draining node", |s| {
-            s.told.push(Told { at: 1005.0, node: 0, state: 1, front: None });
+            s.told.push(NotificationRecord { at: 1005.0, node: 0, state: 1, front: None });
             s.attempts.retain(|a| a.came.node != 0 || a.came.at < 1005.4 || a.came.at > 1019.7);
         }),
         ("nothing new to a draining node", |s| {
             let came = s.attempts.iter().rfind(|a| a.came.node == 0).unwrap().came;
-            s.told.push(Told { at: came.at - 0.7, node: 0, state: 1, front: Some(came.front) });
-            s.told.push(Told { at: came.at - 0.1, node: 0, state: 0, front: Some(came.front + 1) });
+            s.told.push(NotificationRecord { at: came.at - 0.7, node: 0, state: 1, front: Some(came.front) });
+            s.told.push(NotificationRecord {
+                at: came.at - 0.1,
+                node: 0,
+                state: 0,
+                front: Some(came.front + 1),
+            });
         }),
         ("nine in ten restarted fronts are ready within 10 s", |s| {
             s.ready = vec![1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 10.1, 10.1];
@@ -100,7 +105,7 @@
         // It bears 29 calls a second at 1004 s, and with chance 41: 50 come at once.
         ("no cold node pushed over", |s| {
             s.cold.push((0, 1002.0));
-            let came = Came { at: 1004.0, node: 0, ..s.attempts[0].came };
+            let came = ObservedAttempt { at: 1004.0, node: 0, ..s.attempts[0].came };
             let more = (0..50).map(|_| Attempt { came, ended: Some(1004.1) });
             s.attempts.splice(40..40, more);
         }),
@@ -118,11 +123,11 @@
         s.asked[5].excused = true;
         s.purged.push(1005.0);
         s.asked[50].made = Some(1004.9);
-        s.told.push(Told { at: 1005.0, node: 0, state: 1, front: None });
-        s.told.push(Told { at: 1005.3, node: 0, state: 0, front: None });
+        s.told.push(NotificationRecord { at: 1005.0, node: 0, state: 1, front: None });
+        s.told.push(NotificationRecord { at: 1005.3, node: 0, state: 0, front: None });
         // Another front's list says so, and no attempt of that one comes.
         let other = s.attempts.iter().map(|a| a.came.front).max().unwrap_or(0) + 1;
-        s.told.push(Told { at: 1006.0, node: 0, state: 1, front: Some(other) });
+        s.told.push(NotificationRecord { at: 1006.0, node: 0, state: 1, front: Some(other) });
         s.cold.push((1, 1002.0));
         s.ready = vec![9.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 29.0];
     });
@@ -139,7 +144,7 @@
     let v = judged(|s| {
         s.events.push(1010.0);
         for front in 0..30 {
-            let came = Came { at: 1010.31 + front as f64 * 0.002, front, ..s.attempts[0].came };
+            let came = ObservedAttempt { at: 1010.31 + front as f64 * 0.002, front, ..s.attempts[0].came };
             s.attempts.push(Attempt { came, ended: Some(1010.5) });
         }
     });
--- a/crates/lab/src/rollouts/plain.rs
+++ b/crates/lab/src/rollouts/plain.rs
@@ -17,7 +17,7 @@
 }
 
 /// How it ended: stopped or not, in which stage, after how long.
-pub struct Judged {
+pub struct RolloutOutcome {
     pub stopped: bool,
     pub stage: usize,
     pub seconds: f64,
@@ -35,7 +35,7 @@
     judge: Judge,
     stages: &[Stage],
     mut trouble: impl FnMut(f64) -> (f64, Option<usize>),
-) -> Judged {
+) -> RolloutOutcome {
     let all = stages.iter().flat_map(|s| s.fronts.iter().copied()).collect();
     let parts: Vec<Vec<usize>> = match judge {
         Judge::Nobody => vec![all],
@@ -88,7 +88,7 @@
         (0..world.counts().len()).for_each(|f| world.swap(f, Side::Old));
     }
     let stage = stopped.unwrap_or(parts.len() - 1);
-    Judged { stopped: stopped.is_some(), stage, seconds: world.now }
+    RolloutOutcome { stopped: stopped.is_some(), stage, seconds: world.now }
 }
 
 /// Is the first mean greater than the second, by Welch's test?
--- a/crates/lab/src/soak/front.rs
+++ b/crates/lab/src/soak/front.rs
@@ -38,7 +38,7 @@
 
 /// What was seen of the front at one time.
 #[derive(Debug, Clone, Default)]
-pub struct Look {
+pub struct ProcessSample {
     /// What the system says that it holds (bytes), and its descriptors.
     pub resident: u64,
     pub descriptors: usize,
@@ -145,7 +145,7 @@
     }
 
     /// Asks for the accounts and looks at the process; `None` if it has ended.
-    pub async fn look(&mut self) -> Option<Look> {
+    pub async fn look(&mut self) -> Option<ProcessSample> {
         if self.child.try_wait().ok()?.is_some() {
             return None;
         }
@@ -155,7 +155,7 @@
         let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.pid)).ok()?.count();
         self.signal(Signal::SIGUSR1);
         let line = timeout(PATIENCE, self.lines.recv()).await.ok()??;
-        let mut look = Look { resident, descriptors, ..Look::default() };
+        let mut look = ProcessSample { resident, descriptors, ..ProcessSample::default() };
         for (name, value) in line.split(' ').filter_map(|w| w.split_once('=')) {
             match name.split_once('.') {
                 Some((account, what)) => {
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,7 +8,7 @@
 
 use clients::Clients;
 use front::Front;
-use onyxyoke_stand_ins::caches::{Cache, Mood};
+use onyxyoke_stand_ins::caches::{Cache, NodeBehavior};
 use onyxyoke_stand_ins::coordinator::{Coordinator, Member};
 use onyxyoke_stand_ins::unix_ms;
 use rand::rngs::StdRng;
@@ -111,8 +111,8 @@
         Ok(World { caches, members, coordinator, random: StdRng::seed_from_u64(seed) })
     }
 
-    fn moods(&self, which: impl Fn(usize) -> bool, mood: Mood) {
-        let mood = Mood { slow: mood.slow.max(1.0), ..mood };
+    fn moods(&self, which: impl Fn(usize) -> bool, mood: NodeBehavior) {
+        let mood = NodeBehavior { slow: mood.slow.max(1.0), ..mood };
         let caches = self.caches.iter().enumerate().filter(|(i, _)| which(*i));
         caches.for_each(|(_, c)| c.set(mood));
     }
@@ -128,7 +128,7 @@
 
     /// A trouble begins, or ends.
     fn turn(&mut self, trouble: Trouble, on: bool, clients: &Clients, front: &Front) {
-        let calm = Mood::default();
+        let calm = NodeBehavior::default();
         let victim = self.random.random_range(0..CACHES);
         match trouble {
             Trouble::Oversized => clients.oversized.set(if on { 0.1 } else { 0.0 }),
@@ -137,11 +137,13 @@
             Trouble::HalfTheFronts => clients.load.set(if on { 1.85 } else { 1.0 }),
             Trouble::Failing if on => {
                 let failing = self.random.random_range(0.33..0.97);
-                self.moods(|i| i == victim || i == CACHES, Mood { failing, ..calm });
+                self.moods(|i| i == victim || i == CACHES, NodeBehavior { failing, ..calm });
             }
-            Trouble::Dying if on => self.moods(|i| i < CACHES, Mood { dying: 0.1, garbling: 0.01, ..calm }),
-            Trouble::Silent if on => self.moods(|i| i == victim, Mood { silent: true, ..calm }),
-            Trouble::Slow if on => self.moods(|i| i < CACHES, Mood { slow: 6.0, ..calm }),
+            Trouble::Dying if on => {
+                self.moods(|i| i < CACHES, NodeBehavior { dying: 0.1, garbling: 0.01, ..calm })
+            }
+            Trouble::Silent if on => self.moods(|i| i == victim, NodeBehavior { silent: true, ..calm }),
+            Trouble::Slow if on => self.moods(|i| i < CACHES, NodeBehavior { slow: 6.0, ..calm }),
             Trouble::Failing | Trouble::Dying | Trouble::Silent | Trouble::Slow => self.moods(|_| true, calm),
             Trouble::PurgeStorm if on => {
                 (0..2_000).for_each(|i| self.coordinator.purged(clients.popular(i), unix_ms()));
--- a/crates/lab/src/soak/verdict.rs
+++ b/crates/lab/src/soak/verdict.rs
@@ -1,7 +1,7 @@
 //! What a soak must show, judged sample by sample, and its report.
 
 use super::clients::{Class, Clients};
-use super::front::{Account, Look};
+use super::front::{Account, ProcessSample};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -62,7 +62,7 @@
     }
 
     /// A look at this time of the run (seconds).
-    pub fn sample(&mut self, at: f64, look: Look) {
+    pub fn sample(&mut self, at: f64, look: ProcessSample) {
         self.samples += 1;
         *self.levels.entry(look.level.clone()).or_default() += 1;
         self.resident_most = self.resident_most.max(look.resident);
--- a/crates/stand-ins/src/caches.rs
+++ b/crates/stand-ins/src/caches.rs
@@ -1,5 +1,5 @@
 //! Cache nodes and the origin: they hold what they were asked for lately, fill what they lack from the source that
-//! they are told, take their time, and fail in the ways that a [`Mood`] says.
+//! they are told, take their time, and fail in the ways that a [`NodeBehavior`] says.
 
 use crate::{body, unix_ms};
 use rand::rngs::SmallRng;
@@ -18,7 +18,7 @@
 
 /// How a node does just now; shares are of 1.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Mood {
+pub struct NodeBehavior {
     /// Answered at once with an error, or turned away.
     pub failing: f64,
     /// Answered with what cannot be read, or with an impossible length.
@@ -37,7 +37,7 @@
     pub address: SocketAddr,
     /// The origin holds everything.
     origin: bool,
-    mood: Cell<Mood>,
+    mood: Cell<NodeBehavior>,
     held: RefCell<(HashSet<u64>, VecDeque<u64>)>,
     random: RefCell<SmallRng>,
     /// Requests served, turned away or failed, and cancels heard.
@@ -61,7 +61,7 @@
         let cache = Rc::new(Cache {
             address: listener.local_addr()?,
             origin,
-            mood: Cell::new(Mood { slow: 1.0, ..Mood::default() }),
+            mood: Cell::new(NodeBehavior { slow: 1.0, ..NodeBehavior::default() }),
             held: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             served: Cell::new(0),
@@ -78,7 +78,7 @@
     }
 
     /// It does so from now on.
-    pub fn set(&self, mood: Mood) {
+    pub fn set(&self, mood: NodeBehavior) {
         self.mood.set(mood);
     }
 
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -58,7 +58,7 @@
 
 /// What a node saw of one attempt.
 #[derive(Debug, Clone, Copy)]
-pub struct Came {
+pub struct ObservedAttempt {
     /// Unix seconds.
     pub at: f64,
     pub node: usize,
@@ -77,7 +77,7 @@
 /// Where nodes tell what they see.
 pub trait Record: Send + Sync + 'static {
     /// An attempt came; it is out from now on. Its number.
-    fn came(&self, came: Came) -> usize;
+    fn came(&self, came: ObservedAttempt) -> usize;
     /// The attempt of this number is out no more, at a Unix time.
     fn ended(&self, attempt: usize, at: f64);
     /// A transfer was whole so much later than it should have been (seconds).
@@ -478,7 +478,7 @@
         let Asked { object, work, key, .. } = asked;
         let fresh = |made: &u64| asked.max_age_ms == 0 || unix_ms().saturating_sub(*made) <= asked.max_age_ms;
         let held = if key.is_some() { None } else { node.holds(object).filter(fresh) };
-        let mut came = Came {
+        let mut came = ObservedAttempt {
             at: self.unix(),
             node: node.place,
             front,
--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -72,15 +72,15 @@
 
 /// An address at which no connection comes up, and none is refused: as many wait there as may, and whoever else comes is
 /// passed over, until it hears.
-pub struct Deaf {
+pub struct UnresponsiveClient {
     listener: TcpListener,
     waiting: Vec<TcpStream>,
 }
 
-impl Deaf {
+impl UnresponsiveClient {
     /// Deaf from now on.
     #[allow(clippy::new_without_default)]
-    pub fn new() -> Deaf {
+    pub fn new() -> UnresponsiveClient {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
@@ -89,7 +89,7 @@
         let come = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
         let waiting: Vec<_> = (0..3).map_while(|_| come()).collect();
         assert!((1..3).contains(&waiting.len()), "the system lets {} wait", waiting.len());
-        Deaf { listener, waiting }
+        UnresponsiveClient { listener, waiting }
     }
 
     /// Where it listens.
--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -3,7 +3,7 @@
 use super::figures::Count;
 use super::tenants::TeamId;
 use crate::interface::*;
-use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose, Refused};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -86,7 +86,7 @@
 impl ClientRequest {
     /// Takes memory for the request and for a body of so many bytes. `precious` ones may have the reserve.
     pub fn hold(&mut self, memory: &Ledger, precious: bool, body: usize) -> Result<(), Refused> {
-        let holder = |purpose| Holder { purpose, team: self.team, precious };
+        let holder = |purpose| AccountOwner { purpose, team: self.team, precious };
         if !memory.admits(REQUEST + body, precious) {
             return Err(memory.refuse(Purpose::Waiting));
         }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -22,8 +22,8 @@
 pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
-use crate::membership::{Hand, Kept, Membership};
-use crate::memory::{Grant, Holder, Ledger, Purpose};
+use crate::membership::{Kept, Membership, OperatorOverride};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::{Director, log};
 use attempts::Open;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -95,8 +95,8 @@
             timers: Timers::default(),
             closes: f64::INFINITY,
             next_id: 0,
-            tables: setup.memory.empty(Holder { precious: true, ..Holder::of(Purpose::Waiting) }),
-            learned: setup.memory.empty(Holder::of(Purpose::Learned)),
+            tables: setup.memory.empty(AccountOwner { precious: true, ..AccountOwner::of(Purpose::Waiting) }),
+            learned: setup.memory.empty(AccountOwner::of(Purpose::Learned)),
             memory: setup.memory,
             queue: VecDeque::new(),
             actions: Vec::new(),
@@ -192,7 +192,7 @@
 
     /// Carries out an operator's call: a cordon is in force, and the director has heard of it, before anything
     /// later is decided. What is to be said, or why it is refused.
-    pub fn hand(&mut self, now: f64, hand: Hand) -> Result<String, String> {
+    pub fn hand(&mut self, now: f64, hand: OperatorOverride) -> Result<String, String> {
         let (said, changed) = self.members.hand(now, hand)?;
         log!("by hand: {said}");
         self.seen(now, changed.into_iter().collect());
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
 use crate::clock;
-use crate::membership::{Hand, Kept};
+use crate::membership::{Kept, OperatorOverride};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::future::pending;
@@ -43,7 +43,7 @@
     /// of two answers the later is kept; or why it was refused.
     Call {
         /// What.
-        hand: Hand,
+        hand: OperatorOverride,
         /// Where the answer goes.
         reply: oneshot::Sender<Result<(String, Kept, u64), String>>,
     },
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,10 @@
 
 use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Inputs, News, Setup};
 use onyxyoke::config::{self, Config, Told};
-use onyxyoke::memory::{Holder, Ledger, Purpose};
-use onyxyoke::net::{Door, Live, admin, clients, coordinator, pool};
+use onyxyoke::memory::{AccountOwner, Ledger, Purpose};
+use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
-use onyxyoke::state::Keeper;
+use onyxyoke::state::StateStore;
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -161,7 +161,7 @@
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
     let mut addresses = Vec::new();
-    let door = Door::new();
+    let door = ListenerState::new();
     let mut served = JoinSet::new();
     if let Some(listen) = config.listen {
         let listener = onyxyoke::net::listen(listen)?;
@@ -187,7 +187,7 @@
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
         keys.replace(clock::now(), 0.0, KeyFile::parse(&text).map_err(wrong)?);
-        let held = memory.ask(Holder::of(Purpose::Signed), keys.footprint());
+        let held = memory.ask(AccountOwner::of(Purpose::Signed), keys.footprint());
         let held = held.map_err(|_| wrong("they are larger than 'memory.signed' allows".into()))?;
         let keys = Rc::new(RefCell::new(keys));
         let times = (signed.reread, signed.overlap);
@@ -214,12 +214,12 @@
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        let (mine, found) = Keeper::open(std::env::temp_dir(), &config.name, &addresses);
+        let (mine, found) = StateStore::open(std::env::temp_dir(), &config.name, &addresses);
         let mine = Rc::new(mine);
         mine.live();
         (kept, keeper) = (found, Some(mine.clone()));
         let operators = operators_in.clone();
-        let desk = admin::Desk {
+        let desk = admin::AdminContext {
             ready: ready.clone(),
             figures: figures.clone(),
             operators,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -20,7 +20,7 @@
 
 /// What an operator does by hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Hand {
+pub enum OperatorOverride {
     /// Nothing more to this node.
     Cordon(NodeId),
     /// Put it back.
@@ -106,10 +106,10 @@
 
     /// Carries out a call: what is to be said, and the node as the director is to see it now where that changed.
     /// Ids that are on no list and not cordoned are refused, and so is a cordon beyond [`CORDONS`].
-    pub fn hand(&mut self, now: f64, hand: Hand) -> Result<(String, Option<Node>), String> {
+    pub fn hand(&mut self, now: f64, hand: OperatorOverride) -> Result<(String, Option<Node>), String> {
         let (id, on) = match hand {
-            Hand::Cordon(id) => (id, true),
-            Hand::Uncordon(id) => (id, false),
+            OperatorOverride::Cordon(id) => (id, true),
+            OperatorOverride::Uncordon(id) => (id, false),
         };
         let name = format!("s-{:08x}", id.0);
         if !self.told.contains_key(&id) && !self.cordoned.contains(&id) {
@@ -183,10 +183,10 @@
 impl Kept {
     /// Carries out a call on the set alone, as [`Membership::hand`] does on the view: a cordon is added once, and a
     /// call back takes it away and notes when.
-    pub fn apply(&mut self, hand: Hand, now: f64) {
+    pub fn apply(&mut self, hand: OperatorOverride, now: f64) {
         match hand {
-            Hand::Cordon(id) if !self.cordoned.contains(&id) => self.cordoned.push(id),
-            Hand::Uncordon(id) if self.cordoned.contains(&id) => {
+            OperatorOverride::Cordon(id) if !self.cordoned.contains(&id) => self.cordoned.push(id),
+            OperatorOverride::Uncordon(id) if self.cordoned.contains(&id) => {
                 self.cordoned.retain(|c| *c != id);
                 self.woke.retain(|w| w.0 != id);
                 self.woke.push((id, now));
--- a/src/membership/model.rs
+++ b/src/membership/model.rs
@@ -71,7 +71,8 @@
                     Step::Cordon(id) | Step::Uncordon(id) => {
                         let (id, on) = (NodeId(id.into()), matches!(step, Step::Cordon(_)));
                         let known = listed.contains_key(&id) || cordoned.contains(&id);
-                        let hand = if on { Hand::Cordon(id) } else { Hand::Uncordon(id) };
+                        let hand =
+                            if on { OperatorOverride::Cordon(id) } else { OperatorOverride::Uncordon(id) };
                         let done = view.hand(now, hand);
                         prop_assert_eq!(done.is_ok(), known, "ids that nobody has are owed a no");
                         if known {
@@ -127,14 +128,21 @@
     let nodes: Vec<Node> =
         (0..=CORDONS as u64).map(|id| Node { id: NodeId(id), ..Node::default() }).collect();
     view.told(true, &nodes);
-    assert_eq!(view.hand(1.0, Hand::Cordon(NodeId(1))).unwrap().0, "s-00000001 cordoned");
-    assert_eq!(view.hand(2.0, Hand::Cordon(NodeId(1))).unwrap().0, "s-00000001 was cordoned already");
-    let (said, node) = view.hand(3.0, Hand::Uncordon(NodeId(1))).unwrap();
+    assert_eq!(view.hand(1.0, OperatorOverride::Cordon(NodeId(1))).unwrap().0, "s-00000001 cordoned");
+    assert_eq!(
+        view.hand(2.0, OperatorOverride::Cordon(NodeId(1))).unwrap().0,
+        "s-00000001 was cordoned already"
+    );
+    let (said, node) = view.hand(3.0, OperatorOverride::Uncordon(NodeId(1))).unwrap();
     assert_eq!(said, "s-00000001 uncordoned; it starts cold");
     assert_eq!(node.map(|n| (n.state, n.ready_at)), Some((NodeState::Ready, 3.0)));
-    assert!(view.hand(4.0, Hand::Cordon(NodeId(99_999))).unwrap_err().contains("on no list"));
+    assert!(view.hand(4.0, OperatorOverride::Cordon(NodeId(99_999))).unwrap_err().contains("on no list"));
     for id in 0..CORDONS as u64 {
-        view.hand(5.0, Hand::Cordon(NodeId(id))).unwrap();
+        view.hand(5.0, OperatorOverride::Cordon(NodeId(id))).unwrap();
     }
-    assert!(view.hand(6.0, Hand::Cordon(NodeId(CORDONS as u64))).unwrap_err().contains("cordoned already"));
+    assert!(
+        view.hand(6.0, OperatorOverride::Cordon(NodeId(CORDONS as u64)))
+            .unwrap_err()
+            .contains("cordoned already")
+    );
 }
--- a/src/memory/accounts.rs
+++ b/src/memory/accounts.rs
@@ -37,7 +37,7 @@
 
 /// An account as it is shown, in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sight {
+pub struct AccountSnapshot {
     /// Which.
     pub purpose: Purpose,
     /// Held now.
@@ -60,9 +60,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Notice {
     /// An account refuses, for the first time since it last recovered.
-    Refuses(Sight),
+    Refuses(AccountSnapshot),
     /// It has refused nothing for a while.
-    Recovered(Sight),
+    Recovered(AccountSnapshot),
 }
 
 /// Turns without a refusal after which an account has recovered.
@@ -202,9 +202,9 @@
     }
 
     /// One account as it is shown.
-    pub fn sight(&self, purpose: Purpose) -> Sight {
+    pub fn sight(&self, purpose: Purpose) -> AccountSnapshot {
         let (a, limit) = (&self.accounts[purpose as usize], &self.plan.limits[purpose as usize]);
-        Sight {
+        AccountSnapshot {
             purpose,
             now: a.used(),
             peak: a.peak,
--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -2,14 +2,14 @@
 //! its bytes are back.
 
 use super::accounts::NO_TEAM;
-use super::{Accounts, Finding, Level, Notice, Plan, Pressure, Purpose, Refused, Seen, Truth};
+use super::{Accounts, Finding, Level, Notice, Plan, Pressure, Purpose, Refused, ResidentMemoryAudit, Seen};
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::fmt;
 use std::rc::Rc;
 
 /// For what, and for whom, memory is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Holder {
+pub struct AccountOwner {
     /// The account.
     pub purpose: Purpose,
     /// The team below it, by its place in the contracts.
@@ -18,10 +18,10 @@
     pub precious: bool,
 }
 
-impl Holder {
+impl AccountOwner {
     /// Nobody's in particular.
     pub fn of(purpose: Purpose) -> Self {
-        Holder { purpose, team: None, precious: false }
+        AccountOwner { purpose, team: None, precious: false }
     }
 }
 
@@ -30,7 +30,7 @@
     pressure: RefCell<Pressure>,
     /// The level that held at the last look, at hand for every buffer.
     level: Cell<Level>,
-    truth: RefCell<Truth>,
+    truth: RefCell<ResidentMemoryAudit>,
     /// Client connections that are open.
     clients: Cell<usize>,
 }
@@ -102,7 +102,7 @@
     }
 
     /// Asks for so many bytes.
-    pub fn ask(&self, holder: Holder, bytes: usize) -> Result<Grant, Refused> {
+    pub fn ask(&self, holder: AccountOwner, bytes: usize) -> Result<Grant, Refused> {
         let mut grant = self.empty(holder);
         grant.grow(bytes)?;
         Ok(grant)
@@ -114,7 +114,7 @@
     }
 
     /// A grant of nothing yet, which may grow.
-    pub fn empty(&self, holder: Holder) -> Grant {
+    pub fn empty(&self, holder: AccountOwner) -> Grant {
         let (team, precious) = (holder.team.unwrap_or(NO_TEAM), holder.precious);
         Grant { ledger: Some(self.clone()), purpose: holder.purpose, team, precious, bytes: 0, leaf: None }
     }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -13,11 +13,11 @@
 mod pressure;
 mod truth;
 
-pub use accounts::{Accounts, Notice, Refused, Sight};
-pub use grant::{Grant, Holder, Ledger};
-pub use plan::{Limit, Plan, Wish};
+pub use accounts::{AccountSnapshot, Accounts, Notice, Refused};
+pub use grant::{AccountOwner, Grant, Ledger};
+pub use plan::{AccountLimits, Limit, Plan};
 pub use pressure::{Level, Pressure, Thresholds};
-pub use truth::{Finding, Seen, Truth};
+pub use truth::{Finding, ResidentMemoryAudit, Seen};
 
 /// Accounts below the front's.
 pub const PURPOSES: usize = 9;
--- a/src/memory/model.rs
+++ b/src/memory/model.rs
@@ -39,7 +39,7 @@
 
 struct Held {
     grant: Grant,
-    holder: Holder,
+    holder: AccountOwner,
 }
 
 fn play(steps: &[Step], planted: Planted) -> Result<(), TestCaseError> {
@@ -55,7 +55,7 @@
             Step::Ask { purpose, team, precious, bytes } => {
                 let purpose = Purpose::ALL[usize::from(purpose) % (PURPOSES - 1)];
                 let team = Some(u16::from(team)).filter(|t| *t < TEAMS);
-                let holder = Holder { purpose, team, precious };
+                let holder = AccountOwner { purpose, team, precious };
                 let before = ledger.accounts().sight(purpose);
                 let used = |precious| {
                     held.iter()
@@ -220,14 +220,14 @@
     let ledger = Ledger::new(plan(100), 0);
     let mut all = Vec::new();
     for purpose in Purpose::ALL.into_iter().filter(|p| *p != Purpose::Program) {
-        let mut grant = ledger.empty(Holder::of(purpose));
+        let mut grant = ledger.empty(AccountOwner::of(purpose));
         while grant.grow(500).is_ok() {}
         all.push(grant);
     }
-    let refused = ledger.ask(Holder::of(Purpose::Clients), 1_000).unwrap_err();
+    let refused = ledger.ask(AccountOwner::of(Purpose::Clients), 1_000).unwrap_err();
     assert_eq!(refused.purpose, Purpose::Clients);
     for purpose in [Purpose::Clients, Purpose::Bodies, Purpose::Unread] {
-        let precious = Holder { precious: true, ..Holder::of(purpose) };
+        let precious = AccountOwner { precious: true, ..AccountOwner::of(purpose) };
         let reserve = plan(100).limits[purpose as usize].reserve;
         all.push(ledger.ask(precious, reserve).expect("the reserve"));
     }
--- a/src/memory/pressure.rs
+++ b/src/memory/pressure.rs
@@ -127,11 +127,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::memory::{Holder, Ledger, PURPOSES, Plan, Wish};
+    use crate::memory::{AccountLimits, AccountOwner, Ledger, PURPOSES, Plan};
 
     #[test]
     fn levels_are_entered_in_order_and_left_with_hysteresis() {
-        let plan = Plan::new(100_000_000, &[Wish::default(); PURPOSES], 1.0).unwrap();
+        let plan = Plan::new(100_000_000, &[AccountLimits::default(); PURPOSES], 1.0).unwrap();
         let ledger = Ledger::new(plan, 0);
         let all = ledger.accounts().remainder().1;
         let guarantee = plan.limits[Purpose::Program as usize].guarantee;
@@ -169,13 +169,14 @@
     /// A full account of unread answers stops the reading of those who caused it, and of no others.
     #[test]
     fn the_slowest_are_held_up_where_their_account_is_full() {
-        let mut wishes = [Wish::default(); PURPOSES];
+        let mut wishes = [AccountLimits::default(); PURPOSES];
         wishes[Purpose::Unread as usize].cap = Some(10_000_000);
         let plan = Plan::new(100_000_000, &wishes, 1.0).unwrap();
         let ledger = Ledger::new(plan, 0);
         let limit = plan.limits[Purpose::Unread as usize];
-        let _full = ledger.ask(Holder::of(Purpose::Unread), limit.cap - limit.reserve).unwrap();
-        let _precious = ledger.ask(Holder { precious: true, ..Holder::of(Purpose::Unread) }, limit.reserve);
+        let _full = ledger.ask(AccountOwner::of(Purpose::Unread), limit.cap - limit.reserve).unwrap();
+        let _precious =
+            ledger.ask(AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) }, limit.reserve);
         let mut pressure = Pressure::default();
         assert!(pressure.look(&ledger.accounts()) >= Level::HoldSlow);
         assert!(!pressure.hears(&ledger.accounts(), limit.cap / 10, 100));
--- a/src/memory/truth.rs
+++ b/src/memory/truth.rs
@@ -31,14 +31,14 @@
 
 /// Compares the accounts with what the system says of the process.
 #[derive(Debug, Clone, Default)]
-pub struct Truth {
+pub struct ResidentMemoryAudit {
     seen: Seen,
     rest: f64,
     told: usize,
     over: bool,
 }
 
-impl Truth {
+impl ResidentMemoryAudit {
     /// A look. What is live and no account knows of becomes the program's, and so does what is not the allocator's.
     /// What was freed and is not yet back is nobody's: it can be had again at once.
     pub fn look(&mut self, accounts: &mut Accounts, seen: Seen) -> Finding {
@@ -79,12 +79,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::memory::{Holder, Ledger, PURPOSES, Plan, Wish};
+    use crate::memory::{AccountLimits, AccountOwner, Ledger, PURPOSES, Plan};
 
     #[test]
     fn the_rest_is_the_programs_and_its_growth_is_told_once() {
-        let ledger = Ledger::new(Plan::new(64_000_000, &[Wish::default(); PURPOSES], 1.0).unwrap(), 0);
-        let (mut truth, mut look) = (Truth::default(), Vec::new());
+        let ledger =
+            Ledger::new(Plan::new(64_000_000, &[AccountLimits::default(); PURPOSES], 1.0).unwrap(), 0);
+        let (mut truth, mut look) = (ResidentMemoryAudit::default(), Vec::new());
         for resident in [5_000_000, 5_500_000, 7_000_000, 7_100_000, 40_000_000, 41_000_000] {
             look.push(truth.look(&mut ledger.accounts_mut(), Seen { resident, ..Seen::default() }));
         }
@@ -95,7 +96,7 @@
             [usual, usual, Finding::Grew(7_000_000), usual, Finding::Over(40_000_000, cap), usual]
         );
         // Memory that an account knows of is not the program's; the rest falls slowly.
-        let _held = ledger.ask(Holder::of(Purpose::Clients), 2_000_000).unwrap();
+        let _held = ledger.ask(AccountOwner::of(Purpose::Clients), 2_000_000).unwrap();
         for _ in 0..50 {
             truth.look(
                 &mut ledger.accounts_mut(),
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,9 +4,9 @@
 
 use crate::broker::{Figures, Operator};
 use crate::interface::NodeId;
-use crate::membership::{Hand, node_id};
+use crate::membership::{OperatorOverride, node_id};
 use crate::spread::HOMES;
-use crate::state::Keeper;
+use crate::state::StateStore;
 use crate::{clock, log};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -80,7 +80,7 @@
 }
 
 /// What the socket reads from and hands on to.
-pub struct Desk {
+pub struct AdminContext {
     /// Whether this process takes clients.
     pub ready: Rc<Cell<bool>>,
     /// The figures.
@@ -88,7 +88,7 @@
     /// To the broker.
     pub operators: UnboundedSender<Operator>,
     /// The file of the cordons.
-    pub keeper: Rc<Keeper>,
+    pub keeper: Rc<StateStore>,
     /// The number of the last call whose cordons were kept.
     pub kept: Cell<u64>,
     /// The digest of the settings in force.
@@ -112,7 +112,7 @@
     }
 }
 
-impl Desk {
+impl AdminContext {
     /// The whole reply to a line.
     pub async fn reply(&self, line: &[u8]) -> String {
         let call = match parse(line) {
@@ -134,8 +134,8 @@
             Call::Counters => return format!("ok\n{}eof\n", self.figures.render()),
             Call::Slow => return format!("ok\n{}eof\n", self.figures.render_slow()),
             Call::Version => return self.version().await,
-            Call::Cordon(node) => Hand::Cordon(node),
-            Call::Uncordon(node) => Hand::Uncordon(node),
+            Call::Cordon(node) => OperatorOverride::Cordon(node),
+            Call::Uncordon(node) => OperatorOverride::Uncordon(node),
         };
         // What the other process of the front was told counts first, so that this one does not write back less.
         self.look();
@@ -189,7 +189,7 @@
 }
 
 /// Serves operators until the program ends.
-pub async fn serve(listener: TcpListener, desk: Rc<Desk>) {
+pub async fn serve(listener: TcpListener, desk: Rc<AdminContext>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     let mut look_at = clock::now() + LOOK;
     loop {
@@ -230,7 +230,7 @@
 }
 
 /// One caller: its line, the reply, the end.
-async fn call(mut stream: TcpStream, desk: Rc<Desk>) {
+async fn call(mut stream: TcpStream, desk: Rc<AdminContext>) {
     let mut line = [0u8; LINE];
     let heard = timeout_at(clock::instant(clock::now() + SPEAK), async {
         let mut len = 0;
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -308,8 +308,8 @@
 impl Default for Buffer {
     /// A buffer outside of a front, which nothing limits.
     fn default() -> Self {
-        use crate::memory::{Holder, Ledger, Purpose};
-        Buffer::new(4096, Ledger::unlimited().empty(Holder::of(Purpose::Caches)))
+        use crate::memory::{AccountOwner, Ledger, Purpose};
+        Buffer::new(4096, Ledger::unlimited().empty(AccountOwner::of(Purpose::Caches)))
     }
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,12 +1,12 @@
 //! RESP clients: one task a connection, which reads requests, hands them to the broker and writes answers.
 
-use super::resp::{self, Broken, Command};
+use super::resp::{self, Command, FrameError};
 use super::{Buffer, INPUT, Output, Seat, Unreadable, amount, number};
 use crate::broker::{Answer, Caller, ClientRequest, Contracts, Count, Figures, Input};
 use crate::clock;
 use crate::config::Classes;
 use crate::interface::*;
-use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose, Refused};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::io;
@@ -80,7 +80,7 @@
 }
 
 /// Accepts clients until the program ends, or the door is shut.
-pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<super::Door>) {
+pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<super::ListenerState>) {
     let serve = |stream, seat, own| Client::new(front.clone(), seat, own).serve(stream);
     super::accept(listener, door, front.connections, front.memory.clone(), serve).await;
 }
@@ -114,7 +114,7 @@
     pub(super) fn new(front: Rc<Front>, reply: UnboundedSender<(u64, Answer)>) -> Self {
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
-        let unread = front.memory.empty(Holder { precious: true, ..Holder::of(Purpose::Unread) });
+        let unread = front.memory.empty(AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) });
         Session {
             front,
             number,
@@ -140,7 +140,7 @@
     }
 
     /// Takes one whole frame off the buffer: `None` if there is none, else what the broker is to hear of it.
-    pub(super) fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, Broken> {
+    pub(super) fn take(&mut self, now: f64, input: &mut Buffer) -> Result<Option<Option<Input>>, FrameError> {
         // What is owed to a client that does not read must not outgrow the connection's own.
         if self.hears_at(now) > now || self.output.crowded() {
             return Ok(None);
@@ -166,7 +166,7 @@
             }
             // Two answers under one tag could not be told apart.
             Command::Request { tag, .. } if self.open.contains_key(&tag) => {
-                return Err(Broken { why: Unreadable("a tag that is in use"), tag: None });
+                return Err(FrameError { why: Unreadable("a tag that is in use"), tag: None });
             }
             Command::Request { tag, class, fields, body } => {
                 let front = &self.front;
@@ -217,7 +217,7 @@
         let front = &self.front;
         let class = front.classes.get(class);
         let precious = class.is_some_and(|c| front.classes.never_kept(c));
-        input.set_room(|| front.memory.empty(Holder { precious, ..Holder::of(Purpose::Bodies) }));
+        input.set_room(|| front.memory.empty(AccountOwner { precious, ..AccountOwner::of(Purpose::Bodies) }));
         let admitted = self.open.len() < OPEN_MOST && front.memory.admits(body, precious);
         if admitted && input.reserve(total - input.len()).is_ok() || self.open.contains_key(&tag) {
             return None;
@@ -325,7 +325,7 @@
 
     async fn exchange(&mut self, stream: &TcpStream) -> Result<End, Ended> {
         let memory = self.session.front.memory.clone();
-        let mut input = Buffer::new(INPUT, memory.empty(Holder::of(Purpose::Bodies)));
+        let mut input = Buffer::new(INPUT, memory.empty(AccountOwner::of(Purpose::Bodies)));
         let made = clock::now();
         let (mut idle_at, mut stalled_at) = (made + IDLE, made + STALLED);
         // When the frame that has begun is to be whole.
@@ -425,7 +425,7 @@
                 () = sleep_until(clock::instant(until.unwrap_or(idle_at))), if until.is_some() => {
                     let now = clock::now();
                     if whole_by.is_some_and(|by| now >= by) {
-                        return Err(Broken { why: Unreadable("half a frame and no more"), tag: None }.into());
+                        return Err(FrameError { why: Unreadable("half a frame and no more"), tag: None }.into());
                     }
                     if writable && now >= stalled_by {
                         return Ok(End::Left);
@@ -471,13 +471,13 @@
 /// Why a connection is closed.
 enum Ended {
     /// What it said cannot be read.
-    Unreadable(Broken),
+    Unreadable(FrameError),
     /// The connection itself.
     Io(io::Error),
 }
 
-impl From<Broken> for Ended {
-    fn from(broken: Broken) -> Self {
+impl From<FrameError> for Ended {
+    fn from(broken: FrameError) -> Self {
         Ended::Unreadable(broken)
     }
 }
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -4,7 +4,7 @@
 use super::frames::{self, Frame};
 use super::{Buffer, Live, Unreadable};
 use crate::broker::News;
-use crate::memory::{Holder, Ledger, Purpose};
+use crate::memory::{AccountOwner, Ledger, Purpose};
 use crate::{clock, log};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -180,7 +180,7 @@
     stream.set_nodelay(true)?;
     stream.write_all(&feed.last.to_be_bytes()).await?;
     // News are more precious than anything they could push out: no list or purge is missed for want of memory.
-    let holder = Holder { precious: true, ..Holder::of(Purpose::Learned) };
+    let holder = AccountOwner { precious: true, ..AccountOwner::of(Purpose::Learned) };
     let mut buffer = Buffer::new(OWN, memory.empty(holder));
     let mut silent_at = clock::instant(clock::now() + SILENT_AFTER);
     loop {
--- a/src/net/coordinator/tests.rs
+++ b/src/net/coordinator/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::memory::Ledger;
-use onyxyoke_stand_ins::scripted::Deaf;
+use onyxyoke_stand_ins::scripted::UnresponsiveClient;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -58,7 +58,7 @@
 fn a_coordinator_that_is_back_is_heard_well_within_a_second() {
     let runs = [0.1, 0.45, 1.2, 2.3].map(|down| {
         std::thread::spawn(move || {
-            let deaf = Deaf::new();
+            let deaf = UnresponsiveClient::new();
             following(deaf.address(), |mut heard| async move {
                 // For so long it is down; what follows holds for any time.
                 tokio::time::sleep(Duration::from_secs_f64(down)).await;
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -4,7 +4,7 @@
 use super::{Buffer, Unreadable, lines};
 use crate::broker::{Content, Order, Report, Ticket};
 use crate::interface::{Note, Outcome};
-use crate::memory::{Grant, Holder, Ledger, Purpose};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -50,8 +50,8 @@
 }
 
 impl Sent {
-    fn holder(&self, purpose: Purpose) -> Holder {
-        Holder { purpose, team: self.team, precious: self.never_kept }
+    fn holder(&self, purpose: Purpose) -> AccountOwner {
+        AccountOwner { purpose, team: self.team, precious: self.never_kept }
     }
 }
 
@@ -215,7 +215,7 @@
                 continue;
             }
             let holder =
-                Holder { purpose: Purpose::Bodies, team: order.ask.team, precious: order.never_kept };
+                AccountOwner { purpose: Purpose::Bodies, team: order.ask.team, precious: order.never_kept };
             out.set_room(|| self.memory.empty(holder));
             if !lines::serve(out, &order, patience) {
                 return self.waiting.push_front(order);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,7 +15,7 @@
 
 pub use buffer::{Buffer, Output, TEXT};
 
-use crate::memory::{Grant, Holder, Ledger, Purpose};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::{clock, log};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -125,12 +125,12 @@
 /// Where a front takes clients. Shut when another process of the front serves beside this one, which ends: the
 /// listener is closed once what waits at it is taken, and client connections close as soon as they are idle.
 #[derive(Default)]
-pub struct Door {
+pub struct ListenerState {
     shut: Cell<bool>,
     shutting: Notify,
 }
 
-impl Door {
+impl ListenerState {
     /// A door that is open.
     pub fn new() -> Rc<Self> {
         Rc::default()
@@ -153,7 +153,7 @@
 /// Connections that wait for their client, in the order in which they are dispensable: those that never said
 /// anything whole, then those without a request, the longest quiet first.
 #[derive(Default)]
-struct Lobby {
+struct ConnectionTable {
     next: Cell<u64>,
     waiting: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
     /// All leave as soon as they wait for their client.
@@ -166,7 +166,7 @@
 }
 
 /// One of those that may linger.
-pub struct Linger(Rc<Lobby>);
+pub struct Linger(Rc<ConnectionTable>);
 
 impl Drop for Linger {
     fn drop(&mut self) {
@@ -176,13 +176,13 @@
 
 /// A client connection's place among the connections of its front.
 pub struct Seat {
-    lobby: Rc<Lobby>,
+    lobby: Rc<ConnectionTable>,
     key: Cell<Option<(bool, u64)>>,
     asked: Rc<Notify>,
 }
 
 impl Seat {
-    fn new(lobby: Rc<Lobby>) -> Self {
+    fn new(lobby: Rc<ConnectionTable>) -> Self {
         let seat = Seat { lobby, key: Cell::new(None), asked: Rc::default() };
         // From the start, for it may be asked before its task has had a turn.
         seat.quiet(false);
@@ -296,7 +296,7 @@
     timeout_at(clock::instant(clock::now() + LAST_WORD), stream.readable()).await.is_ok()
 }
 
-impl Lobby {
+impl ConnectionTable {
     /// How many wait for their client.
     fn waiting(&self) -> usize {
         self.waiting.borrow().len()
@@ -354,16 +354,17 @@
 /// the place of the one that is most dispensable, and is turned away only where all have a request.
 pub async fn accept<F>(
     listener: TcpListener,
-    door: Rc<Door>,
+    door: Rc<ListenerState>,
     most: usize,
     memory: Ledger,
     serve: impl Fn(TcpStream, Seat, Grant) -> F,
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let lobby = Rc::new(Lobby { lingering_most: (most / LINGERING).max(1), ..Lobby::default() });
+    let lobby =
+        Rc::new(ConnectionTable { lingering_most: (most / LINGERING).max(1), ..ConnectionTable::default() });
     let open = Rc::new(Cell::new(0usize));
-    let own = || memory.ask(Holder::of(Purpose::Clients), OWN + TEXT);
+    let own = || memory.ask(AccountOwner::of(Purpose::Clients), OWN + TEXT);
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
     let (mut listener, mut waited) = (Some(listener), Vec::new());
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -8,7 +8,7 @@
 use crate::broker::{Answer, ClientRequest, Input, News, Order, Report, Ticket};
 use crate::config::Classes;
 use crate::interface::*;
-use crate::memory::{Holder, Ledger, Limit, PURPOSES, Plan, Purpose};
+use crate::memory::{AccountOwner, Ledger, Limit, PURPOSES, Plan, Purpose};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -583,7 +583,7 @@
 fn an_answer_without_memory_is_given_up_and_those_behind_it_are_read() {
     let memory = scarce(Purpose::Unread, 2000, 0);
     let (mut x, mut out) = (Exchange::new(memory.clone()), Buffer::default());
-    let mut input = Buffer::new(512, memory.empty(Holder::of(Purpose::Partial)));
+    let mut input = Buffer::new(512, memory.empty(AccountOwner::of(Purpose::Partial)));
     let used = |purpose| memory.accounts().used(purpose);
     for call in [1, 5, 7] {
         x.queue(order(call.into(), call, 1010.0));
@@ -642,7 +642,7 @@
 fn a_body_without_memory_is_refused_and_passed_over() {
     let memory = scarce(Purpose::Bodies, 20_000, 12_000);
     let mut s = session(memory.clone());
-    let mut input = Buffer::new(4096, memory.empty(Holder::of(Purpose::Bodies)));
+    let mut input = Buffer::new(4096, memory.empty(AccountOwner::of(Purpose::Bodies)));
     let mut feed = |s: &mut Session, bytes: &[u8]| {
         assert!(input.push(bytes));
         let mut heard = Vec::new();
@@ -665,7 +665,7 @@
     assert_eq!(memory.accounts().used(Purpose::Bodies), 0);
     s.output.consume(usize::MAX);
     // The same connection goes on behind it.
-    let mut input = Buffer::new(4096, memory.empty(Holder::of(Purpose::Bodies)));
+    let mut input = Buffer::new(4096, memory.empty(AccountOwner::of(Purpose::Bodies)));
     let hold = write("2", "holds", 5_000);
     assert!(input.push(&hold[..300]));
     assert!(matches!(s.take(1000.0, &mut input), Ok(None)), "granted, and waited for");
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -5,7 +5,7 @@
 use super::exchange::{Exchange, Progress, Side, ended};
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
-use crate::memory::{Grant, Holder, Ledger, Purpose};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::{clock, log};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -224,7 +224,7 @@
         let room = peer.links.len() < PER_NODE && total < self.limits.connections;
         // A further one is opened where none is free, if there is room for it and memory.
         let further = room && least.is_none_or(|link| link.load() >= self.limits.crowd());
-        let ask = || self.memory.ask(Holder::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
+        let ask = || self.memory.ask(AccountOwner::of(Purpose::Caches), OWN + INPUT + OUTPUT).ok();
         let own = further.then(ask).flatten();
         let link = match least {
             Some(link) if own.is_none() => link,
@@ -320,7 +320,7 @@
         // A connection that is reset while it is new is no refusal.
         let refused = connected.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::ConnectionReset);
         // What a body needs beyond the connection's own is granted with the body's own account.
-        let mut output = Buffer::new(OUTPUT, self.memory.empty(Holder::of(Purpose::Bodies)));
+        let mut output = Buffer::new(OUTPUT, self.memory.empty(AccountOwner::of(Purpose::Bodies)));
         let ended_by = match connected {
             Ok(stream) => self.serve(stream, &mut output).await,
             Err(e) => Err(e),
@@ -371,7 +371,7 @@
 
     /// Writes orders and reads answers until the connection breaks, is idle or its node is gone.
     async fn serve(&mut self, stream: TcpStream, output: &mut Buffer) -> io::Result<()> {
-        let mut input = Buffer::new(INPUT, self.memory.empty(Holder::of(Purpose::Partial)));
+        let mut input = Buffer::new(INPUT, self.memory.empty(AccountOwner::of(Purpose::Partial)));
         let mut idle_at = clock::now() + self.limits.idle;
         // Since when a part of an answer is here, and when the rest is to go on.
         let mut part: Option<(f64, f64)> = None;
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -5,7 +5,7 @@
 
 /// A frame that cannot be read, after which nothing on its connection can. Its tag, if that came before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Broken {
+pub struct FrameError {
     /// What is wrong.
     pub why: Unreadable,
     /// The tag, which an answer can be given to.
@@ -71,16 +71,16 @@
 
 /// Reads one command off the head of `bytes`, and how long it was; `None` while it is not whole. What is too
 /// long is told by its count alone, so that none of it needs to be held.
-pub fn parse(bytes: &[u8]) -> Result<Option<(Command<'_>, usize)>, Broken> {
+pub fn parse(bytes: &[u8]) -> Result<Option<(Command<'_>, usize)>, FrameError> {
     let mut words: [&[u8]; WORDS] = [&[]; WORDS];
     let mut had = 0;
     match frame(bytes, &mut words, &mut had) {
         Ok(Some((count, used))) => match super::number(words[1]).filter(|_| count >= 2) {
-            None => Err(Broken { why: Unreadable("a frame without a tag"), tag: None }),
+            None => Err(FrameError { why: Unreadable("a frame without a tag"), tag: None }),
             Some(tag) => Ok(Some((command(&words, count, tag), used))),
         },
         Ok(None) => Ok(None),
-        Err(why) => Err(Broken { why, tag: super::number(words[1]).filter(|_| had >= 2) }),
+        Err(why) => Err(FrameError { why, tag: super::number(words[1]).filter(|_| had >= 2) }),
     }
 }
 
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::broker::{Answer, Caller, ClientRequest, Content, Contracts, Input};
 use crate::interface::*;
-use crate::memory::{Grant, Holder, Ledger, Purpose, Refused};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose, Refused};
 use crate::net::{Buffer, INPUT, LOOK, Output, Seat, closed, last_word, linger};
 use crate::{clock, log};
 use base64::Engine;
@@ -107,7 +107,7 @@
 }
 
 /// Accepts clients until the program ends.
-pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<crate::net::Door>) {
+pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<crate::net::ListenerState>) {
     let serve = |stream, seat, own| Connection::new(front.clone(), seat, own).serve(stream);
     crate::net::accept(listener, door, front.connections, front.memory.clone(), serve).await;
 }
@@ -123,7 +123,7 @@
 }
 
 /// What a whole head takes may come out of the reserve: half heads, however many, must not keep it out.
-const WHOLE_HEAD: Holder = Holder { purpose: Purpose::Signed, team: None, precious: true };
+const WHOLE_HEAD: AccountOwner = AccountOwner { purpose: Purpose::Signed, team: None, precious: true };
 /// There is no memory for it.
 const BUSY: Rejection = Rejection { status: 503, why: "busy; try again" };
 /// What a header line takes beside its text (bytes).
@@ -223,8 +223,8 @@
         let (reply, answers) = unbounded_channel();
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
-        let input = Buffer::new(INPUT, front.memory.empty(Holder::of(Purpose::Signed)));
-        let unread = Holder { precious: true, ..Holder::of(Purpose::Unread) };
+        let input = Buffer::new(INPUT, front.memory.empty(AccountOwner::of(Purpose::Signed)));
+        let unread = AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) };
         let output = Output::new(front.memory.empty(unread));
         Connection { front, seat, number, tag: 0, reply, answers, input, output, _own: own }
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,7 +2,7 @@
 //! of one front share during a replacement. The file's form is `membership::Kept`'s; here it is read and written.
 
 use crate::log;
-use crate::membership::{Hand, Kept};
+use crate::membership::{Kept, OperatorOverride};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -10,13 +10,13 @@
 
 /// The file of the cordons, with its text as this process last wrote or read it, and the one in which the newest
 /// process of the front notes its pid.
-pub struct Keeper {
+pub struct StateStore {
     path: PathBuf,
     last: RefCell<String>,
     live: PathBuf,
 }
 
-impl Keeper {
+impl StateStore {
     /// The file of the front of this name that serves at these addresses, in the folder; what it holds, if there is one.
     /// Two deployments may have fronts of one name and share the folder; none of them shares an address.
     pub fn open(folder: PathBuf, name: &str, addresses: &[SocketAddr]) -> (Self, Option<Kept>) {
@@ -25,7 +25,7 @@
         let digest = xxhash_rust::xxh3::xxh3_64(format!("{name} {addresses:?}").as_bytes());
         let path = folder.join(format!("onyxyoke-{plain}-{digest:016x}.cordons"));
         let live = path.with_extension("live");
-        let keeper = Keeper { path, last: RefCell::default(), live };
+        let keeper = StateStore { path, last: RefCell::default(), live };
         let kept = keeper.look();
         (keeper, kept)
     }
@@ -76,7 +76,7 @@
     }
 
     /// Carries out a call on the file alone, for a process whose core has ended: the successor takes it in.
-    pub fn amend(&self, hand: Hand, now: f64) -> io::Result<()> {
+    pub fn amend(&self, hand: OperatorOverride, now: f64) -> io::Result<()> {
         let text = std::fs::read_to_string(&self.path).or_else(|e| match e.kind() {
             io::ErrorKind::NotFound => Ok(String::new()),
             _ => Err(e),
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -8,12 +8,12 @@
     let folder = std::env::temp_dir().join(format!("onyxyoke-state-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let at = ["127.0.0.1:4100".parse().unwrap()];
-    let (old, none) = Keeper::open(folder.clone(), "n0", &at);
+    let (old, none) = StateStore::open(folder.clone(), "n0", &at);
     assert_eq!(none, None);
     let kept = Kept { cordoned: vec![NodeId(7)], woke: vec![(NodeId(8), 1_764_576_000.25)] };
     old.keep(&kept).unwrap();
     assert_eq!(old.look(), None, "its own writing is no news to it");
-    let (new, found) = Keeper::open(folder.clone(), "n0", &at);
+    let (new, found) = StateStore::open(folder.clone(), "n0", &at);
     assert_eq!(found, Some(kept));
     assert_eq!(new.look(), None);
     new.keep(&Kept::default()).unwrap();
@@ -31,15 +31,15 @@
     old.live();
     old.withdraw();
     assert!(!old.live.exists());
-    new.amend(Hand::Cordon(NodeId(9)), 5.0).unwrap();
+    new.amend(OperatorOverride::Cordon(NodeId(9)), 5.0).unwrap();
     assert_eq!(old.look().map(|k| k.cordoned), Some(vec![NodeId(9)]));
-    new.amend(Hand::Uncordon(NodeId(9)), 6.0).unwrap();
+    new.amend(OperatorOverride::Uncordon(NodeId(9)), 6.0).unwrap();
     assert_eq!(old.look(), Some(Kept { cordoned: vec![], woke: vec![(NodeId(9), 6.0)] }));
-    let (other, _) = Keeper::open(folder.clone(), "n1/x", &at);
+    let (other, _) = StateStore::open(folder.clone(), "n1/x", &at);
     assert_eq!(other.look(), None, "another front's file is another");
-    let elsewhere = Keeper::open(folder.clone(), "n0", &["127.0.0.1:4101".parse().unwrap()]);
+    let elsewhere = StateStore::open(folder.clone(), "n0", &["127.0.0.1:4101".parse().unwrap()]);
     assert!(elsewhere.1.is_none() && !elsewhere.0.succeeded(), "so is that of one of its name elsewhere");
-    let alike = Keeper::open(folder.clone(), "n1_x", &at);
+    let alike = StateStore::open(folder.clone(), "n1_x", &at);
     assert!(alike.0.path != other.path, "and that of a name that is written alike");
     std::fs::remove_dir_all(folder).unwrap();
 }
--- a/src/xds.rs
+++ b/src/xds.rs
@@ -3,7 +3,7 @@
 
 use crate::broker::{Member, News};
 use crate::interface::*;
-use crate::memory::{Holder, Ledger, Purpose};
+use crate::memory::{AccountOwner, Ledger, Purpose};
 use crate::net::{Buffer, Live};
 use crate::signed::http;
 use crate::{clock, log};
@@ -348,7 +348,9 @@
     let bad = || io::Error::new(io::ErrorKind::InvalidData, "a response that cannot be read");
     let stream = timeout_at(by, TcpStream::connect(server)).await.map_err(late)??;
     stream.set_nodelay(true)?;
-    let buffer = || Buffer::new(OWN, memory.empty(Holder { precious: true, ..Holder::of(Purpose::Learned) }));
+    let buffer = || {
+        Buffer::new(OWN, memory.empty(AccountOwner { precious: true, ..AccountOwner::of(Purpose::Learned) }))
+    };
     let (mut out, mut input) = (buffer(), buffer());
     let length = body.len();
     let head = format!(
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -308,7 +308,7 @@
 /// A client goes while its order waits for a connection that does not come up: when it does, nothing is written.
 #[test]
 fn an_order_whose_client_goes_while_its_connection_comes_up_is_not_written() {
-    let deaf = Deaf::new();
+    let deaf = UnresponsiveClient::new();
     let members = vec![member(EDGE, "standard", deaf.address()), member(ORIGIN, "origin", deaf.address())];
     let mut node = Node::start("crossing-late-gone", members, |config| {
         config["settings"]["caps"]["connect-timeout"] = json!(10.0);
@@ -327,7 +327,7 @@
 /// The other order: the connection comes up late, and the client is still there.
 #[test]
 fn an_order_is_written_on_a_connection_that_comes_up_late() {
-    let deaf = Deaf::new();
+    let deaf = UnresponsiveClient::new();
     let members = vec![member(EDGE, "standard", deaf.address()), member(ORIGIN, "origin", deaf.address())];
     let node = Node::start("crossing-late", members, |config| {
         config["settings"]["caps"]["connect-timeout"] = json!(10.0);
@@ -344,7 +344,7 @@
 /// first gets nothing when its connections come up after all.
 #[test]
 fn an_order_whose_node_drains_while_its_connection_comes_up_goes_elsewhere() {
-    let deaf = Deaf::new();
+    let deaf = UnresponsiveClient::new();
     let (other, at_other) = cache_node();
     let members = vec![member(EDGE, "standard", deaf.address()), member(ORIGIN, "origin", other)];
     let mut node = Node::start("crossing-late-drain", members, |config| {
@@ -444,7 +444,7 @@
 #[test]
 fn with_all_clients_places_taken_discovery_that_returns_is_heard_and_served_by() {
     let (cache, served) = cache_node();
-    let deaf = Deaf::new();
+    let deaf = UnresponsiveClient::new();
     let node = Node::start("crossing-full", Vec::new(), |config| {
         config["admin_addr"] = json!("127.0.0.1:0");
         config["limits"]["sockets"] = json!(192);
