Tell whether a successor lives by a lock that it holds, not by its pid

The pid that a process notes was looked up in /proc since. Found by reading, not seen. state::Succession notes a name and locks a file of that name; the system takes the lock back however its holder ends. Builds that note their pid alone are still heard, and hear this one. Tests: succession::tests, and a_successor_that_has_ended_takes_over_from_nobody as it was.

Fleets that ran late are played again with no other fleet of the test program beside them.

--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -58,41 +58,56 @@
 
 /// Fleets at once in a test program: a dozen fronts, their nodes and clients each want most of two cores.
 const FLEETS: usize = 3;
+/// A fleet whose stand-ins ran late is played again so many times in all.
+const PLAYS: usize = 4;
 
-static PLAYING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+/// Fleets that are played now, and those that wait to be played alone.
+struct Playing {
+    now: usize,
+    alone_next: usize,
+}
+
+static PLAYING: (Mutex<Playing>, Condvar) = (Mutex::new(Playing { now: 0, alone_next: 0 }), Condvar::new());
 
-/// A fleet's place among those that are played at once.
-struct Place;
+/// A fleet's part of what may be played at once.
+struct Place {
+    fleets: usize,
+}
 
 impl Place {
-    fn take() -> Place {
-        let playing = PLAYING.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut playing =
-            PLAYING.1.wait_while(playing, |n| *n >= FLEETS).unwrap_or_else(PoisonError::into_inner);
-        *playing += 1;
-        Place
+    /// One place beside others; on a machine that is too busy for that, all of them, before whoever else waits.
+    fn take(alone: bool) -> Place {
+        let fleets = if alone { FLEETS } else { 1 };
+        let mut playing = PLAYING.0.lock().unwrap_or_else(PoisonError::into_inner);
+        playing.alone_next += usize::from(alone);
+        let must_wait = |p: &mut Playing| p.now + fleets > FLEETS || !alone && p.alone_next > 0;
+        playing = PLAYING.1.wait_while(playing, must_wait).unwrap_or_else(PoisonError::into_inner);
+        playing.alone_next -= usize::from(alone);
+        playing.now += fleets;
+        Place { fleets }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        *PLAYING.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        PLAYING.1.notify_one();
+        PLAYING.0.lock().unwrap_or_else(PoisonError::into_inner).now -= self.fleets;
+        PLAYING.1.notify_all();
     }
 }
 
-/// Plays it: all rules and bounds must hold. Where the stand-ins ran late there is no verdict, and it is played again.
+/// Plays it: all rules and bounds must hold. Where the stand-ins ran late there is no verdict, and it is played again, with
+/// no other fleet of this program beside it.
 pub fn hold(name: &str, changes: Value) -> Value {
     let files = Files(std::env::temp_dir().join(format!("onyxyoke-plan-{name}-{}", std::process::id())));
     std::fs::create_dir_all(&files.0).unwrap();
     let (file, figures) = (files.0.join("plan.json"), files.0.join("figures.json"));
     std::fs::write(&file, plan(changes).to_string()).unwrap();
     let front = front(&files.0);
-    let _place = Place::take();
-    for _ in 0..4 {
-        let mut play = lab();
-        play.arg("fleet").arg(&file).arg("--front").arg(&front).arg("--json").arg(&figures);
-        let out = play.output().unwrap();
+    for play in 0..PLAYS {
+        let _place = Place::take(play > 0);
+        let mut run = lab();
+        run.arg("fleet").arg(&file).arg("--front").arg(&front).arg("--json").arg(&figures);
+        let out = run.output().unwrap();
         let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
         match out.status.code() {
             Some(0) => {
@@ -103,5 +118,5 @@
             _ => panic!("{said}"),
         }
     }
-    panic!("the stand-ins ran late four times: this machine is too busy");
+    panic!("the stand-ins ran late {PLAYS} times, thrice of these alone: this machine is too busy");
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -210,20 +210,20 @@
     }
     drop(asks_in);
     // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
-    let (mut kept, mut keeper) = (None, None);
+    let (mut kept, mut succession) = (None, None);
     if let Some(address) = config.admin {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
         let (mine, found) = StateStore::open(std::env::temp_dir(), &config.name, &addresses);
-        let mine = Rc::new(mine);
-        mine.live();
-        (kept, keeper) = (found, Some(mine.clone()));
+        let mut newest = mine.succession();
+        newest.note();
+        (kept, succession) = (found, Some(newest));
         let operators = operators_in.clone();
         let desk = admin::AdminContext {
             ready: ready.clone(),
             figures: figures.clone(),
             operators,
-            keeper: mine,
+            keeper: Rc::new(mine),
             kept: Cell::new(0),
             settings: settings.clone(),
             build: Cell::new(None),
@@ -299,12 +299,12 @@
     ready.set(false);
     // A successor takes the clients: nothing waits for this process at its listener or on an idle connection. One that was
     // ended itself is none: this process takes clients to the end of the closing window, as if there had never been another.
-    if let Some(keeper) = keeper {
-        if keeper.succeeded() {
+    if let Some(mut succession) = succession {
+        if succession.has_successor() {
             log!("a newer process serves beside this one: the door is shut");
             door.shut();
         }
-        keeper.withdraw();
+        succession.withdraw();
     }
     let told = clock::now();
     let killed = told + longest.min(KILL.0) + KILL.1;
