--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -186,6 +186,7 @@
         for &f in fronts {
             self.clients.excuse(f);
             let front = &self.fronts[f];
+            front.kills.set(front.kills.get() + 1);
             front.signal(Signal::SIGKILL);
             for p in started.iter().filter(|p| p.front == front.name()) {
                 let _ = nix::sys::signal::kill(nix::unistd::Pid::from_raw(p.pid), Signal::SIGKILL);
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -68,6 +68,10 @@
     pub crashed: Cell<bool>,
     /// Its clients go on using the connections that they have, though no new ones come.
     pub lingers: Cell<bool>,
+    /// How often the rig killed all its processes for another than the rig to start it again, and after how many of these a
+    /// client has had an answer: in between nobody need take connections.
+    pub kills: Cell<u32>,
+    pub answered_after: Cell<u32>,
 }
 
 impl Front {
@@ -120,6 +124,8 @@
             meant: Cell::new(false),
             crashed: Cell::new(false),
             lingers: Cell::new(false),
+            kills: Cell::new(0),
+            answered_after: Cell::new(0),
         }))
     }
 
