Lock the note of the newest process itself, in place of a file beside it

Re-read: Succession held a lock on a file of its own name, and removed others' left-overs by a scan of $TMPDIR at every start. A process that started at the same instant could be caught between making its file and locking it: its file was removed, or its lock failed. The note is now locked before it is renamed into place, so that whoever finds it finds its lock: no second file, no scan, no such instant.

--- a/src/state/succession.rs
+++ b/src/state/succession.rs
@@ -1,12 +1,12 @@
 //! Which process of a front is the newest: a process that is told to end leaves new clients to its successor, if it has one.
 //!
-//! The two share only `$TMPDIR`, and may have different views of `/proc`. The newest writes a name of its own into the
-//! `newest` file and holds a lock on a file of that name, which the system takes back however it ends. Builds before this one
-//! write their pid into the `live` file alone, and look for another's there: it is still written and read.
+//! The two share only `$TMPDIR`, and may have different views of `/proc`. The newest puts a `newest` file of its own in place,
+//! which has its name and which it holds a lock on: the system takes that back however it ends. Builds before this one write
+//! their pid into the `live` file alone, and look for another's there: it is still written and read.
 
 use crate::{clock, log};
 use std::fs::{File, TryLockError};
-use std::io;
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
 /// What this process notes of itself, and the lock that it holds.
@@ -36,23 +36,31 @@
     }
 
     fn try_note(&mut self) -> io::Result<()> {
-        self.forget_ended();
-        let lock = File::create(self.lock_of(&self.name))?;
-        lock.try_lock().map_err(io::Error::from)?;
-        self.lock = Some(lock);
+        let new = self.newest.with_extension(format!("new-{}", self.name));
+        let mut file = File::create(&new)?;
+        // Locked before anybody finds it; the file before keeps the lock of whoever wrote that.
+        file.try_lock()?;
+        file.write_all(self.name.as_bytes())?;
+        std::fs::rename(&new, &self.newest).inspect_err(|_| {
+            let _ = std::fs::remove_file(&new);
+        })?;
+        self.lock = Some(file);
         // The name first: whoever sees the pid of this process alone would take it for one of an earlier build.
-        std::fs::write(&self.newest, &self.name)?;
         std::fs::write(&self.live, std::process::id().to_string())
     }
 
     /// Does a newer process of the front serve beside this one? One that has ended takes no clients, whatever it noted.
     pub fn has_successor(&self) -> bool {
-        match std::fs::read_to_string(&self.newest) {
-            Ok(newest) if newest != self.name => self.holds_lock(&newest),
+        let Ok(mut file) = File::open(&self.newest) else { return false };
+        let mut newest = String::new();
+        if file.read_to_string(&mut newest).is_err() {
+            return false;
+        }
+        if newest == self.name {
             // An earlier build's process notes its pid alone, and does not tell whether it still lives.
-            Ok(_) => self.noted_pid().is_some_and(|pid| pid != std::process::id()),
-            Err(_) => false,
+            return self.noted_pid().is_some_and(|pid| pid != std::process::id());
         }
+        matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock))
     }
 
     /// This process is about to end: if it is the newest, none is noted any more.
@@ -63,37 +71,12 @@
                 let _ = std::fs::remove_file(&self.live);
             }
         }
-        if self.lock.take().is_some() {
-            let _ = std::fs::remove_file(self.lock_of(&self.name));
-        }
+        self.lock = None;
     }
 
     fn noted_pid(&self) -> Option<u32> {
         std::fs::read_to_string(&self.live).ok()?.trim().parse().ok()
     }
-
-    fn lock_of(&self, name: &str) -> PathBuf {
-        self.newest.with_extension(format!("{name}.lock"))
-    }
-
-    /// Does the process of this name still live?
-    fn holds_lock(&self, name: &str) -> bool {
-        let file = File::open(self.lock_of(name));
-        file.is_ok_and(|file| matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock)))
-    }
-
-    /// Removes what processes left behind that were killed.
-    fn forget_ended(&self) {
-        let (Some(folder), Some(front)) = (self.newest.parent(), self.newest.file_stem()) else { return };
-        let of_front = format!("{}.", front.to_string_lossy());
-        for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
-            let file_name = entry.file_name().to_string_lossy().into_owned();
-            let name = file_name.strip_prefix(&of_front).and_then(|rest| rest.strip_suffix(".lock"));
-            if name.is_some_and(|name| !self.holds_lock(name)) {
-                let _ = std::fs::remove_file(entry.path());
-            }
-        }
-    }
 }
 
 #[cfg(test)]
