Say once who is compared with whom, how a process is signalled, and when a run held

Re-read: the gate and the comparison of usage keyed fronts of one location and age each in its own way (Cohort serves both); the cycles of the soak wrote Front::signal again (fronts::send serves that, end and the cycles); the soak asked for broken rules in two places and for held() in a third. seats is placements, as its type.

--- a/crates/lab/src/fleet/cycle.rs
+++ b/crates/lab/src/fleet/cycle.rs
@@ -2,16 +2,16 @@
 
 use super::Fleet;
 use super::faults::{BESIDE, COMING};
+use super::fronts::send;
 use super::plan::SignalSeries;
 use super::record::Cycle;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::process::Child;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// SIGKILL comes no sooner than this after SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s.
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
@@ -139,13 +139,13 @@
         if !matches!(child.try_wait(), Ok(None)) {
             return self.note_end(front, "it ended by itself".into());
         }
-        signal(&child, Signal::SIGTERM);
-        let kill_at = tokio::time::Instant::now() + EARLIEST_KILL;
+        send(&child, Signal::SIGTERM);
+        let kill_at = Instant::now() + EARLIEST_KILL;
         for &more in further {
             sleep(gap).await;
-            signal(&child, more);
+            send(&child, more);
         }
-        match tokio::time::timeout_at(kill_at, child.wait()).await {
+        match timeout_at(kill_at, child.wait()).await {
             Ok(Ok(status)) if status.success() => {}
             Ok(status) => self.note_end(front, format!("its exit was not 0: {status:?}")),
             Err(_) => {
@@ -157,7 +157,7 @@
 
     /// A process that was not ready may end by the signal itself, or with exit 0, and has to in time.
     async fn end_early(&self, front: usize, mut child: Child) {
-        signal(&child, Signal::SIGTERM);
+        send(&child, Signal::SIGTERM);
         if timeout(EARLIEST_KILL, child.wait()).await.is_err() {
             let _ = child.kill().await;
             self.note_end(front, "one that was not ready was still there when SIGKILL may come".into());
@@ -176,9 +176,3 @@
         self.book.open().ends.push((at, front, what));
     }
 }
-
-fn signal(child: &Child, signal: Signal) {
-    if let Some(id) = child.id() {
-        let _ = kill(Pid::from_raw(id as i32), signal);
-    }
-}
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -270,8 +270,8 @@
 
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
-        if let Some(id) = self.child.borrow().as_ref().and_then(Child::id) {
-            let _ = kill(Pid::from_raw(id as i32), signal);
+        if let Some(child) = self.child.borrow().as_ref() {
+            send(child, signal);
         }
     }
 
@@ -312,12 +312,17 @@
     }
 }
 
+/// Sends a process a signal, if it has not been waited for yet.
+pub fn send(child: &Child, signal: Signal) {
+    if let Some(id) = child.id() {
+        let _ = kill(Pid::from_raw(id as i32), signal);
+    }
+}
+
 /// Ends a process by SIGTERM; was its exit 0?
 pub async fn end(child: Option<Child>) -> bool {
     let Some(mut child) = child else { return true };
-    if let Some(id) = child.id() {
-        let _ = kill(Pid::from_raw(id as i32), Signal::SIGTERM);
-    }
+    send(&child, Signal::SIGTERM);
     matches!(timeout(PATIENCE, child.wait()).await, Ok(Ok(status)) if status.success())
 }
 
--- a/crates/lab/src/soak/lifecycle.rs
+++ b/crates/lab/src/soak/lifecycle.rs
@@ -103,16 +103,17 @@
         if verdict.none {
             return self.without_verdict.push(seed);
         }
+        let held = verdict.held();
         for condition in conditions(plan) {
             let (runs, broken) = self.by_condition.entry(condition).or_default();
             *runs += 1;
-            *broken += usize::from(!verdict.held());
+            *broken += usize::from(!held);
         }
         for (series, figures) in verdict.cycles {
             let sum = self.by_series.entry(series).or_default();
             *sum = sum.and(figures);
         }
-        if verdict.rules.is_empty() {
+        if held {
             self.held.push(seed);
         } else {
             self.broken.insert(seed, verdict.rules);
@@ -176,7 +177,7 @@
         std::fs::write(logs.join("plan.json"), serde_json::to_string_pretty(&plan)?)?;
         record::write_requests(&logs.join("requests.csv"), &book.open())?;
     }
-    let state = match (verdict.none, verdict.rules.is_empty()) {
+    let state = match (verdict.none, verdict.held()) {
         (true, _) => "no verdict, the stand-ins ran late",
         (_, true) => "held",
         _ => "NOT HELD",
--- a/src/rollout/controller/observation.rs
+++ b/src/rollout/controller/observation.rs
@@ -76,10 +76,10 @@
         let base: Vec<f64> = self.watched.iter().map(|s| s.unserved / s.asked.max(1.0)).collect();
         self.health.set_base(base.clone());
         let rate = |m: &Member| m.watched.0 / m.watched.1.max(1.0);
-        let seats: Vec<Placement> =
+        let placements: Vec<Placement> =
             self.members.iter().map(|m| Placement { location: m.location, rate: rate(m) }).collect();
         let limits = &self.plan.limits;
-        self.stages = stages(&seats, &limits.stages, limits.control, limits.by, self.plan.seed);
+        self.stages = stages(&placements, &limits.stages, limits.control, limits.by, self.plan.seed);
         let listed = self.stages.iter().map(|s| (s.fronts.clone(), s.control.clone())).collect();
         let usage = self.gate.usage().baselines(self.sizes.len());
         self.keep(Record::Staged { stages: listed, base, usage });
--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -81,7 +81,19 @@
     pub uses: [f64; 3],
 }
 
+/// Fronts that are compared with each other: those of one location and age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Cohort {
+    pub(super) location: usize,
+    pub(super) young: bool,
+}
+
 impl Window {
+    /// With whom the front is compared.
+    pub(super) fn cohort(&self) -> Cohort {
+        Cohort { location: self.location, young: self.young }
+    }
+
     /// Counts of a class; a front that tells of fewer classes had none.
     fn sum(&self, class: usize) -> Sum {
         self.sums.get(class).copied().unwrap_or_default()
@@ -253,17 +265,17 @@
     /// What fronts did over the same window. `old_left` tells by location whether any front there still runs the old side:
     /// where none does, new fronts are judged by the whole fleet alone.
     pub fn saw(&mut self, now: f64, windows: &[Window], old_left: &[bool]) {
-        let mut cohorts: BTreeMap<(usize, bool), Vec<&Window>> = BTreeMap::new();
+        let mut cohorts: BTreeMap<Cohort, Vec<&Window>> = BTreeMap::new();
         for window in windows {
-            cohorts.entry((window.location, window.young)).or_default().push(window);
+            cohorts.entry(window.cohort()).or_default().push(window);
         }
         let started = 1 + (((now - self.began) / self.soak * STARTS as f64) as usize).min(STARTS - 1);
         for (class, lines) in self.lines.iter_mut().enumerate() {
             for (line, measure) in lines.iter_mut().zip(COUNTED) {
                 line.saw(cohorts.values(), measure, class, started);
             }
-            for ((location, _), fronts) in &cohorts {
-                let alone = !old_left.get(*location).copied().unwrap_or(false);
+            for (cohort, fronts) in &cohorts {
+                let alone = !old_left.get(cohort.location).copied().unwrap_or(false);
                 if alone || fronts.iter().any(|w| !w.new) {
                     let ended = fronts.iter().filter(|w| w.new).map(|w| w.sum(class).asked);
                     self.asked[class] += ended.sum::<f64>();
--- a/src/rollout/stages.rs
+++ b/src/rollout/stages.rs
@@ -24,20 +24,23 @@
 
 /// The stages: one front, then the shares. Each front is in one. Within a location the order goes through the fronts
 /// by load from a drawn start in steps that leave no gap, so that every prefix has busy and quiet ones.
-pub fn stages(seats: &[Placement], shares: &[f64], control: f64, by: GroupBy, seed: u64) -> Vec<Stage> {
-    let locations = seats.iter().map(|s| s.location + 1).max().unwrap_or(0);
+pub fn stages(placements: &[Placement], shares: &[f64], control: f64, by: GroupBy, seed: u64) -> Vec<Stage> {
+    let locations = placements.iter().map(|s| s.location + 1).max().unwrap_or(0);
     let draw = |n: usize| xxh3_64_with_seed(&(n as u64).to_le_bytes(), seed);
     let mut queues: Vec<Vec<usize>> = (0..locations)
         .map(|l| {
-            let mut here: Vec<usize> = (0..seats.len()).filter(|&f| seats[f].location == l).collect();
-            here.sort_by(|&a, &b| seats[a].rate.total_cmp(&seats[b].rate).then(draw(a).cmp(&draw(b))));
-            spread(&here, draw(seats.len() + l) as usize)
+            let mut here: Vec<usize> =
+                (0..placements.len()).filter(|&f| placements[f].location == l).collect();
+            here.sort_by(|&a, &b| {
+                placements[a].rate.total_cmp(&placements[b].rate).then(draw(a).cmp(&draw(b)))
+            });
+            spread(&here, draw(placements.len() + l) as usize)
         })
         .filter(|q| !q.is_empty())
         .collect();
     queues.sort_by_key(|q| draw(q[0]));
     let by_location = by == GroupBy::Location;
-    let mut order = Vec::with_capacity(seats.len());
+    let mut order = Vec::with_capacity(placements.len());
     if by_location {
         order.extend(queues.iter().flatten().copied());
     } else {
@@ -51,7 +54,9 @@
         }
     }
     let mut ends: Vec<usize> = vec![1];
-    ends.extend(shares.iter().map(|s| ((s * seats.len() as f64).round() as usize).clamp(1, seats.len())));
+    ends.extend(
+        shares.iter().map(|s| ((s * placements.len() as f64).round() as usize).clamp(1, placements.len())),
+    );
     if by_location {
         // Up to the end of the location in which the share ends.
         let mut sum = 0;
@@ -65,7 +70,7 @@
         ends = ends.iter().filter_map(|e| bounds.iter().copied().find(|b| b >= e)).collect();
     }
     ends.dedup();
-    let most = ((control * seats.len() as f64) as usize).max(1);
+    let most = ((control * placements.len() as f64) as usize).max(1);
     let mut made: Vec<Stage> = Vec::new();
     let mut from = 0;
     for &end in &ends {
@@ -74,8 +79,8 @@
         let mut left: Vec<usize> = order[end..].to_vec();
         let mut control = Vec::new();
         for &f in fronts.iter().take(most) {
-            let near = |&&i: &&usize| (seats[i].rate - seats[f].rate).abs();
-            let here = left.iter().filter(|&&i| seats[i].location == seats[f].location);
+            let near = |&&i: &&usize| (placements[i].rate - placements[f].rate).abs();
+            let here = left.iter().filter(|&&i| placements[i].location == placements[f].location);
             let Some(&next) = here.min_by(|a, b| near(a).total_cmp(&near(b))) else { continue };
             left.retain(|&i| i != next);
             control.push(next);
@@ -107,15 +112,15 @@
             seed in any::<u64>(),
             by_location in any::<bool>(),
         ) {
-            let mut seats = Vec::new();
+            let mut placements = Vec::new();
             for (location, n) in counts.iter().enumerate() {
-                seats.extend((0..*n).map(|i| Placement { location, rate: if i % 3 == 0 { 10.0 } else { 1.0 } }));
+                placements.extend((0..*n).map(|i| Placement { location, rate: if i % 3 == 0 { 10.0 } else { 1.0 } }));
             }
             let by = if by_location { GroupBy::Location } else { GroupBy::Front };
-            let made = stages(&seats, &[0.01, 0.05, 0.2, 0.5, 1.0], 0.2, by, seed);
+            let made = stages(&placements, &[0.01, 0.05, 0.2, 0.5, 1.0], 0.2, by, seed);
             let mut all: Vec<usize> = made.iter().flat_map(|s| s.fronts.clone()).collect();
             all.sort_unstable();
-            prop_assert_eq!(all, (0..seats.len()).collect::<Vec<_>>());
+            prop_assert_eq!(all, (0..placements.len()).collect::<Vec<_>>());
             prop_assert!(made.iter().all(|s| !s.fronts.is_empty()));
             prop_assert!(by_location || made[0].fronts.len() == 1);
             let mut changed = Vec::new();
@@ -124,11 +129,11 @@
                 prop_assert!(stage.control.iter().all(|c| !changed.contains(c)), "control is old");
                 prop_assert!(stage.control.len() <= stage.fronts.len());
                 for (location, n) in counts.iter().enumerate() {
-                    let here = changed.iter().filter(|f| seats[**f].location == location).count();
+                    let here = changed.iter().filter(|f| placements[**f].location == location).count();
                     if by_location {
                         prop_assert!(here == 0 || here == *n, "whole locations");
                     } else {
-                        let wanted = changed.len() as f64 / seats.len() as f64 * *n as f64;
+                        let wanted = changed.len() as f64 / placements.len() as f64 * *n as f64;
                         prop_assert!((here as f64 - wanted).abs() <= 2.0, "{here} for {wanted}");
                     }
                 }
@@ -139,23 +144,25 @@
     /// Guards a first front that is always of the largest location.
     #[test]
     fn the_first_front_is_of_any_location() {
-        let seats: Vec<Placement> = (0..100).map(|i| Placement { location: i % 3, rate: 1.0 }).collect();
-        let first = |seed| seats[stages(&seats, &[1.0], 0.2, GroupBy::Front, seed)[0].fronts[0]].location;
+        let placements: Vec<Placement> = (0..100).map(|i| Placement { location: i % 3, rate: 1.0 }).collect();
+        let first =
+            |seed| placements[stages(&placements, &[1.0], 0.2, GroupBy::Front, seed)[0].fronts[0]].location;
         let used: std::collections::BTreeSet<usize> = (0..40).map(first).collect();
         assert_eq!(used.len(), 3);
     }
 
     #[test]
     fn a_prefix_has_busy_and_quiet_fronts() {
-        let seats: Vec<Placement> = (0..64).map(|i| Placement { location: 0, rate: f64::from(i) }).collect();
+        let placements: Vec<Placement> =
+            (0..64).map(|i| Placement { location: 0, rate: f64::from(i) }).collect();
         for seed in 0..20 {
-            let made = stages(&seats, &[0.125, 0.5, 1.0], 0.2, GroupBy::Front, seed);
+            let made = stages(&placements, &[0.125, 0.5, 1.0], 0.2, GroupBy::Front, seed);
             let rates: Vec<f64> =
-                made[0].fronts.iter().chain(&made[1].fronts).map(|f| seats[*f].rate).collect();
+                made[0].fronts.iter().chain(&made[1].fronts).map(|f| placements[*f].rate).collect();
             let mean = rates.iter().sum::<f64>() / rates.len() as f64;
             assert!((24.0..39.0).contains(&mean), "{mean} of seed {seed}: {rates:?}");
             let (f, c) = (made[0].fronts[0], made[0].control[0]);
-            assert!((seats[f].rate - seats[c].rate).abs() <= 2.0);
+            assert!((placements[f].rate - placements[c].rate).abs() <= 2.0);
         }
     }
 }
--- a/src/rollout/usage.rs
+++ b/src/rollout/usage.rs
@@ -5,7 +5,7 @@
 //! compared at the moment keeps what is known of it: a gap in the readings is no sign that it uses less.
 
 use super::change::Run;
-use super::gate::{Measure, Window};
+use super::gate::{Cohort, Measure, Window};
 use super::plan::Gates;
 use std::collections::BTreeMap;
 
@@ -70,13 +70,6 @@
     excess: [Option<Excess>; RESOURCES],
 }
 
-/// Old fronts of one location and age.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Cohort {
-    location: usize,
-    young: bool,
-}
-
 /// The comparison over a whole rollout.
 #[derive(Debug, Clone)]
 pub struct UsageComparison {
@@ -130,11 +123,11 @@
         let loads = loads(windows);
         let beside = old_fronts(windows, &loads);
         for window in windows {
-            let cohort = Cohort { location: window.location, young: window.young };
             if !window.new {
                 self.fronts.remove(&window.front);
                 continue;
             }
+            let cohort = window.cohort();
             let load = loads[&window.location];
             let earlier = || self.earlier.get(&cohort).map(|baseline| baseline.at(load));
             if let Some(usual) = beside.get(&cohort).map(|b| b.uses).or_else(earlier) {
@@ -240,9 +233,8 @@
 fn old_fronts(windows: &[Window], loads: &BTreeMap<usize, f64>) -> BTreeMap<Cohort, UsageBaseline> {
     let mut found: BTreeMap<Cohort, UsageBaseline> = BTreeMap::new();
     for window in windows.iter().filter(|w| !w.new) {
-        let cohort = Cohort { location: window.location, young: window.young };
         let used = UsageBaseline { uses: window.uses, load: loads[&window.location] };
-        found.entry(cohort).or_default().include(&used);
+        found.entry(window.cohort()).or_default().include(&used);
     }
     found
 }
