--- a/src/main.rs
+++ b/src/main.rs
@@ -219,16 +219,16 @@
         newest.note();
         (kept, succession) = (found, Some(newest));
         let operators = operators_in.clone();
-        let desk = admin::AdminContext {
+        let context = admin::AdminContext {
             ready: ready.clone(),
             figures: figures.clone(),
             operators,
-            keeper: Rc::new(mine),
+            store: Rc::new(mine),
             kept: Cell::new(0),
             settings: settings.clone(),
             build: Cell::new(None),
         };
-        spawn_local(admin::serve(listener, Rc::new(desk)));
+        spawn_local(admin::serve(listener, Rc::new(context)));
     }
     drop(operators_in);
     spawn_local(pool::run(
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -88,7 +88,7 @@
     /// To the broker.
     pub operators: UnboundedSender<Operator>,
     /// The file of the cordons.
-    pub keeper: Rc<StateStore>,
+    pub store: Rc<StateStore>,
     /// The number of the last call whose cordons were kept.
     pub kept: Cell<u64>,
     /// The digest of the settings in force.
@@ -147,7 +147,7 @@
             Ok(Err(why)) => return format!("fail {why}\n"),
             // The core has ended, and this process sends nothing more: the call is for the one that follows it.
             Err(_) => {
-                return match self.keeper.amend(hand, clock::now()) {
+                return match self.store.amend(hand, clock::now()) {
                     Ok(()) => format!(
                         "ok kept for the process that follows: {}\n",
                         line.trim_ascii().escape_ascii()
@@ -157,7 +157,7 @@
             }
         };
         if number > self.kept.get() {
-            if let Err(e) = self.keeper.keep(&kept) {
+            if let Err(e) = self.store.keep(&kept) {
                 log!("cordons: cannot be kept: {e}");
                 return format!("fail {said} in this process, but not kept for the next: {e}\n");
             }
@@ -182,14 +182,14 @@
 
     /// Hands the broker what the file says, if another process changed it.
     fn look(&self) {
-        if let Some(kept) = self.keeper.look() {
+        if let Some(kept) = self.store.look() {
             let _ = self.operators.send(Operator::Kept(kept));
         }
     }
 }
 
 /// Serves operators until the program ends.
-pub async fn serve(listener: TcpListener, desk: Rc<AdminContext>) {
+pub async fn serve(listener: TcpListener, context: Rc<AdminContext>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     let mut look_at = clock::now() + LOOK;
     loop {
@@ -197,7 +197,7 @@
             accepted = listener.accept() => accepted,
             () = sleep_until(clock::instant(look_at)) => {
                 look_at = clock::now() + LOOK;
-                desk.look();
+                context.look();
                 continue;
             }
         };
@@ -209,7 +209,7 @@
                 {
                     first.abort();
                 }
-                callers.push_back(spawn_local(call(stream, desk.clone())));
+                callers.push_back(spawn_local(call(stream, context.clone())));
             }
             Err(e) => {
                 log!("cannot accept an operator: {e}");
@@ -230,7 +230,7 @@
 }
 
 /// One caller: its line, the reply, the end.
-async fn call(mut stream: TcpStream, desk: Rc<AdminContext>) {
+async fn call(mut stream: TcpStream, context: Rc<AdminContext>) {
     let mut line = [0u8; LINE];
     let heard = timeout_at(clock::instant(clock::now() + SPEAK), async {
         let mut len = 0;
@@ -251,7 +251,7 @@
     })
     .await;
     let reply = match heard {
-        Ok(Ok(Heard::Line(end))) => desk.reply(line[..end].trim_ascii()).await,
+        Ok(Ok(Heard::Line(end))) => context.reply(line[..end].trim_ascii()).await,
         Ok(Ok(Heard::TooLong)) => format!("fail the line is longer than {LINE} bytes\n"),
         _ => return,
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -176,14 +176,14 @@
 
 /// A client connection's place among the connections of its front.
 pub struct Seat {
-    lobby: Rc<ConnectionTable>,
+    table: Rc<ConnectionTable>,
     key: Cell<Option<(bool, u64)>>,
     asked: Rc<Notify>,
 }
 
 impl Seat {
-    fn new(lobby: Rc<ConnectionTable>) -> Self {
-        let seat = Seat { lobby, key: Cell::new(None), asked: Rc::default() };
+    fn new(table: Rc<ConnectionTable>) -> Self {
+        let seat = Seat { table, key: Cell::new(None), asked: Rc::default() };
         // From the start, for it may be asked before its task has had a turn.
         seat.quiet(false);
         seat
@@ -192,35 +192,35 @@
     /// It waits for its client from now on, which has asked for something before, or has not. Once all are to leave,
     /// it is asked to at once.
     pub fn quiet(&self, spoken: bool) {
-        if self.lobby.leaving.get() {
+        if self.table.leaving.get() {
             self.asked.notify_one();
         }
         if self.key.get().is_none() {
-            let key = (spoken, self.lobby.next.replace(self.lobby.next.get() + 1));
+            let key = (spoken, self.table.next.replace(self.table.next.get() + 1));
             self.key.set(Some(key));
-            self.lobby.waiting.borrow_mut().insert(key, self.asked.clone());
+            self.table.waiting.borrow_mut().insert(key, self.asked.clone());
         }
     }
 
     /// It has heard from its client, or owes it something.
     pub fn busy(&self) {
         if let Some(key) = self.key.take() {
-            self.lobby.waiting.borrow_mut().remove(&key);
+            self.table.waiting.borrow_mut().remove(&key);
         }
     }
 
     /// Is it asked to leave because all are?
     pub fn leaving(&self) -> bool {
-        self.lobby.leaving.get()
+        self.table.leaving.get()
     }
 
     /// Leave to wait, once it has closed its side, for its client to close too; there is none where so many do that they
     /// would take the place of others. Once all leave, nobody is to come.
     pub fn linger(&self) -> Option<Linger> {
-        let now = self.lobby.lingering.get();
-        (self.leaving() || now < self.lobby.lingering_most).then(|| {
-            self.lobby.lingering.set(now + 1);
-            Linger(self.lobby.clone())
+        let now = self.table.lingering.get();
+        (self.leaving() || now < self.table.lingering_most).then(|| {
+            self.table.lingering.set(now + 1);
+            Linger(self.table.clone())
         })
     }
 
@@ -361,7 +361,7 @@
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let lobby =
+    let table =
         Rc::new(ConnectionTable { lingering_most: (most / LINGERING).max(1), ..ConnectionTable::default() });
     let open = Rc::new(Cell::new(0usize));
     let own = || memory.ask(AccountOwner::of(Purpose::Clients), OWN + TEXT);
@@ -372,7 +372,7 @@
     let mut closing_at = None;
     loop {
         // While memory is scarce, idle connections leave turn by turn, the most dispensable first.
-        let closing = memory.closes(lobby.waiting()) > 0;
+        let closing = memory.closes(table.waiting()) > 0;
         let accepted = tokio::select! {
             biased;
             // New connections go to the successor first; then the listener goes, and only then is anybody asked to
@@ -385,38 +385,38 @@
                 continue;
             }
             () = sleep_until(clock::instant(closing_at.unwrap_or_default())),
-                if closing_at.is_some() && !lobby.leaving.get() =>
+                if closing_at.is_some() && !table.leaving.get() =>
             {
                 waited = listener.take().map_or(Ok(Vec::new()), close).unwrap_or_else(|e| {
                     log!("what waits at the listener is lost: {e}");
                     Vec::new()
                 });
-                lobby.dismiss();
+                table.dismiss();
                 continue;
             }
-            last = std::future::ready(waited.pop()), if lobby.leaving.get() => match last {
+            last = std::future::ready(waited.pop()), if table.leaving.get() => match last {
                 Some(last) => Ok(last),
                 None => {
                     log!("the door is shut: no more clients here");
                     while open.get() > 0 {
-                        lobby.ended.notified().await;
+                        table.ended.notified().await;
                     }
                     return;
                 }
             },
             () = sleep_until(clock::instant(relief_at)), if closing => {
                 relief_at = clock::now() + RELIEF;
-                for _ in 0..memory.closes(lobby.waiting()) {
-                    lobby.make_place();
+                for _ in 0..memory.closes(table.waiting()) {
+                    table.make_place();
                 }
                 continue;
             }
-            accepted = next(&listener), if !lobby.leaving.get() => accepted,
+            accepted = next(&listener), if !table.leaving.get() => accepted,
         };
         match accepted {
             Ok((stream, peer)) => {
                 if open.get() >= most {
-                    if !lobby.make_place() {
+                    if !table.make_place() {
                         log!("client {peer} is turned away: {most} are connected");
                         continue;
                     }
@@ -424,7 +424,7 @@
                     tokio::task::yield_now().await;
                 }
                 let mut granted = own();
-                if granted.is_err() && lobby.make_place() {
+                if granted.is_err() && table.make_place() {
                     sleep_until(clock::instant(clock::now() + 2.0 * LAST_WORD)).await;
                     granted = own();
                 }
@@ -434,8 +434,8 @@
                 };
                 memory.clients(1);
                 let memory = memory.clone();
-                let (open, served) = (open.clone(), serve(stream, Seat::new(lobby.clone()), granted));
-                let lobby = lobby.clone();
+                let (open, served) = (open.clone(), serve(stream, Seat::new(table.clone()), granted));
+                let table = table.clone();
                 open.set(open.get() + 1);
                 tokio::task::spawn_local(async move {
                     match served.await {
@@ -451,7 +451,7 @@
                     }
                     open.set(open.get() - 1);
                     memory.clients(-1);
-                    lobby.ended.notify_one();
+                    table.ended.notify_one();
                 });
             }
             Err(e) => {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -25,9 +25,9 @@
             name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
         let digest = xxhash_rust::xxh3::xxh3_64(format!("{name} {addresses:?}").as_bytes());
         let path = folder.join(format!("onyxyoke-{plain}-{digest:016x}.cordons"));
-        let keeper = StateStore { path, last: RefCell::default() };
-        let kept = keeper.look();
-        (keeper, kept)
+        let store = StateStore { path, last: RefCell::default() };
+        let kept = store.look();
+        (store, kept)
     }
 
     /// Which process of the front is the newest, beside this file.
