Split listening, the table of connections and their closing, and clients by job

src/net/mod.rs (466 lines) held listening, the table of connections and their ends, src/net/clients.rs (546) a session, its socket and the fields of a request, with one function of 110 lines. Each job has a file, the wait of a turn and its timers are types, and names are the field's (ConnectionSlot, close_most_idle, mark_idle, mark_active, shut_and_discard). The log says 'listener closing' and 'listener closed'; the tests that waited for the old words wait for these.

--- a/src/main.rs
+++ b/src/main.rs
@@ -161,7 +161,7 @@
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
     let mut addresses = Vec::new();
-    let door = ListenerState::new();
+    let listening = ListenerState::new();
     let mut served = JoinSet::new();
     if let Some(listen) = config.listen {
         let listener = onyxyoke::net::listen(listen)?;
@@ -178,7 +178,7 @@
             figures: figures.clone(),
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
-        served.spawn_local(clients::accept(listener, Rc::new(front), door.clone()));
+        served.spawn_local(clients::accept(listener, Rc::new(front), listening.clone()));
     }
     if let Some(signed) = config.signed {
         let listener = onyxyoke::net::listen(signed.listen)?;
@@ -206,7 +206,7 @@
             wait,
         };
         log!("{} serves signed links on {}", config.name, listener.local_addr()?);
-        served.spawn_local(signed::accept(listener, Rc::new(front), door.clone()));
+        served.spawn_local(signed::accept(listener, Rc::new(front), listening.clone()));
     }
     drop(asks_in);
     // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
@@ -301,8 +301,8 @@
     // ended itself is none: this process takes clients to the end of the closing window, as if there had never been another.
     if let Some(mut succession) = succession {
         if succession.has_successor() {
-            log!("a newer process serves beside this one: the door is shut");
-            door.shut();
+            log!("a newer process serves beside this one: listener closing");
+            listening.close();
         }
         succession.withdraw();
     }
@@ -312,7 +312,7 @@
     sleep_until(clock::instant(told + CLOSING)).await;
     // Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that
     // ended over open ones would reset those on which something comes just then, with the last answers.
-    door.shut();
+    listening.close();
     let gone = async { while served.join_next().await.is_some() {} };
     let _ = timeout_at(clock::instant(killed - BEFORE.1), gone).await;
     let _ = close.send(Close::WhenAnswered);
--- /dev/null
+++ b/src/net/clients/connection.rs
@@ -0,0 +1,337 @@
+//! The task of one client connection: what it waits for, what it reads and writes, and how it ends.
+
+use super::Front;
+use super::session::Session;
+use crate::broker::Answer;
+use crate::clock;
+use crate::memory::{AccountOwner, Grant, Purpose};
+use crate::net::resp::FrameError;
+use crate::net::{
+    Buffer, ConnectionSlot, INPUT, PEER_CHECK_INTERVAL, Unreadable, linger, peer_has_closed,
+    readable_within_window,
+};
+use std::io;
+use std::rc::Rc;
+use tokio::io::{Interest, Ready};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::sleep_until;
+
+/// With so many bytes of answers unsent, a connection is not read from.
+const UNSENT_MOST: usize = 512 * 1024;
+/// An idle connection is closed after this (seconds). Clients close theirs after 4 s.
+const IDLE: f64 = 5.0;
+/// One that has said nothing whole is closed this long after it was made (seconds).
+const SPEAK: f64 = 2.0;
+/// A frame is to be whole this long after its first byte (seconds).
+const WHOLE: f64 = 2.0;
+/// A client whose frame may not grow is read from again after this (seconds).
+const RELIEF: f64 = 0.005;
+/// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
+/// and its bytes are counted against everybody's.
+const STALLED: f64 = 5.0;
+
+/// When a connection's waits end (Unix seconds).
+struct Timers {
+    /// It has been idle for too long.
+    idle_at: f64,
+    /// It has taken nothing of what it is sent for too long.
+    stalled_at: f64,
+    /// It is to have said something usable.
+    speak_by: f64,
+    /// The frame that has begun is to be whole.
+    whole_by: Option<f64>,
+}
+
+impl Timers {
+    /// For a connection that is made now.
+    fn new(now: f64) -> Self {
+        Timers { idle_at: now + IDLE, stalled_at: now + STALLED, speak_by: now + SPEAK, whole_by: None }
+    }
+
+    /// Something has come, or is to go.
+    fn active(&mut self) {
+        self.idle_at = clock::now() + IDLE;
+    }
+}
+
+/// What a connection waits for in one turn.
+struct Wait {
+    now: f64,
+    /// Answers are unsent.
+    writes: bool,
+    /// Nothing is open and all is written.
+    idle: bool,
+    /// Nothing is read, since too much is unsent.
+    held_back: bool,
+    /// When frames are taken again, where its client has sent too many (Unix seconds).
+    throttled_until: Option<f64>,
+    /// It has taken nothing of what it is sent by then.
+    stalled_by: f64,
+    /// The first of its timers.
+    until: Option<f64>,
+}
+
+impl Wait {
+    fn reads_paused(&self) -> bool {
+        self.held_back || self.throttled_until.is_some()
+    }
+
+    fn interest(&self) -> Interest {
+        match (self.reads_paused(), self.writes) {
+            (true, _) => Interest::WRITABLE,
+            (false, true) => Interest::READABLE | Interest::WRITABLE,
+            (false, false) => Interest::READABLE,
+        }
+    }
+}
+
+/// How a connection ends in order.
+enum End {
+    /// It is idle, and closed by this side.
+    ByFront,
+    /// The client has closed it, or takes nothing of what it is sent.
+    ByClient,
+}
+
+/// Why a connection is closed.
+enum Ended {
+    /// What it said cannot be read.
+    Unreadable(FrameError),
+    /// The connection itself.
+    Io(io::Error),
+}
+
+impl From<FrameError> for Ended {
+    fn from(broken: FrameError) -> Self {
+        Ended::Unreadable(broken)
+    }
+}
+
+impl From<io::Error> for Ended {
+    fn from(e: io::Error) -> Self {
+        Ended::Io(e)
+    }
+}
+
+/// A client connection.
+pub(super) struct ClientConnection {
+    slot: ConnectionSlot,
+    session: Session,
+    answers: UnboundedReceiver<(u64, Answer)>,
+    grant: Grant,
+}
+
+impl ClientConnection {
+    pub(super) fn new(front: Rc<Front>, slot: ConnectionSlot, grant: Grant) -> Self {
+        let (reply, answers) = unbounded_channel();
+        ClientConnection { slot, session: Session::new(front, reply), answers, grant }
+    }
+
+    pub(super) async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let ended = self.exchange(&stream).await;
+        if let Err(Ended::Unreadable(broken)) = &ended {
+            self.session.fail_open(broken.tag);
+        }
+        // A connection that ends takes its requests with it, before anything is waited for: no answer is owed where none
+        // can be given, and none is sent for what was answered here.
+        self.cancel_open_requests().await;
+        match ended {
+            Ok(End::ByFront) => {
+                self.close(&mut stream).await;
+                Ok(())
+            }
+            Ok(End::ByClient) => Ok(()),
+            Err(Ended::Unreadable(broken)) => {
+                self.close(&mut stream).await;
+                Err(io::Error::new(io::ErrorKind::InvalidData, broken.why.0))
+            }
+            Err(Ended::Io(e)) => match e.kind() {
+                io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => Ok(()),
+                _ => Err(e),
+            },
+        }
+    }
+
+    /// Nobody waits for what is open.
+    async fn cancel_open_requests(&mut self) {
+        for abort in self.session.cancel_open() {
+            let _ = self.session.front.asks.send(abort).await;
+        }
+    }
+
+    /// Writes the last answers and ends the stream in order. A request among what still comes is not taken, and its client
+    /// sends it again elsewhere.
+    async fn close(&mut self, stream: &mut TcpStream) {
+        // Its place in memory is somebody else's from now on; what is still unsent keeps its own.
+        self.grant.shrink(usize::MAX);
+        linger(stream, &self.slot, &mut self.session.output).await;
+    }
+
+    /// Reads requests and writes answers until the connection ends.
+    async fn exchange(&mut self, stream: &TcpStream) -> Result<End, Ended> {
+        let bodies = self.session.front.memory.empty(AccountOwner::of(Purpose::Bodies));
+        let mut input = Buffer::new(INPUT, bodies);
+        let mut timers = Timers::new(clock::now());
+        loop {
+            self.write_answers(stream, &mut timers)?;
+            let wait = self.plan(&mut timers);
+            let throttled_until = wait.throttled_until.unwrap_or(wait.now);
+            let next_peer_check = wait.now + PEER_CHECK_INTERVAL;
+            let until = wait.until.unwrap_or(timers.idle_at);
+            let end = tokio::select! {
+                biased;
+                Some((tag, answer)) = self.answers.recv() => {
+                    timers.active();
+                    self.session.answer(tag, answer);
+                    None
+                }
+                ready = stream.ready(wait.interest()), if wait.writes || wait.throttled_until.is_none() => {
+                    self.ready(stream, ready?, &wait, &mut input, &mut timers).await?
+                }
+                () = sleep_until(clock::instant(throttled_until)), if wait.throttled_until.is_some() => {
+                    self.take_frames(&mut input).await?;
+                    timers.whole_by = (!input.is_empty()).then_some(clock::now() + WHOLE);
+                    None
+                }
+                // One that is not read from is looked at, for whether it is still there.
+                () = sleep_until(clock::instant(next_peer_check)),
+                    if wait.reads_paused() && !self.session.open.is_empty() =>
+                {
+                    peer_has_closed(stream).await?.then_some(End::ByClient)
+                }
+                // Half a request is waited for, where there is no other in need of the place.
+                () = self.slot.close_asked(), if wait.idle && (input.is_empty() || !self.slot.is_closing_all()) => {
+                    let half = !input.is_empty() && self.slot.is_closing_all();
+                    (!half && !readable_within_window(stream).await).then_some(End::ByFront)
+                }
+                () = sleep_until(clock::instant(until)), if wait.until.is_some() => {
+                    self.time_out(stream, &wait, &timers).await?
+                }
+            };
+            if let Some(end) = end {
+                return Ok(end);
+            }
+        }
+    }
+
+    /// Writes what the socket takes of the answers that are there.
+    fn write_answers(&mut self, stream: &TcpStream, timers: &mut Timers) -> io::Result<()> {
+        while let Ok((tag, answer)) = self.answers.try_recv() {
+            self.session.answer(tag, answer);
+        }
+        let output = &mut self.session.output;
+        if output.write_to(stream)? > 0 || output.is_empty() {
+            timers.stalled_at = clock::now() + STALLED;
+        }
+        Ok(())
+    }
+
+    /// What is waited for next, by what is open and unsent; keeps the connection's place in the table true.
+    fn plan(&mut self, timers: &mut Timers) -> Wait {
+        let output = &self.session.output;
+        let unsent = output.len();
+        // One that leaves much unread is not read from, and sooner while all do.
+        let heard = self.session.front.memory.hears(unsent);
+        let held_back = unsent > UNSENT_MOST || output.crowded() || !heard;
+        let writes = !output.is_empty();
+        // What is still unread so long after it was due is of no use to its client any more; where memory is scarce,
+        // it has no such time.
+        let slack = if heard { STALLED } else { 0.0 };
+        let stalled_by = output.due().map_or(timers.stalled_at, |due| timers.stalled_at.min(due + slack));
+        let idle = !writes && self.session.open.is_empty();
+        match idle {
+            true => self.slot.mark_idle(self.session.spoken),
+            false => self.slot.mark_active(),
+        }
+        let now = clock::now();
+        let throttled_until = Some(self.session.reads_at(now)).filter(|&at| at > now);
+        if held_back || throttled_until.is_some() {
+            // What is not read here cannot become whole.
+            timers.whole_by = timers.whole_by.map(|_| now + WHOLE);
+        }
+        // Guards the share of clients' connections against those that never say anything whole.
+        let silent = (!self.session.spoken).then_some(timers.speak_by);
+        let still = if writes { Some(stalled_by) } else { idle.then_some(timers.idle_at) };
+        let until = [silent, timers.whole_by, still].into_iter().flatten().reduce(f64::min);
+        Wait { now, writes, idle, held_back, throttled_until, stalled_by, until }
+    }
+
+    /// The socket can be read from or written to, or its end has come.
+    async fn ready(
+        &mut self,
+        stream: &TcpStream,
+        ready: Ready,
+        wait: &Wait,
+        input: &mut Buffer,
+        timers: &mut Timers,
+    ) -> Result<Option<End>, Ended> {
+        if ready.is_read_closed() {
+            self.client_left(stream, wait, input).await?;
+            return Ok(Some(End::ByClient));
+        }
+        if !ready.is_readable() || wait.reads_paused() {
+            return Ok(None);
+        }
+        match input.read_from(stream) {
+            Ok(0) => return Ok(Some(End::ByClient)),
+            Ok(_) => {
+                timers.active();
+                self.slot.mark_active();
+                let whole = self.take_frames(input).await?;
+                let by = timers.whole_by.filter(|_| !whole).unwrap_or(clock::now() + WHOLE);
+                timers.whole_by = (!input.is_empty()).then_some(by);
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            // Half a frame that may not grow is held up, and is to be whole in its time all the same.
+            Err(e) if e.kind() == io::ErrorKind::OutOfMemory => {
+                sleep_until(clock::instant(clock::now() + RELIEF)).await;
+            }
+            Err(e) => return Err(e.into()),
+        }
+        Ok(None)
+    }
+
+    /// The client has closed its side. That is heeded before what it said last, and behind whatever of that is not read:
+    /// nothing is sent for it any more. What needs no cache is still answered, as to one that closed its side only.
+    async fn client_left(
+        &mut self,
+        stream: &TcpStream,
+        wait: &Wait,
+        input: &mut Buffer,
+    ) -> Result<(), Ended> {
+        self.session.client_left = true;
+        self.cancel_open_requests().await;
+        if !wait.reads_paused() && input.read_from(stream).is_ok_and(|n| n > 0) {
+            self.take_frames(input).await?;
+            self.session.output.write_to(stream)?;
+        }
+        Ok(())
+    }
+
+    /// A timer is due: is the connection to end?
+    async fn time_out(&self, stream: &TcpStream, wait: &Wait, timers: &Timers) -> Result<Option<End>, Ended> {
+        let now = clock::now();
+        if timers.whole_by.is_some_and(|by| now >= by) {
+            return Err(FrameError { why: Unreadable("half a frame and no more"), tag: None }.into());
+        }
+        if wait.writes && now >= wait.stalled_by {
+            return Ok(Some(End::ByClient));
+        }
+        Ok((!readable_within_window(stream).await).then_some(End::ByFront))
+    }
+
+    /// Takes the whole frames off the buffer; was there one?
+    async fn take_frames(&mut self, input: &mut Buffer) -> Result<bool, Ended> {
+        let mut any = false;
+        while let Some(heard) = self.session.take(clock::now(), input)? {
+            any = true;
+            if let Some(heard) = heard {
+                let ended = |_| io::Error::other("the broker has ended");
+                self.session.front.asks.send(heard).await.map_err(ended)?;
+            }
+        }
+        Ok(any)
+    }
+}
--- /dev/null
+++ b/src/net/listener.rs
@@ -0,0 +1,233 @@
+//! Listening for clients, beside another process of the same front too, and accepting them: a task for each connection.
+
+use super::closing::FINAL_READ_WINDOW;
+use super::connections::{ConnectionSlot, ConnectionTable};
+use super::{INPUT, TEXT};
+use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
+use crate::{clock, log};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+
+/// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
+const ACCEPT_PAUSE: f64 = 0.01;
+/// What a client connection has as its own beside the text of its answers: its task, its tables, and what is
+/// read at once (bytes).
+const CONNECTION_BYTES: usize = 4 * 1024 + INPUT;
+/// While memory is scarce, idle connections are looked at this often (seconds).
+const RELIEF_INTERVAL: f64 = 0.1;
+/// Connections that the system holds for a listener before they are accepted.
+const BACKLOG: u32 = 1024;
+/// One in so many connections may linger beside those that are served.
+const LINGERING_SHARE: usize = 8;
+/// The place that no listener has: any of them gets a connection, by its hash.
+const ANY_BY_HASH: u32 = u32::MAX;
+/// The place of the younger of two listeners.
+const YOUNGEST_OF_TWO: u32 = 1;
+/// So long after the successor's listener was given all that is new, what was in its handshake has come (seconds).
+const HANDSHAKE: f64 = 0.05;
+
+/// A connection as it is accepted, with its client's address.
+type Accepted = (TcpStream, SocketAddr);
+
+/// Listens for clients at an address that a second process of the same front may listen at too (SO_REUSEPORT):
+/// during a replacement both take connections, and the one that ends hands over without a refused one.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(BACKLOG)?;
+    // What a process that closed here before has left at the address no longer counts.
+    let _ = steer_to(&listener, ANY_BY_HASH);
+    Ok(listener)
+}
+
+/// Has the system give each new connection at a shared address to the listener of this place, in the order in which
+/// they came; with no listener at that place, to any. One instruction of the classic packet filter, `ret place`
+/// (SO_ATTACH_REUSEPORT_CBPF, socket(7)); where the system refuses it, all stays as it was.
+fn steer_to(listener: &TcpListener, place: u32) -> nix::Result<()> {
+    use nix::libc::{BPF_K, BPF_RET, sock_filter, sock_fprog};
+    let mut program = [sock_filter { code: (BPF_RET | BPF_K) as u16, jt: 0, jf: 0, k: place }];
+    let program = sock_fprog { len: 1, filter: program.as_mut_ptr() };
+    nix::sys::socket::setsockopt(listener, nix::sys::socket::sockopt::AttachReusePortCbpf, &program)
+}
+
+/// Whether a front takes clients. It is closed when the process is to end: the listener is closed once what waits at it is
+/// accepted, and client connections close as soon as they are idle.
+#[derive(Default)]
+pub struct ListenerState {
+    closed: Cell<bool>,
+    closing: Notify,
+}
+
+impl ListenerState {
+    /// A front that takes clients.
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    /// The front takes no more clients.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.closing.notify_waiters();
+    }
+
+    async fn closing(&self) {
+        let closing = self.closing.notified();
+        if !self.closed.get() {
+            closing.await;
+        }
+    }
+}
+
+/// The next connection, while there is a listener.
+async fn next(listener: &Option<TcpListener>) -> io::Result<Accepted> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Closes a listener; what waited at it, the first to come last. The system is asked for each without a turn of this
+/// thread's between: the runtime may not have been told of it yet. What comes after the last of them is reset, so
+/// that nothing may be given to this listener any more ([`steer_to`]).
+fn close_listener(listener: TcpListener) -> io::Result<Vec<Accepted>> {
+    let listener = listener.into_std()?;
+    let mut waited = Vec::new();
+    while let Ok((stream, peer)) = listener.accept() {
+        waited.push((stream, peer));
+    }
+    drop(listener);
+    let register = |(stream, peer): (std::net::TcpStream, SocketAddr)| {
+        stream.set_nonblocking(true)?;
+        Ok((TcpStream::from_std(stream)?, peer))
+    };
+    waited.into_iter().rev().map(register).collect()
+}
+
+/// Accepts until the program ends, or the front takes no more clients and all that were accepted are served and gone: a
+/// task for each connection, and at most so many of them, with a few that linger.
+/// Guards against connections that say nothing, which must not keep out those that would: the newest comer gets
+/// the place of the one that is first to be closed, and is turned away only where none is idle.
+pub async fn accept<F>(
+    listener: TcpListener,
+    state: Rc<ListenerState>,
+    most: usize,
+    memory: Ledger,
+    serve: impl Fn(TcpStream, ConnectionSlot, Grant) -> F,
+) where
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    let table = ConnectionTable::new((most / LINGERING_SHARE).max(1));
+    let acceptor = Acceptor { table: table.clone(), most, memory: memory.clone(), serve };
+    let mut relief_at = clock::now();
+    // What still waits of what was at the listener when it was closed.
+    let (mut listener, mut waited) = (Some(listener), Vec::new());
+    // Once the front takes no more clients: when the listener is closed.
+    let mut closing_at = None;
+    loop {
+        let scarce = memory.closes(table.idle()) > 0;
+        let accepted = tokio::select! {
+            biased;
+            // New connections go to the successor first; then the listener is closed, and only then is any connection asked
+            // to close: a client that comes again must find the successor's.
+            () = state.closing(), if closing_at.is_none() => {
+                if let Some(Err(e)) = listener.as_ref().map(|l| steer_to(l, YOUNGEST_OF_TWO)) {
+                    log!("the successor is not given every new client at once: {e}");
+                }
+                closing_at = Some(clock::now() + HANDSHAKE);
+                continue;
+            }
+            () = sleep_until(clock::instant(closing_at.unwrap_or_default())),
+                if closing_at.is_some() && !table.is_closing_all() =>
+            {
+                waited = listener.take().map_or(Ok(Vec::new()), close_listener).unwrap_or_else(|e| {
+                    log!("what waits at the listener is lost: {e}");
+                    Vec::new()
+                });
+                table.close_all_idle();
+                continue;
+            }
+            last = std::future::ready(waited.pop()), if table.is_closing_all() => match last {
+                Some(last) => Ok(last),
+                None => {
+                    log!("listener closed: no more clients are accepted");
+                    return table.all_closed().await;
+                }
+            },
+            () = sleep_until(clock::instant(relief_at)), if scarce => {
+                relief_at = clock::now() + RELIEF_INTERVAL;
+                for _ in 0..memory.closes(table.idle()) {
+                    table.close_most_idle();
+                }
+                continue;
+            }
+            accepted = next(&listener), if !table.is_closing_all() => accepted,
+        };
+        match accepted {
+            Ok(accepted) => acceptor.take(accepted).await,
+            Err(e) => {
+                log!("cannot accept a client: {e}");
+                sleep_until(clock::instant(clock::now() + ACCEPT_PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// What turns an accepted connection into a task that serves it.
+struct Acceptor<S> {
+    table: Rc<ConnectionTable>,
+    most: usize,
+    memory: Ledger,
+    serve: S,
+}
+
+impl<S, F> Acceptor<S>
+where
+    S: Fn(TcpStream, ConnectionSlot, Grant) -> F,
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    /// Serves a connection, for which another may be closed, or turns it away.
+    async fn take(&self, (stream, peer): Accepted) {
+        if self.table.open() >= self.most {
+            if !self.table.close_most_idle() {
+                return log!("client {peer} is turned away: {} are connected", self.most);
+            }
+            // The one that was asked to close does so now, before there is another.
+            tokio::task::yield_now().await;
+        }
+        let Some(grant) = self.grant().await else {
+            return log!("client {peer} is turned away: no memory for another connection");
+        };
+        self.memory.clients(1);
+        let memory = self.memory.clone();
+        let served = (self.serve)(stream, ConnectionSlot::new(self.table.clone()), grant);
+        tokio::task::spawn_local(async move {
+            if let Err(e) = served.await
+                && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
+            {
+                log!("client {peer}: {e}");
+            }
+            memory.clients(-1);
+        });
+    }
+
+    /// Memory for a connection, for which another may be closed.
+    async fn grant(&self) -> Option<Grant> {
+        let ask = || self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok();
+        let granted = ask();
+        if granted.is_none() && self.table.close_most_idle() {
+            sleep_until(clock::instant(clock::now() + 2.0 * FINAL_READ_WINDOW)).await;
+            return ask();
+        }
+        granted
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/tests.rs
+++ b/src/net/listener/tests.rs
@@ -1,6 +1,6 @@
-//! Tests of `mod.rs`.
+//! Tests of `listener.rs`.
 
-use super::{YOUNGER, close, listen, steer};
+use super::{YOUNGEST_OF_TWO, close_listener, listen, steer_to};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -62,9 +62,9 @@
     for _ in 0..ROUNDS {
         let new = listen(address).unwrap();
         serve(&old, &new, 2).await;
-        steer(&old, YOUNGER).unwrap();
+        steer_to(&old, YOUNGEST_OF_TWO).unwrap();
         serve(&old, &new, 10).await;
-        close(old).unwrap().into_iter().for_each(greet);
+        close_listener(old).unwrap().into_iter().for_each(greet);
         old = new;
     }
     shared.0.store(true, Relaxed);
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -527,7 +527,7 @@
                 Ok(heard) => heard.flatten(),
                 Err(broken) => {
                     prop_assert!(kind < 3 && open.contains(&tag) || kind == 5 && which == 0);
-                    s.broken(broken.tag);
+                    s.fail_open(broken.tag);
                     let failed: BTreeSet<u64> = answers(&mut s).iter().map(|a| a.0).collect();
                     open.extend((kind == 5).then_some(9));
                     prop_assert_eq!(failed, open);
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -9,7 +9,10 @@
 use crate::broker::{Answer, Caller, ClientRequest, Content, Contracts, Input};
 use crate::interface::*;
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose, Refused};
-use crate::net::{Buffer, INPUT, LOOK, Output, Seat, closed, last_word, linger};
+use crate::net::{
+    Buffer, ConnectionSlot, INPUT, ListenerState, Output, PEER_CHECK_INTERVAL, linger, peer_has_closed,
+    readable_within_window,
+};
 use crate::{clock, log};
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
@@ -106,10 +109,10 @@
     }
 }
 
-/// Accepts clients until the program ends.
-pub async fn accept(listener: TcpListener, front: Rc<Front>, door: Rc<crate::net::ListenerState>) {
-    let serve = |stream, seat, own| Connection::new(front.clone(), seat, own).serve(stream);
-    crate::net::accept(listener, door, front.connections, front.memory.clone(), serve).await;
+/// Accepts clients until the program ends, or the front takes no more.
+pub async fn accept(listener: TcpListener, front: Rc<Front>, state: Rc<ListenerState>) {
+    let serve = |stream, slot, grant| Connection::new(front.clone(), slot, grant).serve(stream);
+    crate::net::accept(listener, state, front.connections, front.memory.clone(), serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
@@ -208,32 +211,32 @@
 
 struct Connection {
     front: Rc<Front>,
-    seat: Seat,
+    slot: ConnectionSlot,
     number: u64,
     tag: u64,
     reply: UnboundedSender<(u64, Answer)>,
     answers: UnboundedReceiver<(u64, Answer)>,
     input: Buffer,
     output: Output,
-    _own: Grant,
+    _grant: Grant,
 }
 
 impl Connection {
-    fn new(front: Rc<Front>, seat: Seat, own: Grant) -> Self {
+    fn new(front: Rc<Front>, slot: ConnectionSlot, grant: Grant) -> Self {
         let (reply, answers) = unbounded_channel();
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
         let input = Buffer::new(INPUT, front.memory.empty(AccountOwner::of(Purpose::Signed)));
         let unread = AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) };
         let output = Output::new(front.memory.empty(unread));
-        Connection { front, seat, number, tag: 0, reply, answers, input, output, _own: own }
+        Connection { front, slot, number, tag: 0, reply, answers, input, output, _grant: grant }
     }
 
     async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let ended = self.requests(&stream).await;
         if ended.is_ok() {
-            linger(&mut stream, &self.seat, &mut self.output).await;
+            linger(&mut stream, &self.slot, &mut self.output).await;
         }
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
@@ -318,12 +321,12 @@
     async fn head(&mut self, stream: &TcpStream) -> io::Result<Option<Result<http::Request, Unusable>>> {
         let mut by = clock::instant(clock::now() + IDLE);
         let mut begun = false;
-        self.seat.quiet(self.tag > 0);
+        self.slot.mark_idle(self.tag > 0);
         loop {
             match http::request(self.input.bytes(), BODY) {
                 Ok(Some((request, used))) => {
                     self.input.consume(used);
-                    self.seat.busy();
+                    self.slot.mark_active();
                     return Ok(Some(Ok(request)));
                 }
                 Ok(None) => {}
@@ -351,11 +354,11 @@
                 biased;
                 ready = stream.readable() => ready?,
                 // One that was asked to leave just as its request came serves that first.
-                () = self.seat.asked(), if self.seat.waits() => {
-                    if !last_word(stream).await {
+                () = self.slot.close_asked(), if self.slot.is_idle() => {
+                    if !readable_within_window(stream).await {
                         return Ok(false);
                     }
-                    self.seat.busy();
+                    self.slot.mark_active();
                 }
                 () = sleep_until(by) => return Ok(false),
             }
@@ -393,7 +396,7 @@
                     },
                 },
                 // Its end is seen behind what it has sent ahead.
-                () = sleep_until(clock::instant(clock::now() + LOOK)), if !reads => closed(stream).await?,
+                () = sleep_until(clock::instant(clock::now() + PEER_CHECK_INTERVAL)), if !reads => peer_has_closed(stream).await?,
             };
             if left {
                 gone.set(true);
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -171,7 +171,7 @@
 }
 
 #[test]
-fn with_a_successor_the_old_process_closes_its_door_and_idle_connections() {
+fn with_a_successor_the_old_process_closes_its_listener_and_idle_connections() {
     let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-handover-{}", std::process::id()));
     std::fs::create_dir_all(&tmp).unwrap();
     let (cache, served) = cache_node();
@@ -186,9 +186,9 @@
     let live = noted.find(|p| p.extension().is_some_and(|e| e == "live")).unwrap();
     std::fs::write(live, std::process::id().to_string()).unwrap();
     old.signal("-TERM");
-    old.logged("the door is shut");
+    old.logged("listener closing");
     assert!(idle.closed(), "an idle connection is closed at once");
-    old.logged("no more clients here");
+    old.logged("listener closed");
     assert!(std::net::TcpStream::connect(old.address).is_err(), "nobody listens any more");
     // What was taken is still answered, and only then is its connection closed.
     asked.hit(b"late but whole");
@@ -296,7 +296,7 @@
 
 /// A second process that was ended before it was ready had noted itself as the newest. The first took it for its successor
 /// when it was told to end itself, and shut its listener at once: for 0.4 s in which the platform still sends clients their
-/// connections were refused ("a newer process serves beside this one: the door is shut", with no such process).
+/// connections were refused (it logged that a newer process serves beside it, with no such process).
 #[test]
 fn a_successor_that_has_ended_takes_over_from_nobody() {
     for signal in ["-TERM", "-KILL"] {
