Close no connection while its client has not been sent all of its answers

Callers lost requests: a client that was behind unread answers sent another request and got an end of stream in its place, seconds after the front had closed.

Cause: ClientConnection called itself idle in the turn in which the system took its last byte. Whoever wants its place (scarce memory, a crowd, the idle time, SIGTERM, a replacement, the second front) closed it then. The end lies behind the unread answers, so that the client cannot see it. A probe at each close told TCP's send queue: of 41 closes in the failing runs 32 were over bytes that the system had not sent, on connections idle for 0.04 to 0.32 s. Ruled out: a full account of unread answers (its fullness was 0 at nearly all), and a connection that was held back (none was).

Change: a connection is idle once the system has sent all that was written. TCP_NOTSENT_LOWAT, set only while nothing is written, makes 'writable' mean that; poll(2) has the system tell the runtime, so nothing is polled by time. Answers of up to 4 KB in all cost no call. What the system has sent the client's program may still have to read, which nothing tells: scarce memory and a replacement leave a connection 1 s for that. A client that takes nothing is closed 5 s after an idle one would be. A connection that became active is no longer asked to close, however long ago that was.

--- a/src/main.rs
+++ b/src/main.rs
@@ -302,7 +302,7 @@
     if let Some(mut succession) = succession {
         if succession.has_successor() {
             log!("a newer process serves beside this one: listener closing");
-            listening.close();
+            listening.hand_over();
         }
         succession.withdraw();
     }
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,6 +1,7 @@
 //! What a connection holds: bytes that come ([`Buffer`]) and bytes that are to go ([`Output`]). Both take what they
 //! need beyond their connection's own from an account, before they use it.
 
+use super::send_queue::SendQueue;
 use crate::memory::{Grant, Refused};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -202,6 +203,7 @@
     spare: Vec<u8>,
     unread: Grant,
     reader: Rc<Cell<usize>>,
+    send_queue: SendQueue,
 }
 
 impl Output {
@@ -215,11 +217,17 @@
         self.len
     }
 
-    /// Is all sent?
+    /// Is nothing held here? The system may still hold what it took ([`Output::is_sent`]).
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
+    /// Is nothing held here, and has the system sent all that it took? While it has not, the stream is not writable, and
+    /// becomes writable once it has.
+    pub fn is_sent(&mut self, stream: &TcpStream) -> bool {
+        self.is_empty() && self.send_queue.is_empty(stream)
+    }
+
     /// Is so much text unsent that nothing more is to be taken in?
     pub fn crowded(&self) -> bool {
         self.text > TEXT / 2
@@ -259,6 +267,9 @@
     /// Writes what the socket takes without waiting.
     pub fn write_to(&mut self, stream: &TcpStream) -> io::Result<usize> {
         let mut sent = 0;
+        if !self.is_empty() {
+            self.send_queue.before_write(stream);
+        }
         while !self.is_empty() {
             let mut pieces = [IoSlice::new(&[]); PIECES];
             let count = self.parts.len().min(PIECES);
@@ -267,6 +278,7 @@
             }
             let Some(n) = taken(stream.try_write_vectored(&pieces[..count]))? else { break };
             self.consume(n);
+            self.send_queue.wrote(n);
             sent += n;
         }
         // Shown, not asked: the connection has paid for it. A refusal leaves the sum as it was.
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -41,12 +41,21 @@
     speak_by: f64,
     /// The frame that has begun is to be whole.
     whole_by: Option<f64>,
+    /// The client is to have taken what the system holds for it: longer after an idle connection would be closed, since the
+    /// client cannot see the end of this one.
+    taken_by: Option<f64>,
 }
 
 impl Timers {
     /// For a connection that is made now.
     fn new(now: f64) -> Self {
-        Timers { idle_at: now + IDLE, stalled_at: now + STALLED, speak_by: now + SPEAK, whole_by: None }
+        Timers {
+            idle_at: now + IDLE,
+            stalled_at: now + STALLED,
+            speak_by: now + SPEAK,
+            whole_by: None,
+            taken_by: None,
+        }
     }
 
     /// Something has come, or is to go.
@@ -60,7 +69,9 @@
     now: f64,
     /// Answers are unsent.
     writes: bool,
-    /// Nothing is open and all is written.
+    /// Nothing is open and all is written, but the system has not sent all of it.
+    untaken: bool,
+    /// Nothing is open and all is sent.
     idle: bool,
     /// Nothing is read, since too much is unsent.
     held_back: bool,
@@ -78,7 +89,7 @@
     }
 
     fn interest(&self) -> Interest {
-        match (self.reads_paused(), self.writes) {
+        match (self.reads_paused(), self.writes || self.untaken) {
             (true, _) => Interest::WRITABLE,
             (false, true) => Interest::READABLE | Interest::WRITABLE,
             (false, false) => Interest::READABLE,
@@ -176,7 +187,7 @@
         let mut timers = Timers::new(clock::now());
         loop {
             self.write_answers(stream, &mut timers)?;
-            let wait = self.plan(&mut timers);
+            let wait = self.plan(stream, !input.is_empty(), &mut timers);
             let throttled_until = wait.throttled_until.unwrap_or(wait.now);
             let next_peer_check = wait.now + PEER_CHECK_INTERVAL;
             let until = wait.until.unwrap_or(timers.idle_at);
@@ -187,7 +198,9 @@
                     self.session.answer(tag, answer);
                     None
                 }
-                ready = stream.ready(wait.interest()), if wait.writes || wait.throttled_until.is_none() => {
+                ready = stream.ready(wait.interest()),
+                    if wait.writes || wait.untaken || wait.throttled_until.is_none() =>
+                {
                     self.ready(stream, ready?, &wait, &mut input, &mut timers).await?
                 }
                 () = sleep_until(clock::instant(throttled_until)), if wait.throttled_until.is_some() => {
@@ -201,11 +214,7 @@
                 {
                     peer_has_closed(stream).await?.then_some(End::ByClient)
                 }
-                // Half a request is waited for, where there is no other in need of the place.
-                () = self.slot.close_asked(), if wait.idle && (input.is_empty() || !self.slot.is_closing_all()) => {
-                    let half = !input.is_empty() && self.slot.is_closing_all();
-                    (!half && !readable_within_window(stream).await).then_some(End::ByFront)
-                }
+                () = self.slot.closes_at_changed(), if wait.idle => None,
                 () = sleep_until(clock::instant(until)), if wait.until.is_some() => {
                     self.time_out(stream, &wait, &timers).await?
                 }
@@ -229,7 +238,8 @@
     }
 
     /// What is waited for next, by what is open and unsent; keeps the connection's place in the table true.
-    fn plan(&mut self, timers: &mut Timers) -> Wait {
+    fn plan(&mut self, stream: &TcpStream, half_a_frame: bool, timers: &mut Timers) -> Wait {
+        let now = clock::now();
         let output = &self.session.output;
         let unsent = output.len();
         // One that leaves much unread is not read from, and sooner while all do.
@@ -240,12 +250,18 @@
         // it has no such time.
         let slack = if heard { STALLED } else { 0.0 };
         let stalled_by = output.due().map_or(timers.stalled_at, |due| timers.stalled_at.min(due + slack));
-        let idle = !writes && self.session.open.is_empty();
+        let nothing_owed = !writes && self.session.open.is_empty();
+        let idle = nothing_owed && self.session.output.is_sent(stream);
+        let untaken = nothing_owed && !idle;
+        let was_untaken = timers.taken_by.is_some();
+        timers.taken_by = untaken.then_some(timers.taken_by.unwrap_or(timers.idle_at + STALLED));
         match idle {
-            true => self.slot.mark_idle(self.session.spoken),
+            true => self.slot.mark_idle(now, self.session.spoken),
             false => self.slot.mark_active(),
         }
-        let now = clock::now();
+        if idle && was_untaken {
+            timers.idle_at = now + IDLE;
+        }
         let throttled_until = Some(self.session.reads_at(now)).filter(|&at| at > now);
         if held_back || throttled_until.is_some() {
             // What is not read here cannot become whole.
@@ -253,9 +269,14 @@
         }
         // Guards the share of clients' connections against those that never say anything whole.
         let silent = (!self.session.spoken).then_some(timers.speak_by);
-        let still = if writes { Some(stalled_by) } else { idle.then_some(timers.idle_at) };
-        let until = [silent, timers.whole_by, still].into_iter().flatten().reduce(f64::min);
-        Wait { now, writes, idle, held_back, throttled_until, stalled_by, until }
+        let stalled = writes.then_some(stalled_by);
+        let idle_at = idle.then_some(timers.idle_at);
+        // Half a request is waited for, where there is no other in need of the place.
+        let waits = half_a_frame && self.slot.is_closing_all();
+        let closes_at = self.slot.closes_at().filter(|_| !waits);
+        let all = [silent, timers.whole_by, stalled, timers.taken_by, idle_at, closes_at];
+        let until = all.into_iter().flatten().reduce(f64::min);
+        Wait { now, writes, untaken, idle, held_back, throttled_until, stalled_by, until }
     }
 
     /// The socket can be read from or written to, or its end has come.
@@ -316,7 +337,8 @@
         if timers.whole_by.is_some_and(|by| now >= by) {
             return Err(FrameError { why: Unreadable("half a frame and no more"), tag: None }.into());
         }
-        if wait.writes && now >= wait.stalled_by {
+        let untaken = timers.taken_by.is_some_and(|by| now >= by);
+        if untaken || wait.writes && now >= wait.stalled_by {
             return Ok(Some(End::ByClient));
         }
         Ok((!readable_within_window(stream).await).then_some(End::ByFront))
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -6,17 +6,32 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// A client has read its last answer so long after its system took it (seconds). Nothing tells a front what the client's
+/// program has read, and what it sends before it has seen the end that lies behind its answers is lost.
+const READ_WITHIN: f64 = 1.0;
+
 /// The order in which idle connections are closed: those that never sent a usable command first, then those that have been
 /// idle for longest.
 type IdleKey = (bool, u64);
 
+/// How connections close once they are idle.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum CloseAll {
+    /// They stay.
+    #[default]
+    No,
+    /// Each closes once its client had the time to read its last answer.
+    AfterReading,
+    /// Each closes at once.
+    Immediately,
+}
+
 /// The client connections of one front.
 #[derive(Default)]
 pub(super) struct ConnectionTable {
-    next_key: Cell<u64>,
-    idle: RefCell<BTreeMap<IdleKey, Rc<Notify>>>,
-    /// Every connection is to close as soon as it is idle.
-    closing_all: Cell<bool>,
+    next_number: Cell<u64>,
+    idle: RefCell<BTreeMap<IdleKey, Rc<Entry>>>,
+    close_all: Cell<CloseAll>,
     lingering: Cell<usize>,
     lingering_most: usize,
     open: Cell<usize>,
@@ -48,76 +63,131 @@
 
     /// Are all connections to close as soon as they are idle?
     pub(super) fn is_closing_all(&self) -> bool {
-        self.closing_all.get()
+        self.close_all.get() != CloseAll::No
+    }
+
+    /// Has every connection close once it is idle and its client had the time to read its last answer.
+    pub(super) fn close_all_after_reading(&self) {
+        self.set_close_all(CloseAll::AfterReading);
+    }
+
+    /// Has every connection close as soon as it is idle.
+    pub(super) fn close_all_immediately(&self) {
+        self.set_close_all(CloseAll::Immediately);
     }
 
-    /// Asks every connection to close as soon as it is idle.
-    pub(super) fn close_all_idle(&self) {
-        self.closing_all.set(true);
-        for close_asked in self.idle.borrow().values() {
-            close_asked.notify_one();
+    fn set_close_all(&self, close_all: CloseAll) {
+        self.close_all.set(close_all);
+        for entry in self.idle.borrow().values() {
+            entry.changed.notify_one();
         }
     }
 
-    /// Asks the first idle connection to close, if there is one.
+    /// Asks the first idle connection to close, so that another gets its place; is there one?
     pub(super) fn close_most_idle(&self) -> bool {
         let first = self.idle.borrow_mut().pop_first();
-        first.is_some_and(|(_, close_asked)| {
-            close_asked.notify_one();
-            true
-        })
+        first.inspect(|(_, entry)| entry.ask_to_close()).is_some()
+    }
+
+    /// The same, but only if its client had the time to read its last answer.
+    pub(super) fn close_rested(&self, now: f64) -> bool {
+        let rested = self.idle.borrow().first_key_value().is_some_and(|(_, entry)| entry.read_by() <= now);
+        rested && self.close_most_idle()
+    }
+}
+
+/// What the table knows of a connection.
+#[derive(Default)]
+struct Entry {
+    /// While it is idle, its place in the order.
+    key: Cell<Option<IdleKey>>,
+    /// Since when it is idle (Unix seconds).
+    idle_since: Cell<f64>,
+    /// It is asked to close while it is idle.
+    asked_to_close: Cell<bool>,
+    /// When it is to close may have changed.
+    changed: Notify,
+}
+
+impl Entry {
+    fn ask_to_close(&self) {
+        self.asked_to_close.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Its client has read its last answer by then (Unix seconds).
+    fn read_by(&self) -> f64 {
+        let spoken = self.key.get().is_some_and(|(spoken, _)| spoken);
+        self.idle_since.get() + if spoken { READ_WITHIN } else { 0.0 }
     }
 }
 
 /// A client connection's place in the table, from its accept until its end.
 pub struct ConnectionSlot {
     table: Rc<ConnectionTable>,
-    key: Cell<Option<IdleKey>>,
-    close_asked: Rc<Notify>,
+    entry: Rc<Entry>,
 }
 
 impl ConnectionSlot {
     /// A place for a new connection. It is idle from the start, since it may be asked to close before its task runs.
-    pub(super) fn new(table: Rc<ConnectionTable>) -> Self {
+    pub(super) fn new(table: Rc<ConnectionTable>, now: f64) -> Self {
         table.open.set(table.open.get() + 1);
-        let slot = ConnectionSlot { table, key: Cell::new(None), close_asked: Rc::default() };
-        slot.mark_idle(false);
+        let slot = ConnectionSlot { table, entry: Rc::default() };
+        slot.mark_idle(now, false);
         slot
     }
 
-    /// The connection waits for its client, which has sent something usable before, or has not. Once all are to close, it is
-    /// asked to at once.
-    pub fn mark_idle(&self, spoken: bool) {
-        if self.table.closing_all.get() {
-            self.close_asked.notify_one();
-        }
-        if self.key.get().is_none() {
-            let key = (spoken, self.table.next_key.replace(self.table.next_key.get() + 1));
-            self.key.set(Some(key));
-            self.table.idle.borrow_mut().insert(key, self.close_asked.clone());
+    /// The connection waits for its client, which has sent something usable before, or has not: nothing is open, and the
+    /// system has sent every answer.
+    pub fn mark_idle(&self, now: f64, spoken: bool) {
+        if self.is_idle() {
+            return;
         }
+        let number = self.table.next_number.get();
+        self.table.next_number.set(number + 1);
+        let key = (spoken, number);
+        self.entry.key.set(Some(key));
+        self.entry.idle_since.set(now);
+        self.table.idle.borrow_mut().insert(key, self.entry.clone());
     }
 
-    /// Something was read from the client, or is owed to it.
+    /// Something was read from the client, or is owed to it. Whoever asked the connection to close while it was idle no
+    /// longer does.
     pub fn mark_active(&self) {
-        if let Some(key) = self.key.take() {
+        if let Some(key) = self.entry.key.take() {
+            self.entry.asked_to_close.set(false);
             self.table.idle.borrow_mut().remove(&key);
         }
     }
 
     /// Is the connection idle?
     pub fn is_idle(&self) -> bool {
-        self.key.get().is_some()
+        self.entry.key.get().is_some()
     }
 
-    /// Are all connections to close as soon as they are idle?
-    pub fn is_closing_all(&self) -> bool {
-        self.table.closing_all.get()
+    /// When the idle connection is to close, if it is asked to (Unix seconds).
+    pub fn closes_at(&self) -> Option<f64> {
+        if !self.is_idle() {
+            return None;
+        }
+        if self.entry.asked_to_close.get() {
+            return Some(self.entry.idle_since.get());
+        }
+        match self.table.close_all.get() {
+            CloseAll::No => None,
+            CloseAll::AfterReading => Some(self.entry.read_by()),
+            CloseAll::Immediately => Some(self.entry.idle_since.get()),
+        }
     }
 
-    /// Waits until the connection is asked to close.
-    pub async fn close_asked(&self) {
-        self.close_asked.notified().await;
+    /// Waits until [`ConnectionSlot::closes_at`] may have changed.
+    pub async fn closes_at_changed(&self) {
+        self.entry.changed.notified().await;
+    }
+
+    /// Are all connections to close as soon as they are idle?
+    pub fn is_closing_all(&self) -> bool {
+        self.table.is_closing_all()
     }
 
     /// A permit to wait, after this side was shut, for the client to close too. `None` where so many do that they would take
@@ -147,3 +217,6 @@
         self.0.lingering.set(self.0.lingering.get() - 1);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/connections/tests.rs
@@ -0,0 +1,57 @@
+//! Tests of `connections.rs`.
+
+use super::{ConnectionSlot, ConnectionTable, READ_WITHIN};
+
+/// A table with a connection for each of these: whether it has spoken, and since when it is idle.
+fn table(connections: &[(bool, f64)]) -> (std::rc::Rc<ConnectionTable>, Vec<ConnectionSlot>) {
+    let table = ConnectionTable::new(1);
+    let idle = |&(spoken, since): &(bool, f64)| {
+        let slot = ConnectionSlot::new(table.clone(), since);
+        slot.mark_active();
+        slot.mark_idle(since, spoken);
+        slot
+    };
+    let slots = connections.iter().map(idle).collect();
+    (table, slots)
+}
+
+fn asked(slots: &[ConnectionSlot]) -> Vec<bool> {
+    slots.iter().map(|slot| slot.closes_at().is_some()).collect()
+}
+
+#[test]
+fn those_that_never_spoke_give_way_first_then_the_longest_idle() {
+    let (table, slots) = table(&[(true, 1.0), (false, 2.0), (true, 3.0)]);
+    assert!(table.close_most_idle());
+    assert_eq!(asked(&slots), [false, true, false]);
+    assert!(table.close_most_idle() && table.close_most_idle() && !table.close_most_idle());
+    assert_eq!(asked(&slots), [true, true, true]);
+}
+
+#[test]
+fn scarce_memory_closes_only_those_that_had_the_time_to_read() {
+    let (table, slots) = table(&[(true, 1.0), (true, 1.5)]);
+    assert!(!table.close_rested(1.0 + 0.9 * READ_WITHIN));
+    assert!(table.close_rested(1.0 + READ_WITHIN) && !table.close_rested(1.0 + READ_WITHIN));
+    assert_eq!(asked(&slots), [true, false]);
+}
+
+#[test]
+fn one_that_became_active_is_no_longer_asked_to_close() {
+    let (table, slots) = table(&[(true, 1.0)]);
+    assert!(table.close_most_idle());
+    slots[0].mark_active();
+    assert_eq!(slots[0].closes_at(), None);
+    slots[0].mark_idle(2.0, true);
+    assert_eq!(slots[0].closes_at(), None);
+}
+
+#[test]
+fn when_all_close_each_has_the_time_to_read_until_the_end() {
+    let (table, slots) = table(&[(true, 1.0), (false, 1.0)]);
+    table.close_all_after_reading();
+    assert_eq!(slots[0].closes_at(), Some(1.0 + READ_WITHIN));
+    assert_eq!(slots[1].closes_at(), Some(1.0), "it was sent nothing");
+    table.close_all_immediately();
+    assert_eq!(slots[0].closes_at(), Some(1.0));
+}
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -57,12 +57,24 @@
     nix::sys::socket::setsockopt(listener, nix::sys::socket::sockopt::AttachReusePortCbpf, &program)
 }
 
-/// Whether a front takes clients. It is closed when the process is to end: the listener is closed once what waits at it is
-/// accepted, and client connections close as soon as they are idle.
+/// Does a front take clients?
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Accepting {
+    /// It does.
+    #[default]
+    Yes,
+    /// Another process of the front does. Requests may still come on open connections.
+    HandedOver,
+    /// It does not, and nothing more is to come on open connections.
+    No,
+}
+
+/// Whether a front takes clients. When it no longer does, the listener is closed once what waits at it is accepted, and
+/// client connections close once they are idle.
 #[derive(Default)]
 pub struct ListenerState {
-    closed: Cell<bool>,
-    closing: Notify,
+    accepting: Cell<Accepting>,
+    changed: Notify,
 }
 
 impl ListenerState {
@@ -71,16 +83,25 @@
         Rc::default()
     }
 
-    /// The front takes no more clients.
+    /// Another process of the front takes its clients.
+    pub fn hand_over(&self) {
+        self.set(Accepting::HandedOver);
+    }
+
+    /// The front takes no more clients, and no more requests come on open connections.
     pub fn close(&self) {
-        self.closed.set(true);
-        self.closing.notify_waiters();
+        self.set(Accepting::No);
+    }
+
+    fn set(&self, accepting: Accepting) {
+        self.accepting.set(accepting);
+        self.changed.notify_waiters();
     }
 
-    async fn closing(&self) {
-        let closing = self.closing.notified();
-        if !self.closed.get() {
-            closing.await;
+    /// Waits until it has come to this.
+    async fn reached(&self, accepting: Accepting) {
+        while self.accepting.get() < accepting {
+            self.changed.notified().await;
         }
     }
 }
@@ -136,7 +157,7 @@
             biased;
             // New connections go to the successor first; then the listener is closed, and only then is any connection asked
             // to close: a client that comes again must find the successor's.
-            () = state.closing(), if closing_at.is_none() => {
+            () = state.reached(Accepting::HandedOver), if closing_at.is_none() => {
                 if let Some(Err(e)) = listener.as_ref().map(|l| steer_to(l, YOUNGEST_OF_TWO)) {
                     log!("the successor is not given every new client at once: {e}");
                 }
@@ -150,20 +171,28 @@
                     log!("what waits at the listener is lost: {e}");
                     Vec::new()
                 });
-                table.close_all_idle();
+                table.close_all_after_reading();
                 continue;
             }
             last = std::future::ready(waited.pop()), if table.is_closing_all() => match last {
                 Some(last) => Ok(last),
                 None => {
                     log!("listener closed: no more clients are accepted");
-                    return table.all_closed().await;
+                    tokio::select! {
+                        () = table.all_closed() => {}
+                        () = state.reached(Accepting::No) => {
+                            table.close_all_immediately();
+                            table.all_closed().await;
+                        }
+                    }
+                    return;
                 }
             },
             () = sleep_until(clock::instant(relief_at)), if scarce => {
-                relief_at = clock::now() + RELIEF_INTERVAL;
+                let now = clock::now();
+                relief_at = now + RELIEF_INTERVAL;
                 for _ in 0..memory.closes(table.idle()) {
-                    table.close_most_idle();
+                    table.close_rested(now);
                 }
                 continue;
             }
@@ -206,7 +235,7 @@
         };
         self.memory.clients(1);
         let memory = self.memory.clone();
-        let served = (self.serve)(stream, ConnectionSlot::new(self.table.clone()), grant);
+        let served = (self.serve)(stream, ConnectionSlot::new(self.table.clone(), clock::now()), grant);
         tokio::task::spawn_local(async move {
             if let Err(e) = served.await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 mod model;
 pub mod pool;
 pub mod resp;
+mod send_queue;
 
 pub use buffer::{Buffer, Output, TEXT};
 pub use closing::{PEER_CHECK_INTERVAL, linger, peer_has_closed, readable_within_window, shut_and_discard};
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -321,7 +321,6 @@
     async fn head(&mut self, stream: &TcpStream) -> io::Result<Option<Result<http::Request, Unusable>>> {
         let mut by = clock::instant(clock::now() + IDLE);
         let mut begun = false;
-        self.slot.mark_idle(self.tag > 0);
         loop {
             match http::request(self.input.bytes(), BODY) {
                 Ok(Some((request, used))) => {
@@ -335,7 +334,7 @@
             if !begun && !self.input.is_empty() {
                 (begun, by) = (true, clock::instant(clock::now() + WHOLE));
             }
-            let more = match self.fill(stream, by).await {
+            let more = match self.fill_between_requests(stream, by).await {
                 // Half a head that may not grow.
                 Err(e) if e.kind() == io::ErrorKind::OutOfMemory => return Ok(Some(Err(Unusable(503)))),
                 more => more?,
@@ -347,26 +346,53 @@
         }
     }
 
-    /// Reads once; `false` at the end of the stream or of the time.
-    async fn fill(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
+    /// Reads once while nothing is owed; `false` at the end of the stream or of the time, or if the connection is to close.
+    async fn fill_between_requests(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
         loop {
+            let sent = self.output.is_sent(stream);
+            if sent {
+                self.slot.mark_idle(clock::now(), self.tag > 0);
+            }
+            // Half a head is waited for, where there is no other in need of the place.
+            let waits = !self.input.is_empty() && self.slot.is_closing_all();
+            let closes_at = self.slot.closes_at().filter(|_| !waits);
             tokio::select! {
                 biased;
-                ready = stream.readable() => ready?,
-                // One that was asked to leave just as its request came serves that first.
-                () = self.slot.close_asked(), if self.slot.is_idle() => {
+                ready = stream.readable() => {
+                    ready?;
+                    return self.read(stream);
+                }
+                ready = stream.writable(), if !sent => ready?,
+                () = self.slot.closes_at_changed(), if sent => {}
+                () = sleep_until(clock::instant(closes_at.unwrap_or_default())), if closes_at.is_some() => {
+                    // One that is asked to close just as its request comes serves that first.
                     if !readable_within_window(stream).await {
                         return Ok(false);
                     }
                     self.slot.mark_active();
+                    return self.read(stream);
                 }
                 () = sleep_until(by) => return Ok(false),
             }
-            match self.input.read_from(stream) {
-                Ok(n) => return Ok(n > 0),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
+        }
+    }
+
+    /// Reads once; `false` at the end of the stream or of the time.
+    async fn fill(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
+        tokio::select! {
+            biased;
+            ready = stream.readable() => ready?,
+            () = sleep_until(by) => return Ok(false),
+        }
+        self.read(stream)
+    }
+
+    /// Reads what is there; `false` at the end of the stream.
+    fn read(&mut self, stream: &TcpStream) -> io::Result<bool> {
+        match self.input.read_from(stream) {
+            Ok(n) => Ok(n > 0),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
+            Err(e) => Err(e),
         }
     }
 
--- /dev/null
+++ b/tests/closing.rs
@@ -0,0 +1,174 @@
+//! A front closes a connection whose client has not read its answers yet. The end lies behind those answers, so that the
+//! client does not see it: what it sends is to be answered, and what it was sent is to reach it whole.
+
+mod stand_ins;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::net::TcpStream;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// More than the narrow socket of a client takes, and less than the system takes of a front (bytes).
+const LARGE: usize = 240_000;
+/// A client reads what its system has taken within this at the latest, as far as a front goes by.
+const READ_WITHIN: Duration = Duration::from_secs(1);
+
+/// A front with one cache node, and a client with a narrow socket that was answered and has read nothing: the system holds
+/// its answer, and the front nothing more.
+struct Unread {
+    node: Node,
+    served: Receiver<Served>,
+    client: Client,
+}
+
+impl Unread {
+    fn start(name: &str, change: impl Fn(&mut Value)) -> Unread {
+        let (cache, served) = cache_node();
+        let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+        let node = Node::start(name, members, change);
+        let client = Client::new(narrow(node.address));
+        Unread::answered(node, served, client)
+    }
+
+    fn answered(node: Node, served: Receiver<Served>, mut client: Client) -> Unread {
+        hold(&mut client, 1);
+        next(&served).hit(&vec![b'y'; LARGE]);
+        eventually("the front counts the answer", || {
+            node.signal("-USR1");
+            node.logged("counters").contains(" served=1 ")
+        });
+        eventually("the system has the answer", || node.accounts()["unread.now"] == 0.0);
+        Unread { node, served, client }
+    }
+
+    /// A client that has spoken, and is idle from now on.
+    fn idle_client(&self) -> Client {
+        let mut client = self.node.connect();
+        client.send(&["HEALTH", "8", ""]);
+        client.answer();
+        client
+    }
+
+    /// The client asks again, and only then reads: both answers.
+    fn both_answers_come(mut self) {
+        hold(&mut self.client, 2);
+        let served = self.served;
+        thread::spawn(move || served.iter().for_each(|mut s| s.hit(b"second")));
+        let first = self.client.answer();
+        assert_eq!((&*first[0], &*first[1], first[3].len()), ("1", "ok", LARGE));
+        let second = self.client.answer();
+        assert_eq!((&*second[0], &*second[1], &*second[3]), ("2", "ok", "second"));
+    }
+}
+
+/// A request of a class that the reserve is for, so that scarce memory refuses none of it.
+fn hold(client: &mut Client, tag: u64) {
+    let fields = format!("call={tag:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,dedupe=k{tag}");
+    client.send(&["REQ", &tag.to_string(), "holds", &fields, ""]);
+}
+
+/// Has the front closed it?
+fn is_closed(client: &mut Client) -> bool {
+    client.stream.set_nonblocking(true).unwrap();
+    client.stream.peek(&mut [0]).is_ok_and(|n| n == 0)
+}
+
+/// Memory is scarce: idle connections are closed, the longest idle first.
+#[test]
+fn scarce_memory_closes_no_connection_over_unread_answers() {
+    let unread = Unread::start("closing-scarce", |_| ());
+    let mut idle = unread.idle_client();
+    // Less than any program takes, so that nothing of the shared part is free.
+    unread.node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+    eventually("one that has become idle later is closed, while others come and go", || {
+        drop(unread.node.connect());
+        is_closed(&mut idle)
+    });
+    unread.both_answers_come();
+}
+
+/// Every place of a client is taken, and more come: the longest idle gives way.
+#[test]
+fn a_crowd_closes_no_connection_over_unread_answers() {
+    let unread = Unread::start("closing-crowd", |config| config["limits"]["sockets"] = json!(64));
+    let mut idle = unread.idle_client();
+    let mut crowd = Vec::new();
+    eventually("one that has become idle later is closed", || {
+        crowd.push(unread.idle_client());
+        is_closed(&mut idle)
+    });
+    unread.both_answers_come();
+}
+
+/// A connection is closed that was idle for long.
+#[test]
+fn time_closes_no_connection_over_unread_answers() {
+    let unread = Unread::start("closing-idle", |_| ());
+    let mut idle = unread.idle_client();
+    assert!(idle.closed(), "one that has become idle later is closed");
+    unread.both_answers_come();
+}
+
+/// The front is told to end: it closes what is idle once the closing window is over.
+#[test]
+fn the_end_closes_no_connection_over_unread_answers() {
+    let unread = Unread::start("closing-end", |_| ());
+    let mut idle = unread.idle_client();
+    unread.node.signal("-TERM");
+    assert!(idle.closed(), "one that is idle is closed");
+    unread.both_answers_come();
+}
+
+/// A replaced front closes what is idle at once.
+#[test]
+fn a_replacement_closes_no_connection_over_unread_answers() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-tmp-replaced-{}", std::process::id()));
+    let unread = replaceable(&tmp, "closing-replaced", |node| narrow(node.address));
+    let mut silent = unread.node.connect();
+    replaced(&unread.node, &tmp);
+    assert!(silent.closed(), "one that has said nothing is closed");
+    unread.both_answers_come();
+    std::fs::remove_dir_all(tmp).unwrap();
+}
+
+/// The same where the client's system has taken all of the answer and its program has read nothing of it: it has a while.
+#[test]
+fn a_replacement_gives_clients_time_to_read_what_they_were_just_sent() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-tmp-just-sent-{}", std::process::id()));
+    // A machine that is so late that the while is over says nothing.
+    for round in 0..5 {
+        let began = Instant::now();
+        let name = format!("closing-just-sent-{round}");
+        let unread = replaceable(&tmp, &name, |node| TcpStream::connect(node.address).unwrap());
+        let mut silent = unread.node.connect();
+        replaced(&unread.node, &tmp);
+        assert!(silent.closed(), "one that has said nothing is closed");
+        if began.elapsed() < READ_WITHIN {
+            unread.both_answers_come();
+            std::fs::remove_dir_all(tmp).unwrap();
+            return;
+        }
+    }
+    panic!("five rounds were late");
+}
+
+/// A front that notes itself in this folder, and a client that has read nothing of its answer.
+fn replaceable(tmp: &std::path::Path, name: &str, connect: impl Fn(&Node) -> TcpStream) -> Unread {
+    std::fs::create_dir_all(tmp).unwrap();
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin_on = |config: &mut Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let node = Node::start_in(name, members, admin_on, Some(tmp));
+    let client = Client::new(connect(&node));
+    Unread::answered(node, served, client)
+}
+
+/// A newer process of the front has noted itself, for which this one stands, and the front is told to end.
+fn replaced(node: &Node, tmp: &std::path::Path) {
+    let notes = std::fs::read_dir(tmp).unwrap().map(|entry| entry.unwrap().path());
+    for note in notes.filter(|path| path.extension().is_some_and(|e| e == "live")) {
+        std::fs::write(note, std::process::id().to_string()).unwrap();
+    }
+    node.signal("-TERM");
+}
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,7 +4,6 @@
 mod stand_ins;
 use serde_json::{Value, json};
 use stand_ins::*;
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::mpsc::Receiver;
@@ -37,16 +36,6 @@
     }
 }
 
-/// What the counters say of the accounts.
-fn accounts(node: &Node) -> BTreeMap<String, f64> {
-    node.signal("-USR1");
-    let line = node.logged("memory total=");
-    line.split(' ')
-        .filter_map(|w| w.split_once('='))
-        .filter_map(|(k, v)| Some((k.into(), v.parse().ok()?)))
-        .collect()
-}
-
 fn request(tag: u64, class: &str, kb: u64, body: usize) -> Vec<u8> {
     let fields = format!(
         "call={:016x},ttl=60000,row={tag:016x},slice={kb},set=1,heap=10,dedupe=k{tag}",
@@ -96,7 +85,7 @@
         }
         (sent, read) = (sent + 6, read + 1);
         // Twice, since what the system takes up is not the front's any more.
-        (0..2).all(|_| accounts(node)["unread.now"] > unread)
+        (0..2).all(|_| node.accounts()["unread.now"] > unread)
     });
     sent - read
 }
@@ -127,7 +116,7 @@
         // Whoever takes nothing for 5 s would be closed.
         read(&mut slow, 1);
     }
-    let now = accounts(&node);
+    let now = node.accounts();
     assert!(now["unread.peak"] <= 3e6, "{now:?}");
     // Every one of the slow clients' requests has its one answer: whole, or refused with the time to stay away.
     for answers in read(&mut slow, sent - 8) {
@@ -136,7 +125,7 @@
         assert!(whole > 0 && whole + refused == sent as usize, "{whole} whole, {refused} refused of {sent}");
     }
     assert_eq!(get(&node, 6000, 20), ("ok".into(), 20_000));
-    eventually("all is back", || accounts(&node)["unread.now"] == 0.0);
+    eventually("all is back", || node.accounts()["unread.now"] == 0.0);
 }
 
 #[test]
@@ -146,7 +135,7 @@
     let whole = request(1, "media", 1, 45_000);
     let mut half: Vec<Client> = (0..8).map(|_| node.connect()).collect();
     half.iter_mut().for_each(|c| c.write(&whole[..30_000]));
-    eventually("some are refused", || accounts(&node)["bodies.refused"] > 0.0);
+    eventually("some are refused", || node.accounts()["bodies.refused"] > 0.0);
     // Those that were refused hear at once, though their bodies are not whole, and go on behind them.
     let mut refused = 0;
     for c in &mut half {
@@ -163,10 +152,10 @@
     let mut c = node.connect();
     c.write(&request(7, "holds", 1, 45_000));
     assert_eq!(c.answer()[1], "ok", "a hold with its body");
-    let now = accounts(&node);
+    let now = node.accounts();
     assert!(now["bodies.peak"] <= 0.4e6, "{now:?}");
     drop(half);
-    eventually("all is back", || accounts(&node)["bodies.now"] == 0.0);
+    eventually("all is back", || node.accounts()["bodies.now"] == 0.0);
     c.write(&request(8, "media", 1, 45_000));
     assert_eq!(c.answer()[1], "ok", "and they are taken again");
 }
@@ -190,10 +179,10 @@
     eventually("the hold goes out", || {
         served.try_iter().any(|s| s.verb == "serve" && s.field("sort") == Some("holds"))
     });
-    let now = accounts(&node);
+    let now = node.accounts();
     assert!(now["waiting.peak"] <= 0.08e6 && now["waiting.refused"] > 0.0, "{now:?}");
     drop(clients);
-    eventually("all is back but the tables", || accounts(&node)["waiting.now"] < 0.02e6);
+    eventually("all is back but the tables", || node.accounts()["waiting.now"] < 0.02e6);
     thread::spawn(move || serve(&served));
     assert_eq!(node.connect().get(1, 2), ("ok".into(), 2000));
 }
@@ -204,28 +193,22 @@
     let silent: Vec<Client> = (0..30).map(|_| node.connect()).collect();
     let mut c = node.connect();
     assert_eq!(c.get(1, 5), ("ok".into(), 5000));
-    let now = accounts(&node);
+    let now = node.accounts();
     assert!(now["clients.peak"] <= 0.17e6 && now["clients.refused"] > 0.0, "{now:?}");
     drop(silent);
-    eventually("all is back but one", || accounts(&node)["clients.now"] < 0.02e6);
+    eventually("all is back but one", || node.accounts()["clients.now"] < 0.02e6);
 }
 
 /// Caps are cut and restored by a reload while they are in use: nothing is dropped, nothing more is granted. A table that does not fit together changes nothing, and its keys are named.
 #[test]
 fn caps_change_in_service() {
     let node = front("caps", 32, json!({"unread": {"cap_mb": 3}}));
-    let file = node.folder.join("config.json");
-    let reload = |memory: Value| {
-        let mut config: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
-        config["memory"] = memory;
-        std::fs::write(&file, config.to_string()).unwrap();
-        node.signal("-HUP");
-    };
+    let reload = |memory: Value| node.reload(|config| config["memory"] = memory.clone());
     let mut slow: Vec<Client> = (0..2).map(|_| Client::new(narrow(node.address))).collect();
     let sent = fill(&node, &mut slow, 250_000.0);
     reload(json!({"unread": {"cap_mb": 0.01}}));
     node.logged("the settings are in force");
-    assert_eq!(accounts(&node)["unread.cap"], 10_000.0);
+    assert_eq!(node.accounts()["unread.cap"], 10_000.0);
     assert_eq!(get(&node, 5000, 20).0, "full", "nothing more is granted");
     // Nothing was dropped: what was granted comes whole.
     for answers in read_on(&mut slow, sent) {
@@ -244,7 +227,7 @@
     assert!(node.logged("the old settings stay").contains("'memory.unred' is not known: there are"));
     reload(json!({"unread": {"cap": 3}}));
     assert!(node.logged("the old settings stay").contains("'memory.unread.cap' is not a share"));
-    assert_eq!(accounts(&node)["unread.cap"], 3e6);
+    assert_eq!(node.accounts()["unread.cap"], 3e6);
 }
 
 fn resident(pid: u32) -> f64 {
--- a/tests/signed.rs
+++ b/tests/signed.rs
@@ -6,7 +6,7 @@
 use sha2::{Digest, Sha256};
 use stand_ins::*;
 use std::cell::RefCell;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 
@@ -390,3 +390,26 @@
     let (code, head, _) = front.get(&t.link("/talks/7.mp4"));
     assert!(code == 503 && head.contains("Retry-After"), "{head}");
 }
+
+/// The front is told to end while a client has not read its answer, behind which the end lies: what it asks before it can
+/// see that is answered too.
+#[test]
+fn the_end_closes_no_connection_over_an_unread_answer() {
+    let t = talks();
+    let (front, served) = stage("unread-end", &[&t], same);
+    let link = get(&t.link("/talks/7.mp4"));
+    let mut idle = front.send(&get("/talks/unsigned"));
+    assert_eq!(status(read_message(&mut idle)).0, 401);
+    let mut slow = narrow(front.address);
+    slow.write_all(link.as_bytes()).unwrap();
+    let large = vec![b'y'; 240_000];
+    next(&served).hit(&large);
+    eventually("the answer has come", || front.accounts()["unread.peak"] >= large.len() as f64);
+    eventually("the system has the answer", || front.accounts()["unread.now"] == 0.0);
+    front.signal("-TERM");
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "one that is idle is closed");
+    slow.write_all(link.as_bytes()).unwrap();
+    std::thread::spawn(move || next(&served).hit(b"second"));
+    assert!(status(read_message(&mut slow)).2 == large);
+    assert_eq!(status(read_message(&mut slow)).2, b"second");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -3,6 +3,7 @@
 
 pub use onyxyoke_stand_ins::scripted::*;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -63,6 +64,43 @@
     pub fn get(&self, target: &str) -> (u16, String, Vec<u8>) {
         self.request(&get(target))
     }
+
+    pub fn signal(&self, name: &str) {
+        signal(&self.child, name);
+    }
+
+    /// What the counters say of the accounts of memory.
+    pub fn accounts(&self) -> BTreeMap<String, f64> {
+        accounts(&self.child, &self.log)
+    }
+}
+
+/// Sends a process a signal.
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
+/// Reads a log until a line has this in it.
+fn logged(log: &Receiver<String>, what: &str) -> String {
+    // Whatever else is logged meanwhile does not make the wait longer.
+    let by = Instant::now() + PATIENCE;
+    loop {
+        let left = by.saturating_duration_since(Instant::now());
+        let line = log.recv_timeout(left).unwrap_or_else(|_| panic!("'{what}' was never logged"));
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+/// What a process's counters say of its accounts of memory.
+fn accounts(child: &Child, log: &Receiver<String>) -> BTreeMap<String, f64> {
+    signal(child, "-USR1");
+    let line = logged(log, "memory total=");
+    line.split(' ')
+        .filter_map(|w| w.split_once('='))
+        .filter_map(|(k, v)| Some((k.into(), v.parse().ok()?)))
+        .collect()
 }
 
 impl Drop for Front {
@@ -149,26 +187,26 @@
     }
 
     pub fn signal(&self, name: &str) {
-        assert!(
-            Command::new("sh")
-                .args(["-c", &format!("kill {name} {}", self.child.id())])
-                .status()
-                .unwrap()
-                .success()
-        );
+        signal(&self.child, name);
     }
 
     /// Reads the log until a line has this in it.
     pub fn logged(&self, what: &str) -> String {
-        // Whatever else is logged meanwhile does not make the wait longer.
-        let by = Instant::now() + PATIENCE;
-        loop {
-            let left = by.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("'{what}' was never logged"));
-            if line.contains(what) {
-                return line;
-            }
-        }
+        logged(&self.log, what)
+    }
+
+    /// What the counters say of the accounts of memory.
+    pub fn accounts(&self) -> BTreeMap<String, f64> {
+        accounts(&self.child, &self.log)
+    }
+
+    /// Changes the front's configuration and has it read that again.
+    pub fn reload(&self, change: impl Fn(&mut Value)) {
+        let file = self.folder.join("config.json");
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+        change(&mut config);
+        std::fs::write(&file, config.to_string()).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn connect(&self) -> Client {
