--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -103,7 +103,7 @@
     key: Cell<Option<IdleKey>>,
     /// Since when it is idle (Unix seconds).
     idle_since: Cell<f64>,
-    /// It is asked to close while it is idle.
+    /// It is asked to close once it is idle.
     asked_to_close: Cell<bool>,
     /// When it is to close may have changed.
     changed: Notify,
@@ -151,11 +151,10 @@
         self.table.idle.borrow_mut().insert(key, self.entry.clone());
     }
 
-    /// Something was read from the client, or is owed to it. Whoever asked the connection to close while it was idle no
-    /// longer does.
+    /// Something was read from the client, or is owed to it. If it was asked to close, it does once it is idle again: another
+    /// has its place already.
     pub fn mark_active(&self) {
         if let Some(key) = self.entry.key.take() {
-            self.entry.asked_to_close.set(false);
             self.table.idle.borrow_mut().remove(&key);
         }
     }
