--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::fmt;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// For what, and for whom, memory is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +31,8 @@
     pressure: RefCell<Pressure>,
     /// The level that held at the last look, at hand for every buffer.
     level: Cell<Level>,
+    /// Idle connections are to be closed from now on.
+    became_scarce: Notify,
     truth: RefCell<ResidentMemoryAudit>,
     /// Client connections that are open.
     clients: Cell<usize>,
@@ -46,6 +49,7 @@
             accounts: RefCell::new(Accounts::new(plan, teams)),
             pressure: RefCell::default(),
             level: Cell::default(),
+            became_scarce: Notify::new(),
             truth: RefCell::default(),
             clients: Cell::default(),
         }))
@@ -69,10 +73,18 @@
     /// The level that holds now.
     pub fn level(&self) -> Level {
         let level = self.0.pressure.borrow_mut().look(&self.accounts());
-        self.0.level.set(level);
+        let before = self.0.level.replace(level);
+        if before < Level::CloseIdle && level >= Level::CloseIdle {
+            self.0.became_scarce.notify_waiters();
+        }
         level
     }
 
+    /// Waits until idle connections are to be closed that were not before.
+    pub async fn became_scarce(&self) {
+        self.0.became_scarce.notified().await;
+    }
+
     /// May a request of so many bytes be taken now?
     pub fn admits(&self, bytes: usize, precious: bool) -> bool {
         self.level();
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -152,7 +152,7 @@
     // Once the front takes no more clients: when the listener is closed.
     let mut closing_at = None;
     loop {
-        let scarce = memory.closes(table.idle()) > 0;
+        let scarce = memory.closes(table.open()) > 0;
         let accepted = tokio::select! {
             biased;
             // New connections go to the successor first; then the listener is closed, and only then is any connection asked
@@ -196,6 +196,7 @@
                 }
                 continue;
             }
+            () = memory.became_scarce(), if !scarce => continue,
             accepted = next(&listener), if !table.is_closing_all() => accepted,
         };
         match accepted {
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -42,14 +42,6 @@
         Unread { node, served, client }
     }
 
-    /// A client that has spoken, and is idle from now on.
-    fn idle_client(&self) -> Client {
-        let mut client = self.node.connect();
-        client.send(&["HEALTH", "8", ""]);
-        client.answer();
-        client
-    }
-
     /// The client asks again, and only then reads: both answers.
     fn both_answers_come(mut self) {
         hold(&mut self.client, 2);
@@ -62,6 +54,14 @@
     }
 }
 
+/// A client that has spoken, and is idle from now on.
+fn idle_client(node: &Node) -> Client {
+    let mut client = node.connect();
+    client.send(&["HEALTH", "8", ""]);
+    client.answer();
+    client
+}
+
 /// A request of a class that the reserve is for, so that scarce memory refuses none of it.
 fn hold(client: &mut Client, tag: u64) {
     let fields = format!("call={tag:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,dedupe=k{tag}");
@@ -78,24 +78,33 @@
 #[test]
 fn scarce_memory_closes_no_connection_over_unread_answers() {
     let unread = Unread::start("closing-scarce", |_| ());
-    let mut idle = unread.idle_client();
+    let mut idle = idle_client(&unread.node);
     // Less than any program takes, so that nothing of the shared part is free.
     unread.node.reload(|config| config["limits"]["memory_mb"] = json!(4));
-    eventually("one that has become idle later is closed, while others come and go", || {
-        drop(unread.node.connect());
-        is_closed(&mut idle)
-    });
+    assert!(idle.closed(), "one that has become idle later is closed");
     unread.both_answers_come();
 }
 
+/// Memory becomes scarce while no client comes: idle connections are closed all the same, long before their idle time is over.
+#[test]
+fn scarce_memory_closes_idle_connections_though_no_client_comes() {
+    let (node, _served) = one_cache("closing-relief");
+    let (mut idle, mut waiting) = (idle_client(&node), node.connect());
+    // Nobody answers it: its time is over after 3 s, which is when the front says so.
+    hold(&mut waiting, 1);
+    node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+    assert_eq!(waiting.answer()[0], "1");
+    assert!(is_closed(&mut idle));
+}
+
 /// Every place of a client is taken, and more come: the longest idle gives way.
 #[test]
 fn a_crowd_closes_no_connection_over_unread_answers() {
     let unread = Unread::start("closing-crowd", |config| config["limits"]["sockets"] = json!(64));
-    let mut idle = unread.idle_client();
+    let mut idle = idle_client(&unread.node);
     let mut crowd = Vec::new();
     eventually("one that has become idle later is closed", || {
-        crowd.push(unread.idle_client());
+        crowd.push(idle_client(&unread.node));
         is_closed(&mut idle)
     });
     unread.both_answers_come();
@@ -105,7 +114,7 @@
 #[test]
 fn time_closes_no_connection_over_unread_answers() {
     let unread = Unread::start("closing-idle", |_| ());
-    let mut idle = unread.idle_client();
+    let mut idle = idle_client(&unread.node);
     assert!(idle.closed(), "one that has become idle later is closed");
     unread.both_answers_come();
 }
@@ -114,7 +123,7 @@
 #[test]
 fn the_end_closes_no_connection_over_unread_answers() {
     let unread = Unread::start("closing-end", |_| ());
-    let mut idle = unread.idle_client();
+    let mut idle = idle_client(&unread.node);
     unread.node.signal("-TERM");
     assert!(idle.closed(), "one that is idle is closed");
     unread.both_answers_come();
