Leave new connections to their clients before scarce memory closes them

While memory was scarce, a connection could be closed 4 to 8 ms after it was accepted: those that have not spoken go first, and nothing asked how new they are.

Scarce memory now closes only connections that were idle for IDLE_GRACE, 1 s, spoken or not; in a crowd the newest comer still gets the place of the one that is idle for longest. scarce_memory_closes_no_connection_that_was_just_ made failed without it: its request reached no cache.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -6,9 +6,10 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// A client has read its last answer so long after its system took it (seconds). Nothing tells a front what the client's
-/// program has read, and what it sends before it has seen the end that lies behind its answers is lost.
-const READ_WITHIN: f64 = 1.0;
+/// An idle connection is left to its client for so long (seconds). Nothing tells a front what of its answers the client's
+/// program has read, and what that sends before it has seen the end behind them is lost; on a new connection, the first
+/// request may be on its way.
+const IDLE_GRACE: f64 = 1.0;
 
 /// The order in which idle connections are closed: those that never sent a usable command first, then those that have been
 /// idle for longest.
@@ -89,10 +90,20 @@
         first.inspect(|(_, entry)| entry.ask_to_close()).is_some()
     }
 
-    /// The same, but only if its client had the time to read its last answer.
-    pub(super) fn close_rested(&self, now: f64) -> bool {
-        let rested = self.idle.borrow().first_key_value().is_some_and(|(_, entry)| entry.read_by() <= now);
-        rested && self.close_most_idle()
+    /// The same, but only one that was left to its client for [`IDLE_GRACE`].
+    pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
+        let key = self.first_idle_since(now - IDLE_GRACE);
+        let entry = key.and_then(|key| self.idle.borrow_mut().remove(&key));
+        entry.inspect(|entry| entry.ask_to_close()).is_some()
+    }
+
+    /// The first connection in the order of closing that has been idle since then.
+    fn first_idle_since(&self, then: f64) -> Option<IdleKey> {
+        let idle = self.idle.borrow();
+        // Of those that have spoken, and of those that have not, the first is the longest idle.
+        let first_of = |spoken| idle.range((spoken, 0)..=(spoken, u64::MAX)).next();
+        let since = |(key, entry): (&IdleKey, &Rc<Entry>)| (entry.idle_since.get() <= then).then_some(*key);
+        [false, true].into_iter().filter_map(first_of).find_map(since)
     }
 }
 
@@ -115,10 +126,10 @@
         self.changed.notify_one();
     }
 
-    /// Its client has read its last answer by then (Unix seconds).
+    /// Its client has read its last answer by then, if it was sent one (Unix seconds).
     fn read_by(&self) -> f64 {
         let spoken = self.key.get().is_some_and(|(spoken, _)| spoken);
-        self.idle_since.get() + if spoken { READ_WITHIN } else { 0.0 }
+        self.idle_since.get() + if spoken { IDLE_GRACE } else { 0.0 }
     }
 }
 
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `connections.rs`.
 
-use super::{ConnectionSlot, ConnectionTable, READ_WITHIN};
+use super::{ConnectionSlot, ConnectionTable, IDLE_GRACE};
 
 /// A table with a connection for each of these: whether it has spoken, and since when it is idle.
 fn table(connections: &[(bool, f64)]) -> (std::rc::Rc<ConnectionTable>, Vec<ConnectionSlot>) {
@@ -29,11 +29,14 @@
 }
 
 #[test]
-fn scarce_memory_closes_only_those_that_had_the_time_to_read() {
-    let (table, slots) = table(&[(true, 1.0), (true, 1.5)]);
-    assert!(!table.close_rested(1.0 + 0.9 * READ_WITHIN));
-    assert!(table.close_rested(1.0 + READ_WITHIN) && !table.close_rested(1.0 + READ_WITHIN));
-    assert_eq!(asked(&slots), [true, false]);
+fn scarce_memory_closes_only_those_that_were_left_to_their_client() {
+    let (table, slots) = table(&[(true, 1.0), (true, 1.5), (false, 1.2)]);
+    assert!(!table.close_idle_since_grace(1.0 + 0.9 * IDLE_GRACE));
+    assert!(table.close_idle_since_grace(1.0 + IDLE_GRACE));
+    assert_eq!(asked(&slots), [true, false, false], "the one that has not spoken is new");
+    assert!(!table.close_idle_since_grace(1.0 + IDLE_GRACE));
+    assert!(table.close_idle_since_grace(1.5 + IDLE_GRACE));
+    assert_eq!(asked(&slots), [true, false, true]);
 }
 
 #[test]
@@ -51,7 +54,7 @@
 fn when_all_close_each_has_the_time_to_read_until_the_end() {
     let (table, slots) = table(&[(true, 1.0), (false, 1.0)]);
     table.close_all_after_reading();
-    assert_eq!(slots[0].closes_at(), Some(1.0 + READ_WITHIN));
+    assert_eq!(slots[0].closes_at(), Some(1.0 + IDLE_GRACE));
     assert_eq!(slots[1].closes_at(), Some(1.0), "it was sent nothing");
     table.close_all_immediately();
     assert_eq!(slots[0].closes_at(), Some(1.0));
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -192,7 +192,7 @@
                 let now = clock::now();
                 relief_at = now + RELIEF_INTERVAL;
                 for _ in 0..memory.closes(table.idle()) {
-                    table.close_rested(now);
+                    table.close_idle_since_grace(now);
                 }
                 continue;
             }
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -97,6 +97,20 @@
     assert!(is_closed(&mut idle));
 }
 
+/// Memory is scarce: one that was just made has the time to ask, though it has not spoken yet.
+#[test]
+fn scarce_memory_closes_no_connection_that_was_just_made() {
+    let (node, served) = one_cache("closing-new");
+    let mut idle = [idle_client(&node), idle_client(&node)];
+    node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+    assert!(idle[0].closed());
+    let mut fresh = node.connect();
+    assert!(idle[1].closed());
+    hold(&mut fresh, 1);
+    next(&served).hit(b"first");
+    assert_eq!(fresh.answer()[1], "ok");
+}
+
 /// Every place of a client is taken, and more come: the longest idle gives way.
 #[test]
 fn a_crowd_closes_no_connection_over_unread_answers() {
