Soak fronts under clients that read slowly or in bursts, and with scarce memory

The record has when a client's system was told of an end, so that a request crosses a close by that and not by when its client has read so far.

--- a/crates/lab/src/fleet/cycle.rs
+++ b/crates/lab/src/fleet/cycle.rs
@@ -140,6 +140,7 @@
             return self.note_end(front, "it ended by itself".into());
         }
         send(&child, Signal::SIGTERM);
+        self.fronts[front].told_to_end.set(Some(std::time::Instant::now()));
         let kill_at = Instant::now() + EARLIEST_KILL;
         for &more in further {
             sleep(gap).await;
--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -2,7 +2,7 @@
 
 use super::Fleet;
 use super::crowd;
-use super::fronts::{end, member};
+use super::fronts::{MemoryLimit, end, member};
 use super::plan::{Fault, Kind, Target};
 use super::record::NotificationRecord;
 use super::verdict::READY;
@@ -22,6 +22,8 @@
 const SETTLES: Duration = Duration::from_secs(5);
 /// Clients come for so long after a front was told to end (seconds).
 pub(super) const COMING: f64 = 0.4;
+/// A memory limit that was cut is restored after this, and cut again after as long.
+const MEMORY_CUT: Duration = Duration::from_millis(1_700);
 /// A new process of a front serves so long beside the old before that is told to end (seconds).
 pub(super) const BESIDE: f64 = 0.5;
 
@@ -99,6 +101,13 @@
                 fronts.iter().for_each(|&f| crowd::gather(self, f, connections, span));
             }
             Kind::Crowd { .. } => {}
+            Kind::MemoryScarce if on => {
+                for &f in fronts {
+                    let fleet = self.clone();
+                    spawn_local(async move { fleet.cut_memory(f, span).await });
+                }
+            }
+            Kind::MemoryScarce => {}
             Kind::NodeKilled | Kind::NodeReplaced | Kind::NodeDrained => {
                 for &n in nodes {
                     let fleet = self.clone();
@@ -210,6 +219,17 @@
         }
     }
 
+    /// Cuts a front's memory limit and restores it, for the span.
+    async fn cut_memory(&self, f: usize, span: Duration) {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            for limit in [MemoryLimit::BelowProgram, MemoryLimit::Planned] {
+                self.fronts[f].limit_memory(limit);
+                sleep(MEMORY_CUT).await;
+            }
+        }
+    }
+
     /// Starts a front's process again, and notes how long after that it takes clients.
     pub(super) async fn start_again(&self, f: usize, seed: u64) -> Result<Option<Child>, Box<dyn Error>> {
         let began = Instant::now();
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -13,7 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
@@ -49,6 +49,18 @@
     Ok(settings)
 }
 
+/// A front's limit of memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryLimit {
+    /// What the plan says.
+    Planned,
+    /// Less than the program itself takes, so that all but the reserves is refused.
+    BelowProgram,
+}
+
+/// Less than any build of the program takes (megabytes).
+const BELOW_PROGRAM_MB: usize = 4;
+
 /// A front: its process comes and goes.
 pub struct Front {
     pub place: usize,
@@ -68,6 +80,8 @@
     pub crashed: Cell<bool>,
     /// Its clients go on using the connections that they have, though no new ones come.
     pub lingers: Cell<bool>,
+    /// When a process of it was last told to end.
+    pub told_to_end: Cell<Option<Instant>>,
     /// How often the rig killed all its processes for another than the rig to start it again, and after how many of these a
     /// client has had an answer: in between nobody need take connections.
     pub kills: Cell<u32>,
@@ -124,6 +138,7 @@
             meant: Cell::new(false),
             crashed: Cell::new(false),
             lingers: Cell::new(false),
+            told_to_end: Cell::new(None),
             kills: Cell::new(0),
             answered_after: Cell::new(0),
         }))
@@ -190,7 +205,20 @@
     pub fn reload(&self, usable: bool) {
         let mut config = self.config.borrow().clone();
         config["limits"]["memory_mb"] = json!(config["limits"]["memory_mb"].as_u64().unwrap_or(64) + 1);
-        let text = if usable { config.to_string() } else { "{".to_owned() };
+        self.reread(if usable { config.to_string() } else { "{".to_owned() });
+    }
+
+    /// Has it read its settings again, with this limit of memory.
+    pub fn limit_memory(&self, limit: MemoryLimit) {
+        let mut config = self.config.borrow().clone();
+        if limit == MemoryLimit::BelowProgram {
+            config["limits"]["memory_mb"] = json!(BELOW_PROGRAM_MB);
+        }
+        self.reread(config.to_string());
+    }
+
+    /// Has it read this as its settings.
+    fn reread(&self, text: String) {
         let next = self.folder.join("config.next");
         if std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, self.settings_file())).is_ok() {
             self.signal(Signal::SIGHUP);
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -1,5 +1,6 @@
 //! What a fleet is made of, what is asked of it, what fails when, and what must hold: one file, checked as a whole.
 
+use crate::paced::Pace;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
@@ -99,6 +100,10 @@
     pub holds: f64,
     /// Connections that the clients of a front keep open and use.
     pub connections: usize,
+    /// Bytes of an object, at least.
+    pub object_bytes: usize,
+    /// How they read; without, all at once.
+    pub pace: Option<Pace>,
 }
 
 /// What goes wrong, with whom, and from and until when.
@@ -133,6 +138,8 @@
     FrontCycled { series: SignalSeries, gap_s: f64 },
     /// So many connections to each of these fronts that say nothing, or half of a request.
     Crowd { connections: usize },
+    /// The memory limit of these fronts is cut below what their program takes, and restored, again and again.
+    MemoryScarce,
     /// Nodes are gone: connections are refused; they come back empty and cold.
     NodeKilled,
     /// Nodes are gone, and others with new ids listen at their addresses after the span.
@@ -264,6 +271,8 @@
             load: 0.4,
             holds: 0.05,
             connections: 1,
+            object_bytes: 0,
+            pace: None,
         }
     }
 }
@@ -344,6 +353,12 @@
             "'clients.busy_share' or 'clients.holds' is not from 0 to 1",
         )?;
         must((1..=64).contains(&c.connections), "'clients.connections' is not from 1 to 64")?;
+        must(c.object_bytes <= 240_000, "'clients.object_bytes' is over 240000")?;
+        let pace = |p: &Pace| (0.0..=4.0).contains(&p.pause_s) && (1..=1_000_000).contains(&p.chunk);
+        must(
+            c.pace.as_ref().is_none_or(pace),
+            "'clients.pace' pauses for over 4 s, or reads no bytes or over 1 MB",
+        )?;
         must((1.0..=100.0).contains(&c.busy_times), "'clients.busy_times' is not from 1 to 100")?;
         must((0.1..=3.0).contains(&c.zipf), "'clients.zipf' is not from 0.1 to 3")?;
         must((10..=1_000_000).contains(&c.objects), "'clients.objects' is not from 10 to 1000000")?;
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -42,6 +42,8 @@
     pub spoilt: bool,
     /// Its front was killed, stopped or replaced while it was open.
     pub excused: bool,
+    /// Its client reads at a pace of its own, so that when it had its answer says nothing of its front.
+    pub paced: bool,
 }
 
 /// A front was told something of a node, or all fronts were by their operators, in Unix seconds.
--- a/crates/lab/src/fleet/verdict/tests.rs
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -27,8 +27,8 @@
         seen.attempts.push(Attempt { came, ended: Some(at + 0.1) });
         let end = Some((at + 0.1, End::Served));
         let (aim, deadline, made) = (0.5, 3.0, Some(at));
-        let (again, spoilt, excused, object) = (0, false, false, 7);
-        seen.asked.push(Asked { at, front, aim, deadline, object, end, made, again, spoilt, excused });
+        let (again, spoilt, excused, paced, object) = (0, false, false, false, 7);
+        seen.asked.push(Asked { at, front, aim, deadline, object, end, made, again, spoilt, excused, paced });
     }
     (0..2).for_each(|n| seen.done[n] = vec![0.1; 40]);
     let terms = VerdictCriteria {
@@ -190,3 +190,21 @@
     assert_eq!((replaced.lost, replaced.duplicated, replaced.wrong_ends), (0, 1, 1));
     assert!(term.asked > 20 && !v.held());
 }
+
+/// A client that reads at a pace of its own is not answered late by its front, but it can lose an answer, or have two.
+#[test]
+fn a_client_that_reads_slowly_may_be_late_and_may_lose_nothing() {
+    let late = |s: &mut Seen| {
+        s.asked[5].paced = true;
+        s.asked[5].end = Some((s.asked[5].at + 30.0, End::Served));
+    };
+    assert!(judged(late).rules.is_empty());
+    let lost = judged(|s| {
+        s.asked[5].paced = true;
+        s.asked[5].end = None;
+    });
+    let twice = judged(|s| (s.asked[5].paced, s.asked[5].again) = (true, 1));
+    for broken in [lost, twice] {
+        assert!(broken.rules.contains_key("one final answer"), "{broken}");
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod emulate;
 mod fleet;
+mod paced;
 mod rollouts;
 mod soak;
 
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -1,6 +1,7 @@
 //! Clients of the first front: usual ones, which count what they are answered and check every byte, and bad ones.
 
 use crate::connection::ClientConnection;
+use crate::paced::PacedReader;
 use hdrhistogram::Histogram;
 use onyxyoke_stand_ins::{LARGEST, body, row};
 use rand::rngs::StdRng;
@@ -10,9 +11,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpSocket;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -206,7 +206,7 @@
     /// Keeps one connection up.
     async fn connection(self: Rc<Self>) {
         while self.running.get() {
-            let Ok((line, read)) = Line::connect(self.front).await else {
+            let Ok((line, read)) = Line::connect(self.front, None).await else {
                 sleep(Duration::from_millis(50)).await;
                 continue;
             };
@@ -232,7 +232,7 @@
     }
 
     /// Reads answers until the connection ends.
-    async fn read(&self, read: OwnedReadHalf, line: &Line) -> io::Result<()> {
+    async fn read(&self, read: PacedReader, line: &Line) -> io::Result<()> {
         let (mut read, mut wanted) = (BufReader::new(read), Vec::new());
         loop {
             let [tag, word, _, bytes] = answer(&mut read).await?;
@@ -421,9 +421,9 @@
 }
 
 /// Reads an answer: four words.
-pub async fn answer(read: &mut BufReader<OwnedReadHalf>) -> io::Result<[Vec<u8>; 4]> {
+pub async fn answer<R: AsyncRead + Unpin>(read: &mut BufReader<R>) -> io::Result<[Vec<u8>; 4]> {
     let bad = || io::Error::from(io::ErrorKind::InvalidData);
-    async fn number(read: &mut BufReader<OwnedReadHalf>, mark: u8) -> io::Result<usize> {
+    async fn number<R: AsyncRead + Unpin>(read: &mut BufReader<R>, mark: u8) -> io::Result<usize> {
         let mut line = Vec::new();
         read.read_until(b'\n', &mut line).await?;
         let digits = line.strip_prefix(&[mark]).and_then(|l| l.strip_suffix(b"\r\n"));
--- a/crates/lab/src/soak/lifecycle.rs
+++ b/crates/lab/src/soak/lifecycle.rs
@@ -5,6 +5,7 @@
 use crate::fleet::plan::{Bounds, Clients, Fault, Kind, Plan, Program, SignalSeries, Target};
 use crate::fleet::verdict::{CycleFigures, Verdict};
 use crate::fleet::{play_alone, record};
+use crate::paced::Pace;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -23,6 +24,16 @@
 /// Connections of a crowd: more than the descriptors of a front.
 const CROWD: usize = 300;
 
+/// Objects that clients read slowly, or in bursts, are so large (bytes), and the system keeps so little of them unread, that
+/// most of an answer waits at its front.
+const SLOWLY_READ: usize = 30_000;
+const NARROW: usize = 8 * 1024;
+/// Clients that read in bursts, and those that read slowly: every half second 240 KB, or 16 KB fifty times a second.
+const IN_BURSTS: Pace = Pace { pause_s: 0.5, chunk: 240_000, receive_buffer: Some(NARROW) };
+const SLOWLY: Pace = Pace { pause_s: 0.02, chunk: 16 * 1024, receive_buffer: Some(NARROW) };
+/// The same bursts, from systems that keep whole answers.
+const IN_BURSTS_FROM_WIDE: Pace = Pace { receive_buffer: None, ..IN_BURSTS };
+
 /// Nodes that are slow have links so many times as thin.
 const SLOW: f64 = 20.0;
 
@@ -52,6 +63,14 @@
     sometimes(Kind::NodeBreaking { share: 0.05 }, Vec::new(), Vec::new());
     sometimes(Kind::NodeSilent, Vec::new(), vec![0, 1]);
     sometimes(Kind::NodeSlow { times: SLOW }, Vec::new(), vec![2, 3]);
+    sometimes(Kind::MemoryScarce, Vec::new(), Vec::new());
+    let pace = match random.random_range(0..6) {
+        0 => Some(IN_BURSTS),
+        1 => Some(IN_BURSTS_FROM_WIDE),
+        2 => Some(SLOWLY),
+        _ => None,
+    };
+    let object_bytes = pace.map_or(0, |_| SLOWLY_READ);
     Plan {
         seconds: until + 1.5,
         judged_from: 1.0,
@@ -59,7 +78,15 @@
         nodes: 6,
         memory_mb: 64,
         programs: vec![Program { name: "soaked".into(), path: Some(program.to_owned()), share: 1.0 }],
-        clients: Clients { rate: 40.0, holds: 0.1, connections: 6, objects: 500, ..Clients::default() },
+        clients: Clients {
+            rate: 40.0,
+            holds: 0.1,
+            connections: 6,
+            objects: 500,
+            object_bytes,
+            pace,
+            ..Clients::default()
+        },
         faults,
         bounds: Bounds::default(),
         ..Plan::default()
@@ -80,9 +107,15 @@
         Kind::NodeBreaking { .. } => Some("answers break off"),
         Kind::NodeSilent => Some("nodes hang"),
         Kind::NodeSlow { .. } => Some("nodes slow"),
+        Kind::MemoryScarce => Some("memory scarce"),
         _ => None,
     };
-    plan.faults.iter().filter_map(|fault| name(fault.kind)).collect()
+    let reading = plan.clients.pace.map(|pace| match pace {
+        SLOWLY => "clients read slowly",
+        IN_BURSTS => "clients read in bursts",
+        _ => "clients read in bursts from wide buffers",
+    });
+    plan.faults.iter().filter_map(|fault| name(fault.kind)).chain(reading).collect()
 }
 
 /// The runs together.
--- a/crates/stand-ins/src/fleet.rs
+++ b/crates/stand-ins/src/fleet.rs
@@ -122,6 +122,8 @@
     pub nodes: Vec<Arc<Node>>,
     /// KB that one transfer sends in a second.
     pub flow: f64,
+    /// Bytes of an object, at least.
+    object_bytes: usize,
     record: Arc<dyn Record>,
     begun: Instant,
     begun_unix: f64,
@@ -276,9 +278,17 @@
 
 impl Tier {
     /// Nodes that nobody reaches yet.
-    pub fn new(nodes: Vec<Arc<Node>>, flow: f64, record: Arc<dyn Record>) -> Arc<Tier> {
+    pub fn new(nodes: Vec<Arc<Node>>, flow: f64, object_bytes: usize, record: Arc<dyn Record>) -> Arc<Tier> {
         let begun_unix = unix_ms() as f64 / 1000.0;
-        Arc::new(Tier { nodes, flow, record, begun: Instant::now(), begun_unix, came: AtomicU64::new(0) })
+        Arc::new(Tier {
+            nodes,
+            flow,
+            object_bytes,
+            record,
+            begun: Instant::now(),
+            begun_unix,
+            came: AtomicU64::new(0),
+        })
     }
 
     /// Seconds since it was made, by a clock that only advances.
@@ -535,7 +545,7 @@
                 parent.keep(object, made);
             }
         }
-        let body = body(object, made);
+        let body = body(object, made, self.object_bytes);
         let ttfb = (wait * 1000.0) as u64;
         let head =
             format!("{} HIT n={note},etag={object:x},made={made},ttfb={ttfb} {}\r\n", asked.id, body.len());
@@ -598,14 +608,26 @@
     (object & 0xf_ffff) as f64 / 10_000.0
 }
 
-/// The bytes of a copy, which tell whose it is and when it was made.
-pub fn body(object: u64, made: u64) -> String {
-    format!("{object:016x} {made}")
+/// The bytes of a copy, which tell whose it is and when it was made; so many at least.
+pub fn body(object: u64, made: u64, least: usize) -> String {
+    let mut body = format!("{object:016x} {made}");
+    if body.len() < least {
+        body.push(' ');
+        body.extend(std::iter::repeat_n('.', least.saturating_sub(body.len() + 1)));
+        body.push('!');
+    }
+    body
 }
 
 /// Reads them again: the object and when the copy was made.
 pub fn read_body(bytes: &[u8]) -> Option<(u64, u64)> {
-    let (object, made) = std::str::from_utf8(bytes).ok()?.split_once(' ')?;
+    let mut words = std::str::from_utf8(bytes).ok()?.split(' ');
+    let (object, made) = (words.next()?, words.next()?);
+    // What fills it up has an end, so that a shorter one is told from a whole one.
+    let filling = |rest: &str| rest.strip_suffix('!').is_some_and(|dots| dots.bytes().all(|b| b == b'.'));
+    if !words.all(filling) {
+        return None;
+    }
     Some((u64::from_str_radix(object, 16).ok()?, made.parse().ok()?))
 }
 
