Close as many idle connections as a new client needs, where a limit was cut

After a cut of the memory limit idle connections may hold far more than the account of clients now grants.

Idle connections are closed, four at a time, until there is memory or none is idle. idle_connections_beyond_a_cut_limit_give_way_to_a_new_client failed without it: its request reached no cache.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -24,6 +24,8 @@
 const BACKLOG: u32 = 1024;
 /// One in so many connections may linger beside those that are served.
 const LINGERING_SHARE: usize = 8;
+/// So many idle connections are closed at a time, while there is no memory for a new one.
+const CLOSED_AT_ONCE: usize = 4;
 /// The place that no listener has: any of them gets a connection, by its hash.
 const ANY_BY_HASH: u32 = u32::MAX;
 /// The place of the younger of two listeners.
@@ -247,15 +249,20 @@
         });
     }
 
-    /// Memory for a connection, for which another may be closed.
+    /// Memory for a connection, for which idle ones are closed: after a cut of the limit they may hold far more than it
+    /// grants. `None` once none is idle.
     async fn grant(&self) -> Option<Grant> {
-        let ask = || self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok();
-        let granted = ask();
-        if granted.is_none() && self.table.close_most_idle() {
+        loop {
+            let asked = self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT);
+            if let Ok(grant) = asked {
+                return Some(grant);
+            }
+            let closed = (0..CLOSED_AT_ONCE).take_while(|_| self.table.close_most_idle()).count();
+            if closed == 0 {
+                return None;
+            }
             sleep_until(clock::instant(clock::now() + 2.0 * FINAL_READ_WINDOW)).await;
-            return ask();
         }
-        granted
     }
 }
 
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -111,6 +111,20 @@
     assert_eq!(fresh.answer()[1], "ok");
 }
 
+/// Idle connections hold more than a cut limit grants: as many of them as it takes give way to one that comes.
+#[test]
+fn idle_connections_beyond_a_cut_limit_give_way_to_a_new_client() {
+    let (node, served) = one_cache("closing-cut");
+    let crowd: Vec<Client> = (0..60).map(|_| idle_client(&node)).collect();
+    node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+    node.logged("the settings are in force");
+    let mut fresh = node.connect();
+    hold(&mut fresh, 1);
+    next(&served).hit(b"first");
+    assert_eq!(fresh.answer()[1], "ok");
+    drop(crowd);
+}
+
 /// Every place of a client is taken, and more come: the longest idle gives way.
 #[test]
 fn a_crowd_closes_no_connection_over_unread_answers() {
