Leave new clients to a successor that starts while its predecessor closes

A process that was told to end asked once, at SIGTERM, whether another of the front serves beside it. One that started later shared the address with it up to the end of the closing window, 0.9 s after SIGTERM: the system went on giving clients to the process that ends, 0.7 s after it was told, and it closed their connections 0.2 s later.

The closing process looks for a successor every 20 ms now.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use onyxyoke::memory::{AccountOwner, Ledger, Purpose};
 use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
-use onyxyoke::state::StateStore;
+use onyxyoke::state::{StateStore, Succession};
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -31,6 +31,8 @@
 const KILL: (f64, f64) = (3.0, 0.7);
 /// So long before that everything is answered, and everything written (seconds).
 const BEFORE: (f64, f64) = (0.45, 0.15);
+/// After SIGTERM it is looked this often whether another process of the front has started (seconds).
+const SUCCESSOR_CHECK_INTERVAL: f64 = 0.02;
 /// Requests that wait for the broker's turn, as far as their account has room for so many; beyond, connections are
 /// not read from.
 const ASKS: usize = 256;
@@ -297,19 +299,13 @@
     // Health says no from here on, but whoever comes is still served until the closing window is over and
     // all that was taken is answered; what would take longer is failed before SIGKILL may come.
     ready.set(false);
-    // A successor takes the clients: nothing waits for this process at its listener or on an idle connection. One that was
-    // ended itself is none: this process takes clients to the end of the closing window, as if there had never been another.
-    if let Some(mut succession) = succession {
-        if succession.has_successor() {
-            log!("a newer process serves beside this one: listener closing");
-            listening.hand_over();
-        }
-        succession.withdraw();
-    }
     let told = clock::now();
     let killed = told + longest.min(KILL.0) + KILL.1;
     let _ = close.send(Close::AnswerBy(killed - BEFORE.0));
-    sleep_until(clock::instant(told + CLOSING)).await;
+    match succession {
+        Some(succession) => serve_or_hand_over(succession, &listening, told + CLOSING).await,
+        None => sleep_until(clock::instant(told + CLOSING)).await,
+    }
     // Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that
     // ended over open ones would reset those on which something comes just then, with the last answers.
     listening.close();
@@ -325,3 +321,23 @@
         }
     }
 }
+
+/// Serves until the closing window is over. A successor takes the clients, also one that starts meanwhile: nothing is to wait
+/// for this process at its listener or on an idle connection. One that was ended itself is none: this process takes clients to
+/// the end of the window, as if there had never been another.
+async fn serve_or_hand_over(mut succession: Succession, listening: &ListenerState, until: f64) {
+    let mut handed_over = false;
+    loop {
+        if !handed_over && succession.has_successor() {
+            log!("a newer process serves beside this one: listener closing");
+            listening.hand_over();
+            handed_over = true;
+        }
+        succession.withdraw();
+        let now = clock::now();
+        if now >= until {
+            return;
+        }
+        sleep_until(clock::instant(until.min(now + SUCCESSOR_CHECK_INTERVAL))).await;
+    }
+}
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -338,3 +338,34 @@
         std::fs::remove_dir_all(&tmp).unwrap();
     }
 }
+
+/// Another process of the front starts while this one is closing: new clients are left to it at once.
+#[test]
+fn a_successor_that_starts_in_the_closing_window_is_given_the_clients() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-late-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, _served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let old = Node::start_in("operate-late-front", members, admin_on, Some(&tmp));
+    admin_of(&old);
+    let mut note = None;
+    eventually("it has noted itself", || {
+        let mut files = std::fs::read_dir(&tmp).unwrap().map(|entry| entry.unwrap().path());
+        note = files.find(|path| path.extension().is_some_and(|e| e == "newest"));
+        note.is_some()
+    });
+    let note = note.unwrap();
+    old.signal("-TERM");
+    eventually("it has taken its note back", || !note.exists());
+    // The note of a process that lives, for which this one stands.
+    let written = note.with_extension("new-test");
+    let mut file = std::fs::File::create(&written).unwrap();
+    file.try_lock().unwrap();
+    file.write_all(b"test").unwrap();
+    std::fs::rename(written, &note).unwrap();
+    old.logged("listener closing");
+    old.logged("listener closed");
+    drop(file);
+    std::fs::remove_dir_all(&tmp).unwrap();
+}
