Take every client from the start beside a process that is closing

A process that starts while its predecessor closes shared the address with it by the kernel's hash until that noticed, up to 20 ms later.

Where no note of a living process is found, it has the system give every client to the younger listener before it says that it serves.

--- a/src/main.rs
+++ b/src/main.rs
@@ -162,12 +162,20 @@
     // Clients hold a third at most; what they have just closed may not be gone here yet.
     let connections = config.sockets * 2 / 5 / fronts.max(1);
 
-    let mut addresses = Vec::new();
+    let client_listener = config.listen.map(onyxyoke::net::listen).transpose()?;
+    let signed_listener = config.signed.as_ref().map(|s| onyxyoke::net::listen(s.listen)).transpose()?;
+    let listeners = || [&client_listener, &signed_listener].into_iter().flatten();
+    let addresses = listeners().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>()?;
+    // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
+    let state = config.admin.map(|_| StateStore::open(std::env::temp_dir(), &config.name, &addresses));
+    let mut succession = state.as_ref().map(|(store, _)| store.succession());
+    if succession.as_ref().is_some_and(|s| !s.another_serves()) {
+        // One that is closing may still listen: it is to be given no more clients.
+        listeners().for_each(onyxyoke::net::prefer_youngest);
+    }
     let listening = ListenerState::new();
     let mut served = JoinSet::new();
-    if let Some(listen) = config.listen {
-        let listener = onyxyoke::net::listen(listen)?;
-        addresses.push(listener.local_addr()?);
+    if let Some(listener) = client_listener {
         let front = clients::Front {
             asks: asks_in.clone(),
             classes: classes.clone(),
@@ -182,9 +190,7 @@
         log!("{} serves on {}", config.name, listener.local_addr()?);
         served.spawn_local(clients::accept(listener, Rc::new(front), listening.clone()));
     }
-    if let Some(signed) = config.signed {
-        let listener = onyxyoke::net::listen(signed.listen)?;
-        addresses.push(listener.local_addr()?);
+    if let (Some(signed), Some(listener)) = (config.signed, signed_listener) {
         let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
@@ -211,21 +217,20 @@
         served.spawn_local(signed::accept(listener, Rc::new(front), listening.clone()));
     }
     drop(asks_in);
-    // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
-    let (mut kept, mut succession) = (None, None);
-    if let Some(address) = config.admin {
+    let mut kept = None;
+    if let (Some(address), Some((store, found))) = (config.admin, state) {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        let (mine, found) = StateStore::open(std::env::temp_dir(), &config.name, &addresses);
-        let mut newest = mine.succession();
-        newest.note();
-        (kept, succession) = (found, Some(newest));
+        kept = found;
+        if let Some(succession) = &mut succession {
+            succession.note();
+        }
         let operators = operators_in.clone();
         let context = admin::AdminContext {
             ready: ready.clone(),
             figures: figures.clone(),
             operators,
-            store: Rc::new(mine),
+            store: Rc::new(store),
             kept: Cell::new(0),
             settings: settings.clone(),
             build: Cell::new(None),
@@ -328,7 +333,7 @@
 async fn serve_or_hand_over(mut succession: Succession, listening: &ListenerState, until: f64) {
     let mut handed_over = false;
     loop {
-        if !handed_over && succession.has_successor() {
+        if !handed_over && succession.another_serves() {
             log!("a newer process serves beside this one: listener closing");
             listening.hand_over();
             handed_over = true;
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -49,6 +49,14 @@
     Ok(listener)
 }
 
+/// Has the system give each new connection at the listener's address to the younger of two that share it; one that is alone
+/// is given them all.
+pub fn prefer_youngest(listener: &TcpListener) {
+    if let Err(e) = steer_to(listener, YOUNGEST_OF_TWO) {
+        log!("the newest process is not given every new client at once: {e}");
+    }
+}
+
 /// Has the system give each new connection at a shared address to the listener of this place, in the order in which
 /// they came; with no listener at that place, to any. One instruction of the classic packet filter, `ret place`
 /// (SO_ATTACH_REUSEPORT_CBPF, socket(7)); where the system refuses it, all stays as it was.
@@ -160,9 +168,7 @@
             // New connections go to the successor first; then the listener is closed, and only then is any connection asked
             // to close: a client that comes again must find the successor's.
             () = state.reached(Accepting::HandedOver), if closing_at.is_none() => {
-                if let Some(Err(e)) = listener.as_ref().map(|l| steer_to(l, YOUNGEST_OF_TWO)) {
-                    log!("the successor is not given every new client at once: {e}");
-                }
+                listener.iter().for_each(prefer_youngest);
                 closing_at = Some(clock::now() + HANDSHAKE);
                 continue;
             }
--- a/src/net/listener/tests.rs
+++ b/src/net/listener/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `listener.rs`.
 
-use super::{YOUNGEST_OF_TWO, close_listener, listen, steer_to};
+use super::{close_listener, listen, prefer_youngest};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -62,7 +62,7 @@
     for _ in 0..ROUNDS {
         let new = listen(address).unwrap();
         serve(&old, &new, 2).await;
-        steer_to(&old, YOUNGEST_OF_TWO).unwrap();
+        prefer_youngest(&old);
         serve(&old, &new, 10).await;
         close_listener(old).unwrap().into_iter().for_each(greet);
         old = new;
@@ -78,3 +78,22 @@
     let (asked, lost) = (shared.1.load(Relaxed), shared.2.load(Relaxed));
     assert_eq!(lost, 0, "of {asked} connections");
 }
+
+/// One that prefers the youngest is given every client, beside an elder one and alone.
+#[tokio::test]
+async fn the_youngest_listener_is_given_every_client() {
+    let elder = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = elder.local_addr().unwrap();
+    let younger = listen(address).unwrap();
+    prefer_youngest(&younger);
+    let take_all = async |listener: &TcpListener| {
+        let mut clients = Vec::new();
+        for _ in 0..20 {
+            clients.push(TcpStream::connect(address).await.unwrap());
+            listener.accept().await.unwrap();
+        }
+    };
+    take_all(&younger).await;
+    drop(elder);
+    take_all(&younger).await;
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,7 +20,7 @@
 pub use buffer::{Buffer, Output, TEXT};
 pub use closing::{PEER_CHECK_INTERVAL, linger, peer_has_closed, readable_within_window, shut_and_discard};
 pub use connections::{ConnectionSlot, LingerPermit};
-pub use listener::{ListenerState, accept, listen};
+pub use listener::{ListenerState, accept, listen, prefer_youngest};
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/state/succession.rs
+++ b/src/state/succession.rs
@@ -49,8 +49,9 @@
         std::fs::write(&self.live, std::process::id().to_string())
     }
 
-    /// Does a newer process of the front serve beside this one? One that has ended takes no clients, whatever it noted.
-    pub fn has_successor(&self) -> bool {
+    /// Does another process of the front serve beside this one, which was not told to end? One that has ended takes no
+    /// clients, whatever it noted.
+    pub fn another_serves(&self) -> bool {
         let Ok(mut file) = File::open(&self.newest) else { return false };
         let mut newest = String::new();
         if file.read_to_string(&mut newest).is_err() {
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -28,8 +28,8 @@
     let mut here = old.succession();
     here.note();
     assert!(elsewhere.1.is_none(), "so is that of one of its name elsewhere");
-    assert!(!elsewhere.0.succession().has_successor());
-    assert!(old.succession().has_successor(), "another process of the same front");
+    assert!(!elsewhere.0.succession().another_serves());
+    assert!(old.succession().another_serves(), "another process of the same front");
     let alike = StateStore::open(folder.clone(), "n1_x", &at);
     assert!(alike.0.path != other.path, "and that of a name that is written alike");
     std::fs::remove_dir_all(folder).unwrap();
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -369,3 +369,37 @@
     drop(file);
     std::fs::remove_dir_all(&tmp).unwrap();
 }
+
+/// The same with a real process: every client that comes once it listens is its own, though the first still serves.
+#[test]
+fn a_process_that_starts_beside_one_that_closes_takes_every_client() {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-beside-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, served) = cache_node();
+    std::thread::spawn(move || served.iter().for_each(|mut s| s.hit(b"whole")));
+    let members = || vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let old = Node::start_in("operate-beside-old", members(), admin_on, Some(&tmp));
+    admin_of(&old);
+    let mut open = old.connect();
+    old.signal("-TERM");
+    eventually("the closing", || {
+        open.send(&["HEALTH", "1", ""]);
+        open.answer()[1] == "no"
+    });
+    let address = old.address;
+    let replaced = |config: &mut serde_json::Value| {
+        admin_on(config);
+        config["listen"] = json!(address);
+    };
+    let new = Node::start_in("operate-beside-new", members(), replaced, Some(&tmp));
+    let mut clients: Vec<Client> = (0..40).map(|_| new.connect()).collect();
+    for (client, tag) in clients.iter_mut().zip(1..) {
+        client.ask(&tag.to_string(), tag, "");
+        assert_eq!(client.answer()[1], "ok");
+    }
+    let taken = figure(&call(admin_of(&new), "counters"), "front_success{tier=\"media\"}");
+    assert_eq!(taken, 40, "of 40 clients");
+    drop((old, new));
+    std::fs::remove_dir_all(&tmp).unwrap();
+}
