Measure the longest turn of the front's thread, and tell in the log what it was spent in

A turn, from when the thread wakes to when it next waits, is measured by the clock and by the thread's processor time. One of 0.5 s and more is told of while it lasts, at 0.5, 1, 2, 4, 8 and 16 s: how long, how much processor time at most, how often tasks of each kind were polled, and the longest poll. The longest are printed with the counters ('turns').

Cost: one reading of the clock a poll, one of the processor time in 20 ms at most. What it cannot tell: a single poll that never returns.

--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -1,8 +1,8 @@
 //! The one task that owns the core.
 
 use super::{Answer, Broker, Caller, Command, Effect, Input, News, Report};
-use crate::clock;
 use crate::membership::{Kept, OperatorOverride};
+use crate::{clock, turns};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::future::pending;
@@ -138,6 +138,7 @@
                 eprintln!("onyxyoke: {}", broker.counters);
                 eprintln!("onyxyoke: {}", broker.sight());
                 eprintln!("onyxyoke: {}", broker.memory());
+                eprintln!("onyxyoke: {}", turns::longest());
             }
             Some(close) = inputs.close.recv() => match close {
                 Close::AnswerBy(by) => broker.answer_by(by),
@@ -150,6 +151,7 @@
     eprintln!("onyxyoke: at exit: {}", broker.counters);
     eprintln!("onyxyoke: at exit: {}", broker.sight());
     eprintln!("onyxyoke: at exit: {}", broker.memory());
+    eprintln!("onyxyoke: at exit: {}", turns::longest());
 }
 
 fn take(broker: &mut Broker, replies: &mut FxHashMap<Caller, UnboundedSender<(u64, Answer)>>, input: Input) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod signed;
 pub mod spread;
 pub mod state;
+pub mod turns;
 pub mod watch;
 pub mod xds;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
 use onyxyoke::state::{StateStore, Succession};
+use onyxyoke::turns::{self, TaskKind, measured};
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -42,8 +43,7 @@
 fn main() -> ExitCode {
     #[cfg(feature = "planted")]
     onyxyoke::planted::start();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| {
+    let ended = turns::runtime().and_then(|runtime| {
         LocalSet::new().block_on(&runtime, async {
             // Before anything else: the default of each signal would end the process, also while it reads its files.
             let signals = Signals::register()?;
@@ -188,7 +188,8 @@
             figures: figures.clone(),
         };
         log!("{} serves on {}", config.name, listener.local_addr()?);
-        served.spawn_local(clients::accept(listener, Rc::new(front), listening.clone()));
+        let accepting = clients::accept(listener, Rc::new(front), listening.clone());
+        served.spawn_local(measured(TaskKind::Listener, accepting));
     }
     if let (Some(signed), Some(listener)) = (config.signed, signed_listener) {
         let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
@@ -199,7 +200,8 @@
         let held = held.map_err(|_| wrong("they are larger than 'memory.signed' allows".into()))?;
         let keys = Rc::new(RefCell::new(keys));
         let times = (signed.reread, signed.overlap);
-        spawn_local(signed::watch_keys(signed.keys, text, keys.clone(), times, held));
+        let watching = signed::watch_keys(signed.keys, text, keys.clone(), times, held);
+        spawn_local(measured(TaskKind::Keys, watching));
         let front = signed::Front {
             asks: asks_in.clone(),
             contracts: contracts.clone(),
@@ -214,7 +216,8 @@
             wait,
         };
         log!("{} serves signed links on {}", config.name, listener.local_addr()?);
-        served.spawn_local(signed::accept(listener, Rc::new(front), listening.clone()));
+        let accepting = signed::accept(listener, Rc::new(front), listening.clone());
+        served.spawn_local(measured(TaskKind::Listener, accepting));
     }
     drop(asks_in);
     let mut kept = None;
@@ -235,22 +238,18 @@
             settings: settings.clone(),
             build: Cell::new(None),
         };
-        spawn_local(admin::serve(listener, Rc::new(context)));
+        spawn_local(measured(TaskKind::Operators, admin::serve(listener, Rc::new(context))));
     }
     drop(operators_in);
-    spawn_local(pool::run(
-        commands,
-        reports_in,
-        pool::Limits {
-            connect_within: config.connect_within,
-            idle: config.keepalive / 2.0,
-            streams: config.streams,
-            connections: (config.sockets / SHARE).max(1),
-            handshake: config.handshake,
-        },
-        memory.clone(),
-    ));
-    spawn_local(watch::memory(memory.clone()));
+    let limits = pool::Limits {
+        connect_within: config.connect_within,
+        idle: config.keepalive / 2.0,
+        streams: config.streams,
+        connections: (config.sockets / SHARE).max(1),
+        handshake: config.handshake,
+    };
+    spawn_local(measured(TaskKind::Pool, pool::run(commands, reports_in, limits, memory.clone())));
+    spawn_local(measured(TaskKind::Memory, watch::memory(memory.clone())));
 
     let seed = config.seed;
     let mut broker = Broker::new(Setup {
@@ -279,13 +278,15 @@
         settings,
     };
     if let Some(server) = &feed.discovery {
-        spawn_local(xds::follow(server.clone(), config.name, config.names, news_in, memory.clone()));
+        let following = xds::follow(server.clone(), config.name, config.names, news_in, memory.clone());
+        spawn_local(measured(TaskKind::Discovery, following));
     } else if let Some(address) = &feed.coordinator {
-        spawn_local(coordinator::follow(address.clone(), last, seed, news_in, memory.clone()));
+        let following = coordinator::follow(address.clone(), last, seed, news_in, memory.clone());
+        spawn_local(measured(TaskKind::Discovery, following));
     }
     let inputs =
         Inputs { news, operators, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
-    let mut core = spawn_local(broker::run(broker, inputs, commands_in));
+    let mut core = spawn_local(measured(TaskKind::Broker, broker::run(broker, inputs, commands_in)));
 
     loop {
         tokio::select! {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -7,6 +7,7 @@
 use crate::membership::{OperatorOverride, node_id};
 use crate::spread::HOMES;
 use crate::state::StateStore;
+use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -209,7 +210,7 @@
                 {
                     first.abort();
                 }
-                callers.push_back(spawn_local(call(stream, context.clone())));
+                callers.push_back(spawn_local(measured(TaskKind::Operators, call(stream, context.clone()))));
             }
             Err(e) => {
                 log!("cannot accept an operator: {e}");
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -4,6 +4,7 @@
 use super::connections::{ConnectionSlot, ConnectionTable};
 use super::{INPUT, TEXT};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
+use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use std::cell::Cell;
 use std::io;
@@ -245,14 +246,14 @@
         self.memory.clients(1);
         let memory = self.memory.clone();
         let served = (self.serve)(stream, ConnectionSlot::new(self.table.clone(), clock::now()), grant);
-        tokio::task::spawn_local(async move {
+        tokio::task::spawn_local(measured(TaskKind::Client, async move {
             if let Err(e) = served.await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             {
                 log!("client {peer}: {e}");
             }
             memory.clients(-1);
-        });
+        }));
     }
 
     /// Memory for a connection, for which idle ones are closed: after a cut of the limit they may hold far more than it
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -6,6 +6,7 @@
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
+use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -271,7 +272,7 @@
         _own: own,
         retired: false,
     };
-    tokio::task::spawn_local(connection.run());
+    tokio::task::spawn_local(measured(TaskKind::Cache, connection.run()));
     link
 }
 
