--- a/src/routing/sizes/tests.rs
+++ b/src/routing/sizes/tests.rs
@@ -42,7 +42,7 @@
     let (mut asked, mut sent) = (0.0, 0.0);
     for i in 0..20_000 {
         let large = random.f64() < 0.1;
-        let (late, waited) = (large && random.f64() < 0.6, !large || random.f64() < 0.6);
+        let (late, waited) = (large && random.f64() < 0.5, !large || random.f64() < 0.5);
         let refused = sizes.refuses(f64::from(i) * 0.2, if large { 2.5 } else { 0.8 }, late, waited);
         if large && waited {
             asked += 1.0;
