Give requests up 15 ms before their clients do, in place of 30

The front gave each request up 30 ms before its client does, a fifth of the time that these clients wait; on real sockets all limits are 50 ms longer anyway, and the way to the front and back takes a few ms.

--- a/src/net/clients/request.rs
+++ b/src/net/clients/request.rs
@@ -6,8 +6,8 @@
 use crate::net::{amount, number};
 
 /// The answer is to be out this long before the client gives up: its `ttl` counts from its own send, which
-/// lies before our read (seconds).
-const MARGIN: f64 = 0.03;
+/// lies before our read (seconds). The platform's times are longer by 0.05 s on sockets.
+const MARGIN: f64 = 0.015;
 /// Longest time that a client may ask for (milliseconds); it is served as if it waited for its class's time.
 const TTL_MOST: f64 = 600_000.0;
 /// Groups of objects (more would be a mistake).
@@ -75,3 +75,6 @@
     let whole = !ask.call.is_empty() && !ask.asset.is_empty() && (!keyed || ask.key.is_some());
     whole.then_some(ask)
 }
+
+#[cfg(test)]
+mod tests;
