Give what gate and usage share of a rollout a file below them, call Sum ClassCounts

gate.rs and usage.rs of src/rollout used each other's types. Measure, ClassCounts (was Sum), Window and Cohort lie in window.rs now.

--- a/src/rollout/controller/mod.rs
+++ b/src/rollout/controller/mod.rs
@@ -8,11 +8,12 @@
 
 use super::change::{Change, Event, Health, ProcessCommand, ProcessEvent, Run, Side};
 use super::fleet_health::{Changed, FleetHealth};
-use super::gate::{Gate, Sum, Verdict};
+use super::gate::{Gate, Verdict};
 use super::plan::{GroupBy, Plan};
 use super::readings::{Delta, Reading, Series};
 use super::records::{Action, Found, OperatorCommand, Outcome, Record};
 use super::stages::Stage;
+use super::window::ClassCounts;
 pub use report::Report;
 use std::collections::BTreeMap;
 
@@ -65,11 +66,11 @@
     why: Option<String>,
     gate: Gate,
     health: FleetHealth,
-    watched: Vec<Sum>,
+    watched: Vec<ClassCounts>,
     /// Processes that ended by themselves or fell silent: when, and of which side.
     troubles: Vec<(f64, usize, Side)>,
     /// Of this stage: new and old, by class.
-    sums: Vec<[Sum; 2]>,
+    sums: Vec<[ClassCounts; 2]>,
     window: f64,
     last: f64,
     out: Vec<Action>,
@@ -128,7 +129,7 @@
             why: None,
             gate,
             health: FleetHealth::new(classes, plan.gates.whole, plan.spans.patience_s),
-            watched: vec![Sum::default(); classes],
+            watched: vec![ClassCounts::default(); classes],
             troubles: Vec::new(),
             sums: vec![Default::default(); classes],
             window: now + plan.spans.window_s,
--- a/src/rollout/controller/observation.rs
+++ b/src/rollout/controller/observation.rs
@@ -2,9 +2,9 @@
 
 use super::{Member, Phase, RolloutController};
 use crate::rollout::change::{Health, Side};
-use crate::rollout::gate::{Sum, Window};
 use crate::rollout::records::Record;
 use crate::rollout::stages::{Placement, stages};
+use crate::rollout::window::{ClassCounts, Window};
 
 impl RolloutController {
     /// A window closes: what fronts did in it goes to the gate.
@@ -12,15 +12,15 @@
         let spans = &self.plan.spans;
         let (stale, warm) = (spans.stale_s, spans.warm_s);
         let classes = self.plan.classes.len();
-        let mut all = vec![vec![Sum::default(); classes]; self.sizes.len()];
+        let mut all = vec![vec![ClassCounts::default(); classes]; self.sizes.len()];
         let mut windows = Vec::new();
         for (front, member) in self.members.iter_mut().enumerate() {
             let Some(delta) = member.delta.take() else { continue };
-            let sums: Vec<Sum> = delta
+            let sums: Vec<ClassCounts> = delta
                 .classes
                 .iter()
                 .take(classes)
-                .map(|c| Sum {
+                .map(|c| ClassCounts {
                     asked: c.asked() as f64,
                     unserved: (c.busy + c.failed) as f64,
                     retries: c.calls.saturating_sub(c.served + c.failed) as f64,
--- a/src/rollout/controller/report.rs
+++ b/src/rollout/controller/report.rs
@@ -2,8 +2,9 @@
 
 use super::{Phase, RolloutController};
 use crate::rollout::change::{Phase as Step, Side};
-use crate::rollout::gate::{COUNTED, Sum, Undecided};
+use crate::rollout::gate::{COUNTED, Undecided};
 use crate::rollout::records::Outcome;
+use crate::rollout::window::ClassCounts;
 
 /// Where it stands, for people.
 #[derive(Debug, Clone, PartialEq)]
@@ -65,7 +66,7 @@
         let (evidence, bound) = self.gate.evidence();
         let fronts = self.stages.get(self.stage).map(|stage| &stage.fronts);
         let undecided = fronts.and_then(|fronts| self.gate.undecided(now, fronts));
-        let pair = |s: &[Sum; 2]| [(s[0].asked, s[0].unserved), (s[1].asked, s[1].unserved)];
+        let pair = |s: &[ClassCounts; 2]| [(s[0].asked, s[0].unserved), (s[1].asked, s[1].unserved)];
         Report {
             phase,
             stage: self.stage,
--- a/src/rollout/fleet_health.rs
+++ b/src/rollout/fleet_health.rs
@@ -4,7 +4,7 @@
 //! after that still does worse. A location that is in trouble of its own is waited for.
 
 use super::evidence::tail;
-use super::gate::Sum;
+use super::window::ClassCounts;
 use std::collections::VecDeque;
 
 /// The whole is judged over so long (seconds).
@@ -17,7 +17,7 @@
 const FEWER: f64 = 0.8;
 
 /// What all fronts of each location did in a window, by class.
-type Locations = Vec<Vec<Sum>>;
+type Locations = Vec<Vec<ClassCounts>>;
 
 /// What changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,8 +114,8 @@
     }
 
     /// Requests of a class in windows that ended at times like these, at one location or everywhere.
-    fn sum(&self, class: usize, location: Option<usize>, when: impl Fn(f64) -> bool) -> Sum {
-        let mut sum = Sum::default();
+    fn sum(&self, class: usize, location: Option<usize>, when: impl Fn(f64) -> bool) -> ClassCounts {
+        let mut sum = ClassCounts::default();
         for (_, locations) in self.recent.iter().filter(|(at, _)| when(*at)) {
             let wanted = locations.iter().enumerate().filter(|(l, _)| location.is_none_or(|x| x == *l));
             for (_, classes) in wanted {
--- a/src/rollout/fleet_health/tests.rs
+++ b/src/rollout/fleet_health/tests.rs
@@ -13,7 +13,7 @@
     for window in 1..=(seconds / WINDOW) as u32 {
         let now = f64::from(window) * WINDOW;
         let unserved = (asked * share(now)).round();
-        health.saw(now, vec![vec![Sum { asked, unserved, ..Sum::default() }]]);
+        health.saw(now, vec![vec![ClassCounts { asked, unserved, ..ClassCounts::default() }]]);
         changes.extend(health.look(now, &[0.25]).map(|changed| (now, changed)));
         if health.worse_for_too_long(now).is_some() {
             return (Some(now), changes);
@@ -54,7 +54,7 @@
 #[test]
 fn time_in_which_nobody_looked_does_not_count() {
     let mut health = FleetHealth::new(1, MARGIN, PATIENCE);
-    let bad = || vec![vec![Sum { asked: 100.0, unserved: 50.0, ..Sum::default() }]];
+    let bad = || vec![vec![ClassCounts { asked: 100.0, unserved: 50.0, ..ClassCounts::default() }]];
     health.saw(1.0, bad());
     assert_eq!(health.look(1.0, &[0.25]), Some(Changed::Worse(0)));
     health.skip(20.0);
--- a/src/rollout/gate.rs
+++ b/src/rollout/gate.rs
@@ -1,54 +1,12 @@
 //! Is new worse than old? Both are compared over the same time at the same location, processes that just started with
 //! processes that just started, so that what hits both, or one location alone, or whoever starts empty, says nothing.
 
-use super::change::Run;
 use super::evidence::{Evidence, log_mean};
 use super::plan::Gates;
 use super::usage::UsageComparison;
+use super::window::{ClassCounts, Cohort, Measure, Window};
 use std::collections::BTreeMap;
 
-/// What is compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
-#[cfg_attr(feature = "rollout", serde(rename_all = "kebab-case"))]
-pub enum Measure {
-    /// Requests refused or failed, of those that ended.
-    Unserved,
-    /// Attempts beyond one a request.
-    Retries,
-    /// Requests served later than their class aims for, of those that ended.
-    Slow,
-    /// Resident memory.
-    Memory,
-    /// Open descriptors.
-    Descriptors,
-    /// Processor time.
-    Processor,
-}
-
-/// Counts of a class over a window.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Sum {
-    /// Requests that ended.
-    pub asked: f64,
-    /// Of these refused or failed.
-    pub unserved: f64,
-    /// Attempts beyond one a request.
-    pub retries: f64,
-    /// Served, but late.
-    pub slow: f64,
-}
-
-impl Sum {
-    fn of(&self, measure: Measure) -> f64 {
-        match measure {
-            Measure::Retries => self.retries,
-            Measure::Slow => self.slow,
-            _ => self.unserved,
-        }
-    }
-}
-
 /// Why a stage cannot be judged yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
@@ -60,46 +18,6 @@
     NotCompared,
 }
 
-/// What one front did in a window.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Window {
-    /// Which front, and its process.
-    pub front: usize,
-    /// Its process.
-    pub run: Run,
-    /// Seconds that the window covers.
-    pub span: f64,
-    /// Where, and whether it runs the new side.
-    pub location: usize,
-    /// It runs what is rolled out.
-    pub new: bool,
-    /// Its process started lately.
-    pub young: bool,
-    /// By class.
-    pub sums: Vec<Sum>,
-    /// Memory, descriptors and processor time as last read.
-    pub uses: [f64; 3],
-}
-
-/// Fronts that are compared with each other: those of one location and age.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Cohort {
-    pub(super) location: usize,
-    pub(super) young: bool,
-}
-
-impl Window {
-    /// With whom the front is compared.
-    pub(super) fn cohort(&self) -> Cohort {
-        Cohort { location: self.location, young: self.young }
-    }
-
-    /// Counts of a class; a front that tells of fewer classes had none.
-    fn sum(&self, class: usize) -> Sum {
-        self.sums.get(class).copied().unwrap_or_default()
-    }
-}
-
 /// What the gate says.
 #[derive(Debug, Clone, PartialEq)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
@@ -143,7 +61,7 @@
 
 impl Line {
     /// What counts of a front's events in a window.
-    fn counts(&self, measure: Measure, sum: &Sum) -> f64 {
+    fn counts(&self, measure: Measure, sum: &ClassCounts) -> f64 {
         let usual = self.usual.0 / self.usual.1.max(1.0);
         sum.of(measure).min(COUNTS.0 + COUNTS.1 * usual * sum.asked)
     }
--- a/src/rollout/gate/tests.rs
+++ b/src/rollout/gate/tests.rs
@@ -22,14 +22,14 @@
                 location: front % 2,
                 new,
                 young: false,
-                sums: vec![Sum::default(); 2],
+                sums: vec![ClassCounts::default(); 2],
                 uses: [1.0; 3],
             };
             for (class, rate) in [8.0, 0.3].into_iter().enumerate() {
                 let chance = bad(second, &w, class);
                 let asked = (rate + random.f64()) as u32;
                 let unserved = (0..asked).filter(|_| random.f64() < chance).count() as f64;
-                w.sums[class] = Sum { asked: f64::from(asked), unserved, ..Sum::default() };
+                w.sums[class] = ClassCounts { asked: f64::from(asked), unserved, ..ClassCounts::default() };
             }
             windows.push(w);
         }
@@ -117,7 +117,7 @@
         location: 0,
         new,
         young,
-        sums: vec![Sum { asked: 8.0, ..Sum::default() }],
+        sums: vec![ClassCounts { asked: 8.0, ..ClassCounts::default() }],
         uses: [1.0; 3],
     };
     gate.saw(1.0, &[one(0, true, true), one(1, false, false)], &[true]);
--- a/src/rollout/usage.rs
+++ b/src/rollout/usage.rs
@@ -5,8 +5,8 @@
 //! compared at the moment keeps what is known of it: a gap in the readings is no sign that it uses less.
 
 use super::change::Run;
-use super::gate::{Cohort, Measure, Window};
 use super::plan::Gates;
+use super::window::{Cohort, Measure, Window};
 use std::collections::BTreeMap;
 
 /// Resources that are compared.
--- a/src/rollout/usage/tests.rs
+++ b/src/rollout/usage/tests.rs
@@ -6,7 +6,7 @@
 
 /// A front of one location, at eight requests a second.
 fn window(front: usize, new: bool, young: bool, memory_kb: f64) -> Window {
-    let sums = vec![super::super::gate::Sum { asked: 8.0, ..Default::default() }];
+    let sums = vec![super::super::window::ClassCounts { asked: 8.0, ..Default::default() }];
     Window { front, run: 1, span: 1.0, location: 0, new, young, sums, uses: [memory_kb, 40.0, 0.1] }
 }
 
