--- a/crates/lab/src/rollouts/explore.rs
+++ b/crates/lab/src/rollouts/explore.rs
@@ -3,7 +3,7 @@
 //! one that serves.
 
 use super::world::{FAULTS, Harm, Script, World, plan, play};
-use onyxyoke::rollout::{OperatorCommand, Outcome, Plan, Record, Side};
+use onyxyoke::rollout::{OperatorCommand, Outcome, Plan, Record, Release};
 use std::collections::BTreeMap;
 
 /// A rollout without a fault is over by then (seconds).
@@ -39,8 +39,8 @@
     let played = play(&mut world, plan, script, words, killed, |_| (0.0, None));
     let held = match played.end {
         _ if played.broken.is_some() => false,
-        Some(Outcome::Done) => world.runs(Side::New),
-        Some(Outcome::Stopped | Outcome::Aborted) => world.runs(Side::Old),
+        Some(Outcome::Done) => world.runs(Release::New),
+        Some(Outcome::Stopped | Outcome::Aborted) => world.runs(Release::Old),
         Some(Outcome::Failed) => played.records.iter().any(|r| matches!(r, Record::RollbackFailed(_))),
         None => false,
     };
--- a/crates/lab/src/rollouts/plain.rs
+++ b/crates/lab/src/rollouts/plain.rs
@@ -2,7 +2,7 @@
 //! judges every second, as if each look were the only one.
 
 use super::world::{STEP, World};
-use onyxyoke::rollout::{Counts, Side, Stage};
+use onyxyoke::rollout::{Counts, Release, Stage};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
 /// Who judges.
@@ -48,7 +48,7 @@
     }
     let mut stopped = None;
     for (stage, fronts) in parts.iter().enumerate() {
-        fronts.iter().for_each(|&f| world.swap(f, Side::New));
+        fronts.iter().for_each(|&f| world.swap(f, Release::New));
         let begun = world.now;
         let mut before = world.counts();
         // New and old: shares by front and second, and sums.
@@ -60,7 +60,7 @@
             }
             let counts = world.counts();
             for (was, is) in before.iter().zip(&counts) {
-                let i = usize::from(is.0 == Side::Old);
+                let i = usize::from(is.0 == Release::Old);
                 let sum = |c: &[Counts], of: &dyn Fn(&Counts) -> u64| c.iter().map(of).sum::<u64>() as f64;
                 let asked = sum(&is.1, &|c| c.asked()) - sum(&was.1, &|c| c.asked());
                 let bad = sum(&is.1, &|c| c.busy + c.failed) - sum(&was.1, &|c| c.busy + c.failed);
@@ -85,7 +85,7 @@
         }
     }
     if stopped.is_some() {
-        (0..world.counts().len()).for_each(|f| world.swap(f, Side::Old));
+        (0..world.counts().len()).for_each(|f| world.swap(f, Release::Old));
     }
     let stage = stopped.unwrap_or(parts.len() - 1);
     RolloutOutcome { stopped: stopped.is_some(), stage, seconds: world.now }
--- a/crates/lab/src/rollouts/tests.rs
+++ b/crates/lab/src/rollouts/tests.rs
@@ -2,7 +2,7 @@
 
 use super::explore::{LENGTH, holds, holds_by, pairs, small};
 use super::world::{CLASSES, FAULTS, Fault, Harm, Script, World, plan, play};
-use onyxyoke::rollout::{OperatorCommand, Outcome, Record, Side};
+use onyxyoke::rollout::{OperatorCommand, Outcome, Record, Release};
 
 #[test]
 fn every_single_fault_ends_in_all_old_or_all_new() {
@@ -68,7 +68,7 @@
     let mut world = World::new(3, 1, Harm::None);
     world.fault(1, Fault::Crashed);
     world.pass(&mut Vec::new());
-    assert!(!world.serves(1) && !world.runs(Side::Old));
+    assert!(!world.serves(1) && !world.runs(Release::Old));
 }
 
 #[test]
--- a/crates/lab/src/rollouts/world.rs
+++ b/crates/lab/src/rollouts/world.rs
@@ -3,7 +3,7 @@
 
 use onyxyoke::rollout::{
     Action, Built, Counts, Event, Found, Front, Health, OperatorCommand, Outcome, Plan, ProcessCommand,
-    Reading, Record, RolloutController, Run, Side,
+    Reading, Record, Release, RolloutController, Run,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -77,7 +77,7 @@
 #[derive(Debug, Clone)]
 struct Process {
     run: Run,
-    side: Side,
+    side: Release,
     began: f64,
     told: Option<f64>,
     reading: Reading,
@@ -151,7 +151,7 @@
         for i in 0..fronts {
             let (rate, worse) = (random.random_range(0.5..1.5), random.random_range(0.6..1.4));
             let mut machine = Machine { location: i % 3, rate, worse, next: 2, ..Machine::default() };
-            machine.processes.push(Process::new(1, Side::Old, -1e3));
+            machine.processes.push(Process::new(1, Release::Old, -1e3));
             machine.processes[0].ready = true;
             machines.push(machine);
         }
@@ -183,12 +183,12 @@
     }
 
     /// Does a front run this side, and nothing else?
-    pub fn runs(&self, side: Side) -> bool {
+    pub fn runs(&self, side: Release) -> bool {
         self.machines.iter().all(|m| m.processes.len() == 1 && m.processes[0].side == side)
     }
 
     /// A front has another process at once, which takes clients from the start.
-    pub fn swap(&mut self, front: usize, side: Side) {
+    pub fn swap(&mut self, front: usize, side: Release) {
         let machine = &mut self.machines[front];
         if machine.processes.last().is_none_or(|p| p.side != side) {
             let mut process = Process::new(machine.next, side, self.now);
@@ -199,7 +199,7 @@
     }
 
     /// What each front runs, and its counts since the first process; those of one that is gone are gone.
-    pub fn counts(&self) -> Vec<(Side, Vec<Counts>)> {
+    pub fn counts(&self) -> Vec<(Release, Vec<Counts>)> {
         let last = |m: &Machine| m.processes.last().map(|p| (p.side, p.reading.classes.clone()));
         self.machines.iter().filter_map(last).collect()
     }
@@ -257,7 +257,7 @@
             .map(|l| {
                 let all = self.machines.iter().filter(|m| here(m, l)).count().max(1);
                 let new = |m: &&Machine| {
-                    m.processes.iter().any(|p| p.ready && p.told.is_none() && p.side == Side::New)
+                    m.processes.iter().any(|p| p.ready && p.told.is_none() && p.side == Release::New)
                 };
                 self.machines.iter().filter(|m| here(m, l)).filter(new).count() as f64 / all as f64
             })
@@ -291,7 +291,7 @@
                 };
                 let harm = match self.harm {
                     Harm::Unserved { share, class: c, location: l, after }
-                        if p.side == Side::New
+                        if p.side == Release::New
                             && age >= after
                             && c.is_none_or(|c| c == class)
                             && l.is_none_or(|l| l == location) =>
@@ -308,7 +308,7 @@
                 self.harmed += harmed;
                 let failed = harmed + drawn(base * machine.worse + cold + trouble, asked - harmed);
                 let more = match self.harm {
-                    Harm::Retries(more) if p.side == Side::New => more,
+                    Harm::Retries(more) if p.side == Release::New => more,
                     _ => 0.0,
                 };
                 let again = drawn(0.05 + cold + more, asked);
@@ -317,7 +317,7 @@
                 c.failed += failed / 2;
                 c.busy += failed - failed / 2;
                 let times = match self.harm {
-                    Harm::Slower(times) if p.side == Side::New => times,
+                    Harm::Slower(times) if p.side == Release::New => times,
                     _ => 1.0,
                 };
                 c.slow += drawn(LATE.powf(1.0 / times), asked - failed);
@@ -326,7 +326,7 @@
             for p in &mut machine.processes {
                 let age = now - p.began;
                 let leak = match self.harm {
-                    Harm::Leak(kb, after) if p.side == Side::New => kb * (age - after).max(0.0),
+                    Harm::Leak(kb, after) if p.side == Release::New => kb * (age - after).max(0.0),
                     _ => 0.0,
                 };
                 p.reading.memory_kb = 12_000 + (leak + 4_000.0 * (age / 60.0).clamp(0.0, 1.0)) as u64;
@@ -349,7 +349,7 @@
 }
 
 impl Process {
-    fn new(run: Run, side: Side, began: f64) -> Process {
+    fn new(run: Run, side: Release, began: f64) -> Process {
         let reading = Reading {
             run,
             classes: vec![Counts::default(); CLASSES.len()],
@@ -372,7 +372,7 @@
 
 /// How a rollout went.
 #[derive(Debug, Clone)]
-pub struct Played {
+pub struct RolloutResult {
     pub end: Option<Outcome>,
     /// The stage in which it ended.
     pub stage: usize,
@@ -394,12 +394,12 @@
     words: &[(f64, OperatorCommand)],
     killed: &[usize],
     mut trouble: impl FnMut(f64) -> (f64, Option<usize>),
-) -> Played {
+) -> RolloutResult {
     let mut records: Vec<Record> = Vec::new();
     let mut controller = RolloutController::new(world.now, plan.clone(), world.found(), &records);
     let (mut script, mut words) = (script.clone(), words.to_vec());
     let mut played =
-        Played { end: None, stage: 0, why: None, seconds: 0.0, broken: None, records: Vec::new() };
+        RolloutResult { end: None, stage: 0, why: None, seconds: 0.0, broken: None, records: Vec::new() };
     let mut acts = 0;
     let mut spared: Vec<usize> = Vec::new();
     let most = plan.spans.longest_s + 600.0;
--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -191,7 +191,7 @@
             spawn_local(self.clone().connection());
         }
         spawn_local(self.clone().arrivals());
-        for (i, kind) in [Bad::Slow, Bad::Rude, Bad::Flood].into_iter().enumerate() {
+        for (i, kind) in [Misbehavior::Slow, Misbehavior::Rude, Misbehavior::Flood].into_iter().enumerate() {
             for place in 0..64 {
                 spawn_local(self.clone().bad(kind, place, i as u64 * 100 + place as u64));
             }
@@ -330,13 +330,13 @@
     }
 
     /// Keeps one place of a kind of bad clients filled, as long as so many are wanted.
-    async fn bad(self: Rc<Self>, kind: Bad, place: usize, seed: u64) {
+    async fn bad(self: Rc<Self>, kind: Misbehavior, place: usize, seed: u64) {
         let mut random = StdRng::seed_from_u64(seed);
         while self.running.get() {
             let wanted = match kind {
-                Bad::Slow => self.slow_readers.get(),
-                Bad::Rude => self.rude.get(),
-                Bad::Flood => self.flood.get(),
+                Misbehavior::Slow => self.slow_readers.get(),
+                Misbehavior::Rude => self.rude.get(),
+                Misbehavior::Flood => self.flood.get(),
             };
             if place < wanted {
                 let _ = timeout(Duration::from_secs(8), self.misbehave(kind, &mut random)).await;
@@ -345,19 +345,19 @@
         }
     }
 
-    async fn misbehave(&self, kind: Bad, random: &mut StdRng) -> io::Result<()> {
+    async fn misbehave(&self, kind: Misbehavior, random: &mut StdRng) -> io::Result<()> {
         // What the system buffers for a client that does not read is kept small, so that the front must.
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(8 * 1024)?;
         let mut stream = socket.connect(self.front).await?;
         let fresh = || self.fresh.replace(self.fresh.get() + 1);
         match kind {
-            Bad::Slow | Bad::Flood => {
+            Misbehavior::Slow | Misbehavior::Flood => {
                 for tag in 1..=32 {
                     let large = row(fresh(), LARGEST);
                     let (row, bytes) = match kind {
                         // Bodies with it, which a read does not need and must be held all the same.
-                        Bad::Flood => (large, 47_000),
+                        Misbehavior::Flood => (large, 47_000),
                         _ => (large, 0),
                     };
                     let bytes = request(random, tag, Class::Media, row, bytes);
@@ -372,7 +372,7 @@
                     }
                 }
             }
-            Bad::Rude => {
+            Misbehavior::Rude => {
                 let bytes: Vec<u8> = match random.random_range(0..6) {
                     0 => Vec::new(),
                     1 => (0..300).map(|_| random.random()).collect(),
@@ -395,7 +395,7 @@
 
 /// Clients that no front can want.
 #[derive(Clone, Copy)]
-enum Bad {
+enum Misbehavior {
     Slow,
     Rude,
     Flood,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -13,7 +13,7 @@
 use onyxyoke_stand_ins::unix_ms;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use schedule::{Trouble, troubles};
+use schedule::{FaultKind, troubles};
 use std::collections::BTreeSet;
 use std::error::Error;
 use std::path::PathBuf;
@@ -127,37 +127,39 @@
     }
 
     /// A trouble begins, or ends.
-    fn turn(&mut self, trouble: Trouble, on: bool, clients: &Clients, front: &Front) {
+    fn turn(&mut self, trouble: FaultKind, on: bool, clients: &Clients, front: &Front) {
         let calm = NodeBehavior::default();
         let victim = self.random.random_range(0..CACHES);
         match trouble {
-            Trouble::Oversized => clients.oversized.set(if on { 0.1 } else { 0.0 }),
-            Trouble::OneTime => clients.one_time.set(if on { 0.17 } else { 0.02 }),
-            Trouble::LateNews => self.coordinator.late.set(on),
-            Trouble::HalfTheFronts => clients.load.set(if on { 1.85 } else { 1.0 }),
-            Trouble::Failing if on => {
+            FaultKind::Oversized => clients.oversized.set(if on { 0.1 } else { 0.0 }),
+            FaultKind::OneTime => clients.one_time.set(if on { 0.17 } else { 0.02 }),
+            FaultKind::LateNews => self.coordinator.late.set(on),
+            FaultKind::HalfTheFronts => clients.load.set(if on { 1.85 } else { 1.0 }),
+            FaultKind::Failing if on => {
                 let failing = self.random.random_range(0.33..0.97);
                 self.moods(|i| i == victim || i == CACHES, NodeBehavior { failing, ..calm });
             }
-            Trouble::Dying if on => {
+            FaultKind::Dying if on => {
                 self.moods(|i| i < CACHES, NodeBehavior { dying: 0.1, garbling: 0.01, ..calm })
             }
-            Trouble::Silent if on => self.moods(|i| i == victim, NodeBehavior { silent: true, ..calm }),
-            Trouble::Slow if on => self.moods(|i| i < CACHES, NodeBehavior { slow: 6.0, ..calm }),
-            Trouble::Failing | Trouble::Dying | Trouble::Silent | Trouble::Slow => self.moods(|_| true, calm),
-            Trouble::PurgeStorm if on => {
+            FaultKind::Silent if on => self.moods(|i| i == victim, NodeBehavior { silent: true, ..calm }),
+            FaultKind::Slow if on => self.moods(|i| i < CACHES, NodeBehavior { slow: 6.0, ..calm }),
+            FaultKind::Failing | FaultKind::Dying | FaultKind::Silent | FaultKind::Slow => {
+                self.moods(|_| true, calm)
+            }
+            FaultKind::PurgeStorm if on => {
                 (0..2_000).for_each(|i| self.coordinator.purged(clients.popular(i), unix_ms()));
             }
-            Trouble::PurgeStorm => {}
-            Trouble::Drain => {
+            FaultKind::PurgeStorm => {}
+            FaultKind::Drain => {
                 self.node(0, u8::from(on), !on);
                 self.node(1, 0, on);
             }
-            Trouble::SlowReaders => clients.slow_readers.set(if on { 16 } else { 0 }),
-            Trouble::Rude => clients.rude.set(if on { 40 } else { 0 }),
-            Trouble::Aborts => clients.aborts.set(on),
-            Trouble::CapsHalved => front.caps(on),
-            Trouble::Flood => clients.flood.set(if on { 24 } else { 0 }),
+            FaultKind::SlowReaders => clients.slow_readers.set(if on { 16 } else { 0 }),
+            FaultKind::Rude => clients.rude.set(if on { 40 } else { 0 }),
+            FaultKind::Aborts => clients.aborts.set(on),
+            FaultKind::CapsHalved => front.caps(on),
+            FaultKind::Flood => clients.flood.set(if on { 24 } else { 0 }),
         }
     }
 }
@@ -181,7 +183,7 @@
         if at >= seconds {
             break;
         }
-        let now: BTreeSet<Trouble> = troubles(at % round / round).collect();
+        let now: BTreeSet<FaultKind> = troubles(at % round / round).collect();
         for &trouble in on.symmetric_difference(&now) {
             world.turn(trouble, now.contains(&trouble), &clients, &front);
         }
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -2,7 +2,7 @@
 
 /// What goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Trouble {
+pub enum FaultKind {
     /// Requests for new objects of 5.4 to 28 times the usual size.
     Oversized,
     /// More objects that are wanted only once.
@@ -36,25 +36,25 @@
 }
 
 /// From and until when, as shares of a round.
-const SCHEDULE: [(Trouble, f64, f64); 15] = [
-    (Trouble::Oversized, 0.05, 0.35),
-    (Trouble::OneTime, 0.08, 0.35),
-    (Trouble::LateNews, 0.12, 0.25),
-    (Trouble::HalfTheFronts, 0.18, 0.28),
-    (Trouble::Failing, 0.28, 0.40),
-    (Trouble::PurgeStorm, 0.34, 0.36),
-    (Trouble::Drain, 0.38, 0.50),
-    (Trouble::SlowReaders, 0.42, 0.60),
-    (Trouble::Rude, 0.45, 0.62),
-    (Trouble::Dying, 0.52, 0.60),
-    (Trouble::Silent, 0.61, 0.66),
-    (Trouble::Aborts, 0.62, 0.68),
-    (Trouble::Slow, 0.68, 0.74),
-    (Trouble::CapsHalved, 0.70, 0.80),
-    (Trouble::Flood, 0.80, 0.95),
+const SCHEDULE: [(FaultKind, f64, f64); 15] = [
+    (FaultKind::Oversized, 0.05, 0.35),
+    (FaultKind::OneTime, 0.08, 0.35),
+    (FaultKind::LateNews, 0.12, 0.25),
+    (FaultKind::HalfTheFronts, 0.18, 0.28),
+    (FaultKind::Failing, 0.28, 0.40),
+    (FaultKind::PurgeStorm, 0.34, 0.36),
+    (FaultKind::Drain, 0.38, 0.50),
+    (FaultKind::SlowReaders, 0.42, 0.60),
+    (FaultKind::Rude, 0.45, 0.62),
+    (FaultKind::Dying, 0.52, 0.60),
+    (FaultKind::Silent, 0.61, 0.66),
+    (FaultKind::Aborts, 0.62, 0.68),
+    (FaultKind::Slow, 0.68, 0.74),
+    (FaultKind::CapsHalved, 0.70, 0.80),
+    (FaultKind::Flood, 0.80, 0.95),
 ];
 
 /// What goes wrong at this share of a round.
-pub fn troubles(at: f64) -> impl Iterator<Item = Trouble> {
+pub fn troubles(at: f64) -> impl Iterator<Item = FaultKind> {
     SCHEDULE.into_iter().filter(move |(_, from, until)| (*from..*until).contains(&at)).map(|s| s.0)
 }
--- a/crates/rollout/src/drive.rs
+++ b/crates/rollout/src/drive.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 use onyxyoke::rollout::{
     Action, Event, Found, GroupBy, Health, OperatorCommand, Outcome, Plan, ProcessCommand, ProcessEvent,
-    Record, Report, RolloutController, Run, Side,
+    Record, Release, Report, RolloutController, Run,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,7 +43,7 @@
 pub struct FrontStatus {
     pub name: String,
     pub run: Option<Run>,
-    pub side: Option<Side>,
+    pub side: Option<Release>,
     pub pid: Option<u32>,
     pub operators: Option<String>,
     pub settled: bool,
@@ -148,7 +148,7 @@
             bail!("front '{name}' runs something else{says} than 'old' and its settings ({wanted})");
         }
         let found = found(&plan, &records, &heard);
-        let homes = heard.iter().filter(|h| h.2.health == Health::Yes(Side::Old));
+        let homes = heard.iter().filter(|h| h.2.health == Health::Yes(Release::Old));
         let homes = homes.filter_map(|h| h.2.version.map(|v| v.homes)).next();
         let mut controller = RolloutController::new(0.0, plan.clone(), found, &records);
         let windows =
@@ -198,7 +198,7 @@
         let mine = |v: &Version| processes.iter().any(|((f, _), p)| *f == place && p.pid == v.pid);
         match version {
             Ok(version) if !mine(&version) => {
-                if let Some(p) = Process::adopt(version.pid, Side::Old, Some(front.operators), None) {
+                if let Some(p) = Process::adopt(version.pid, Release::Old, Some(front.operators), None) {
                     processes.insert((place, 1), p);
                 }
             }
@@ -238,7 +238,7 @@
 /// Objects that have other homes at the new side halve the hits of a location that has both.
 fn refuse_homes(plan: &Plan, homes: Option<u32>, heard: &mut Heard) {
     let differs = heard.version.is_some_and(|v| homes.is_some_and(|h| h != v.homes));
-    if differs && heard.health == Health::Yes(Side::New) && plan.limits.by == GroupBy::Front {
+    if differs && heard.health == Health::Yes(Release::New) && plan.limits.by == GroupBy::Front {
         tracing::error!("the new build has another rule of homes: 'limits.by' has to be \"location\"");
         heard.health = Health::Other;
     }
@@ -293,7 +293,7 @@
         if !self.processes.contains_key(&(front, run)) {
             return;
         }
-        if said.health == Health::Yes(Side::Old) {
+        if said.health == Health::Yes(Release::Old) {
             self.homes = self.homes.or(said.version.map(|v| v.homes));
         }
         refuse_homes(&self.checked.plan, self.homes, &mut said);
@@ -370,7 +370,7 @@
         };
         match order {
             ProcessCommand::Start(run, side) => {
-                let built = if side == Side::Old { &plan.old } else { &plan.new };
+                let built = if side == Release::Old { &plan.old } else { &plan.new };
                 let kept = host::kept(&self.state, spec, side);
                 // One that is to read its settings again in service needs the front's own file.
                 let from = if plan.limits.reload { &spec.settings } else { &kept };
--- a/crates/rollout/src/file.rs
+++ b/crates/rollout/src/file.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, Result, bail};
 use onyxyoke::config;
 use onyxyoke::net::admin::build;
-use onyxyoke::rollout::{Front, GroupBy, Mixing, Placement, Plan, Side, mixing, stages};
+use onyxyoke::rollout::{Front, GroupBy, MixingRule, Placement, Plan, Release, mixing, stages};
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -14,7 +14,7 @@
     /// What each front's old and new processes say that they run.
     pub stamps: Vec<[Stamp; 2]>,
     /// Changed settings, and what they allow.
-    pub changed: BTreeMap<String, Mixing>,
+    pub changed: BTreeMap<String, MixingRule>,
 }
 
 /// Reads a plan; an error names the key.
@@ -41,27 +41,28 @@
         // What the old build took, it takes again; what the new one will say to the new is seen when it starts.
         let told = |key: &str, text: &[u8]| {
             let read = config::read(Some(("its file", text)), None);
-            read.map(|c| c.told).map_err(|e| anyhow::anyhow!("'fronts.{i}.{key}': {e}"))
+            read.map(|c| c.loaded).map_err(|e| anyhow::anyhow!("'fronts.{i}.{key}': {e}"))
         };
         let (before, after) = (told("settings", old)?, told("new_settings", new)?);
         for key in before.differs(&after) {
             let how = mixing(&key);
             changed.insert(key, how);
         }
-        let stamp = |i: usize, told: &config::Told| Stamp { build: builds[i], settings: told.digest() };
+        let stamp =
+            |i: usize, told: &config::LoadedSettings| Stamp { build: builds[i], settings: told.digest() };
         stamps.push([stamp(0, &before), stamp(1, &after)]);
     }
     for (key, how) in &changed {
         match how {
-            Mixing::Never => {
+            MixingRule::Never => {
                 bail!(
                     "the setting '{key}' is who a front is, or where clients reach it: it can't be rolled out"
                 )
             }
-            Mixing::AtOnce if plan.limits.by != GroupBy::Location => bail!(
+            MixingRule::AtOnce if plan.limits.by != GroupBy::Location => bail!(
                 "the setting '{key}' must be the same at all fronts of a location: 'limits.by' has to be \"location\""
             ),
-            how if plan.limits.reload && *how != Mixing::Reload => {
+            how if plan.limits.reload && *how != MixingRule::Reload => {
                 bail!("the setting '{key}' takes no effect in service: 'limits.reload' has to be false")
             }
             _ => {}
@@ -89,8 +90,8 @@
     for (front, [old, new]) in plan.fronts.iter().zip(settings) {
         let folder = host::folder(state, front);
         std::fs::create_dir_all(&folder).with_context(|| format!("'{}'", folder.display()))?;
-        std::fs::write(host::kept(state, front, Side::Old), old)?;
-        std::fs::write(host::kept(state, front, Side::New), new)?;
+        std::fs::write(host::kept(state, front, Release::Old), old)?;
+        std::fs::write(host::kept(state, front, Release::New), new)?;
     }
     Ok(())
 }
@@ -98,7 +99,7 @@
 /// The kept ones.
 pub fn kept(state: &Path, plan: &Plan) -> Result<Vec<Settings>> {
     let kept = |front, side| bytes(&host::kept(state, front, side));
-    plan.fronts.iter().map(|f| Ok([kept(f, Side::Old)?, kept(f, Side::New)?])).collect()
+    plan.fronts.iter().map(|f| Ok([kept(f, Release::Old)?, kept(f, Release::New)?])).collect()
 }
 
 /// What would happen when, in words.
@@ -113,8 +114,8 @@
     let mut text = format!("'{}': {} fronts in {} locations\n", plan.name, seats.len(), places);
     for (key, how) in &checked.changed {
         let how = match how {
-            Mixing::Reload if limits.reload => "in service, by SIGHUP",
-            Mixing::Reload | Mixing::Mixed => "by replacement, old and new side by side",
+            MixingRule::Reload if limits.reload => "in service, by SIGHUP",
+            MixingRule::Reload | MixingRule::Mixed => "by replacement, old and new side by side",
             _ => "by replacement, whole locations",
         };
         text += &format!("changed: '{key}', {how}\n");
--- a/crates/rollout/src/host.rs
+++ b/crates/rollout/src/host.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, Result, bail};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use onyxyoke::rollout::{Built, Counts, Front, Health, Reading, Run, Side};
+use onyxyoke::rollout::{Built, Counts, Front, Health, Reading, Release, Run};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
@@ -52,7 +52,7 @@
     /// When it began, in the system's ticks: another process of this pid is another.
     began: u64,
     /// What it was started to run.
-    pub side: Side,
+    pub side: Release,
     /// Where it logs; the first one's is not known.
     log: Option<PathBuf>,
     /// Where it answers operators, once that is known.
@@ -75,7 +75,7 @@
     /// A process that runs already.
     pub fn adopt(
         pid: u32,
-        side: Side,
+        side: Release,
         operators: Option<SocketAddr>,
         log: Option<PathBuf>,
     ) -> Option<Process> {
@@ -128,8 +128,8 @@
 }
 
 /// The kept settings of a side.
-pub fn kept(state: &Path, front: &Front, side: Side) -> PathBuf {
-    folder(state, front).join(if side == Side::Old { "old" } else { "new" })
+pub fn kept(state: &Path, front: &Front, side: Release) -> PathBuf {
+    folder(state, front).join(if side == Release::Old { "old" } else { "new" })
 }
 
 /// Starts a process of a front, with settings from this file.
@@ -138,7 +138,7 @@
     rollout: &str,
     (front, settings): (&Front, &Path),
     run: Run,
-    side: Side,
+    side: Release,
     built: &Built,
 ) -> Result<Process> {
     let folder = folder(state, front);
@@ -184,7 +184,7 @@
         if name != rollout {
             continue;
         }
-        let side = if side == "New" { Side::New } else { Side::Old };
+        let side = if side == "New" { Release::New } else { Release::Old };
         let log = folder(state, &fronts[place]).join(format!("{run}.log"));
         if let Some(mut process) = Process::adopt(pid, side, None, Some(log))
             && !process.ended()
@@ -234,7 +234,7 @@
 pub async fn ask(
     operators: Option<SocketAddr>,
     run: Run,
-    side: Side,
+    side: Release,
     stamps: [Stamp; 2],
     classes: Vec<String>,
     uses: (u64, u64, f64),
@@ -250,8 +250,8 @@
     let Ok(counters) = call(operators, "counters").await else { return silent };
     let Ok(slow) = call(operators, "slow").await else { return silent };
     let figures_text = counters + &slow;
-    let says = |side: Side| version.stamp == stamps[usize::from(side == Side::New)];
-    let other = if side == Side::New { Side::Old } else { Side::New };
+    let says = |side: Release| version.stamp == stamps[usize::from(side == Release::New)];
+    let other = if side == Release::New { Release::Old } else { Release::New };
     let health = match () {
         () if says(side) => Health::Yes(side),
         () if says(other) => Health::Yes(other),
--- a/crates/rollout/src/journal.rs
+++ b/crates/rollout/src/journal.rs
@@ -141,7 +141,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use onyxyoke::rollout::{OperatorCommand, ProcessCommand, ProcessEvent, Side};
+    use onyxyoke::rollout::{OperatorCommand, ProcessCommand, ProcessEvent, Release};
 
     #[test]
     fn what_was_torn_is_dropped_and_what_was_changed_is_an_error() {
@@ -149,8 +149,8 @@
         let _ = std::fs::remove_file(&path);
         let records = [
             Record::Began { name: "a".into(), fronts: 3 },
-            Record::Ordered { front: 1, order: ProcessCommand::Start(2, Side::New) },
-            Record::Noticed { front: 1, notice: ProcessEvent::Changed(Side::New) },
+            Record::Ordered { front: 1, order: ProcessCommand::Start(2, Release::New) },
+            Record::Noticed { front: 1, notice: ProcessEvent::Changed(Release::New) },
             Record::CommandReceived(OperatorCommand::Abort),
         ];
         let (mut journal, none) = Journal::open(&path).unwrap();
--- a/crates/rollout/src/report.rs
+++ b/crates/rollout/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::drive::Moment;
 use anyhow::{Context, Result};
-use onyxyoke::rollout::{COUNTED, Plan, ProcessEvent, Record, Side};
+use onyxyoke::rollout::{COUNTED, Plan, ProcessEvent, Record, Release};
 use plotters::prelude::*;
 use std::fmt::Write;
 use std::path::Path;
@@ -103,7 +103,7 @@
     page += "<h2>What happened</h2><ol>";
     for record in &records {
         let line = match record {
-            Record::Ordered { .. } | Record::Noticed { notice: ProcessEvent::Changed(Side::Old), .. } => {
+            Record::Ordered { .. } | Record::Noticed { notice: ProcessEvent::Changed(Release::Old), .. } => {
                 continue;
             }
             Record::Noticed { front, notice } => format!("{}: {notice:?}", plan.fronts[*front].name),
--- a/crates/rollout/tests/command.rs
+++ b/crates/rollout/tests/command.rs
@@ -68,7 +68,7 @@
         let path = folder.join(format!("n{i}.json"));
         std::fs::write(&path, config.to_string()).unwrap();
         let told =
-            onyxyoke::config::read(Some(("config", config.to_string().as_bytes())), None).unwrap().told;
+            onyxyoke::config::read(Some(("config", config.to_string().as_bytes())), None).unwrap().loaded;
         let build = onyxyoke::net::admin::build(program.as_ref()).unwrap();
         let operators = answers(build, told.digest());
         fronts.push(json!({"name": format!("n{i}"), "location": "branch0", "operators": operators,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, Sizes, fade, smooth};
-use crate::spread::{Cold, Heat, Home, Homes, Ring, Share, Sight, Turn, Why, unit};
+use crate::spread::*;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -175,7 +175,7 @@
     /// Chance that the node lacks the object, so that the source has work with it.
     absent: f64,
     cost: f64,
-    why: Why,
+    why: RoutingReason,
     latency: f64,
     /// The slowdown expected of the node, and the latency if it turns out to lack the object.
     stretch: f64,
@@ -199,7 +199,7 @@
     purges: Purges,
     /// Which objects are hot, and why caches were chosen.
     heat: Heat,
-    sight: Sight,
+    reasons: ReasonCounts,
     /// Mean sending time by class.
     work: Vec<f64>,
     /// Answers that told a class's sending time, where sizes are untold, and who is refused by size.
@@ -243,7 +243,7 @@
             held: Beliefs::new(seed, BELIEF_AGE),
             purges: Purges::default(),
             heat: Heat::default(),
-            sight: Sight::default(),
+            reasons: ReasonCounts::default(),
             hits: vec![0.0; work.len()],
             sizes: vec![Sizes::default(); work.len()],
             work,
@@ -281,8 +281,8 @@
     }
 
     /// Why caches were chosen.
-    pub fn sight(&self) -> &Sight {
-        &self.sight
+    pub fn reason_counts(&self) -> &ReasonCounts {
+        &self.reasons
     }
 
     /// Does it keep away from a node now, having blamed it?
@@ -523,7 +523,7 @@
             let cold = start.part(now, known.info.ready_at) < 1.0;
             let spread = Some(node) != hashed && !believed;
             let signs = [known.blamed.is_some(), cold, spread, never_kept, count > 1, believed];
-            let why = Why::first(signs);
+            let why = RoutingReason::first(signs);
             let rho = self.rho[usize::from(believed)][n].value;
             let from_upper = upper.or((believed && !never_kept).then_some(node)).map(|source| {
                 (source, false, access + penalty * rho, access + if believed { 0.0 } else { penalty })
@@ -621,7 +621,7 @@
         let rank = if class.never_kept { 0 } else { RANK + u8::from(choice.n > 0) };
         let (node, source) = (choice.node, choice.source);
         actions.push(Action::Fetch { request: id, node, within: 0.0, source, rank, age, options });
-        self.sight.count(choice.why);
+        self.reasons.count(choice.why);
         self.book(now, &choice, 1.0, self.work[usize::from(request.class.0)]);
         let sending = self.sending(&request);
         if let Some(k) = self.nodes.get_mut(&node) {
@@ -954,7 +954,7 @@
         let link = if s.weights_told { k.info.weight } else { (cold.sharers * carried).max(LINK_SAFE) };
         let lately = k.sent.iter().filter(|x| x.0 + s.fall_window > now).map(|x| x.1).sum();
         let seed = k.info.id.0 ^ u64::from(s.me) << 32;
-        cold.admits(Turn { now, ready_at, link, work, lately, rate, seed })
+        cold.admits(SlowStartRequest { now, ready_at, link, work, lately, rate, seed })
     }
 }
 
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -130,8 +130,8 @@
     }
 
     /// Why the director chose the caches that it chose.
-    pub fn sight(&self) -> &crate::spread::Sight {
-        self.director.sight()
+    pub fn reason_counts(&self) -> &crate::spread::ReasonCounts {
+        self.director.reason_counts()
     }
 
     /// The accounts that hold its requests.
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -136,7 +136,7 @@
             () = inputs.print.notified() => {
                 // Asked for by the operator, and so not held back by the storm that it is to explain.
                 eprintln!("onyxyoke: {}", broker.counters);
-                eprintln!("onyxyoke: {}", broker.sight());
+                eprintln!("onyxyoke: {}", broker.reason_counts());
                 eprintln!("onyxyoke: {}", broker.memory());
                 eprintln!("onyxyoke: {}", turns::longest());
             }
@@ -149,7 +149,7 @@
         broker.tick(clock::now());
     }
     eprintln!("onyxyoke: at exit: {}", broker.counters);
-    eprintln!("onyxyoke: at exit: {}", broker.sight());
+    eprintln!("onyxyoke: at exit: {}", broker.reason_counts());
     eprintln!("onyxyoke: at exit: {}", broker.memory());
     eprintln!("onyxyoke: at exit: {}", turns::longest());
 }
--- a/src/config/told.rs
+++ b/src/config/loaded.rs
@@ -4,16 +4,16 @@
 
 /// All that the files hold but the events of the start and the seed.
 #[derive(Debug, Default)]
-pub struct Told(pub(super) Value);
+pub struct LoadedSettings(pub(super) Value);
 
-impl Told {
+impl LoadedSettings {
     /// Keys in which a later reading differs and that cannot change while the program runs. What was on at
     /// the start stays on: where the coordinator or the discovery server is reached may change, and what memory is
     /// held to.
-    pub fn fixed(&self, later: &Told) -> Vec<String> {
+    pub fn fixed(&self, later: &LoadedSettings) -> Vec<String> {
         let mut keys = Vec::new();
         differing("", &self.0, &later.0, &mut keys);
-        let xds = |told: &Told| told.0.get("xds").is_some();
+        let xds = |loaded: &LoadedSettings| loaded.0.get("xds").is_some();
         let live: &[&str] = match (xds(self), xds(later)) {
             (true, true) => &["xds.server", "xds.refresh_s", "coordinator"],
             (false, false) => &["coordinator"],
@@ -25,7 +25,7 @@
     }
 
     /// All keys in which a later reading differs.
-    pub fn differs(&self, later: &Told) -> Vec<String> {
+    pub fn differs(&self, later: &LoadedSettings) -> Vec<String> {
         let mut keys = Vec::new();
         differing("", &self.0, &later.0, &mut keys);
         keys
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,11 +4,11 @@
 
 mod classes;
 mod key_path;
+mod loaded;
 mod members;
 mod sections;
 mod settings;
 mod strict;
-mod told;
 
 use crate::broker::{Contracts, News};
 use crate::interface::*;
@@ -16,6 +16,7 @@
 use crate::xds::Names;
 pub use classes::Classes;
 use key_path::{KeyPath, Sources};
+pub use loaded::LoadedSettings;
 use members::known;
 use sections::{memory, signed, team, xds};
 use serde_json::{Map, Value};
@@ -23,7 +24,6 @@
 pub use settings::settings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-pub use told::Told;
 
 /// All that one front is told.
 #[derive(Debug)]
@@ -65,7 +65,7 @@
     /// Names of zones and kinds, in the settings' order.
     pub names: Names,
     /// What the files held, to compare a later reading with.
-    pub told: Told,
+    pub loaded: LoadedSettings,
 }
 
 /// The second front.
@@ -151,7 +151,7 @@
     if let Value::Object(top) = &mut tree {
         top.retain(|key, _| key != "known" && key != "seed");
     }
-    config.told = Told(tree);
+    config.loaded = LoadedSettings(tree);
     Ok(config)
 }
 
@@ -210,7 +210,7 @@
         xds,
         contracts,
         names,
-        told: Told::default(),
+        loaded: LoadedSettings::default(),
     })
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Inputs, News, Setup};
-use onyxyoke::config::{self, Config, Told};
+use onyxyoke::config::{self, Config, LoadedSettings};
 use onyxyoke::memory::{AccountOwner, Ledger, Purpose};
 use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
@@ -113,7 +113,7 @@
 impl Feed {
     /// Reads the files again. An unusable one changes nothing; what cannot change while running is told, and
     /// always held against what is in force.
-    fn reload(&self, told: &Told) {
+    fn reload(&self, loaded: &LoadedSettings) {
         let later = match read() {
             Ok(later) => later,
             Err(message) => return log!("reload: {message}; the old settings stay"),
@@ -127,10 +127,10 @@
         if *self.memory.accounts().plan() != later.memory {
             self.memory.accounts_mut().replan(later.memory);
         }
-        let fixed = told.fixed(&later.told);
+        let fixed = loaded.fixed(&later.loaded);
         match fixed.is_empty() {
             true => {
-                self.settings.set(later.told.digest());
+                self.settings.set(later.loaded.digest());
                 log!("reload: the settings are in force");
             }
             false => log!("reload: '{}' cannot change before the next start", fixed.join("', '")),
@@ -140,8 +140,8 @@
 
 async fn run(config: Config, signals: Signals) -> std::io::Result<()> {
     let Signals { mut terminate, mut hangup, mut usr1 } = signals;
-    let told = config.told;
-    let settings = Rc::new(Cell::new(told.digest()));
+    let loaded = config.loaded;
+    let settings = Rc::new(Cell::new(loaded.digest()));
     let (news_in, news) = unbounded_channel();
     let (operators_in, operators) = unbounded_channel();
     let (reports_in, reports) = unbounded_channel();
@@ -298,7 +298,7 @@
                 break;
             }
             Some(()) = usr1.recv() => print.notify_one(),
-            Some(()) = hangup.recv() => feed.reload(&told),
+            Some(()) = hangup.recv() => feed.reload(&loaded),
             ended = &mut core => return ended.map_err(std::io::Error::other),
         }
     }
--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -92,8 +92,8 @@
     }
 
     /// Is a client that has left so many bytes unread to be read from, and to be given more?
-    pub fn hears(&self, unread: usize) -> bool {
-        unread == 0 || self.0.pressure.borrow().hears(&self.accounts(), unread, self.0.clients.get())
+    pub fn may_read(&self, unread: usize) -> bool {
+        unread == 0 || self.0.pressure.borrow().may_read(&self.accounts(), unread, self.0.clients.get())
     }
 
     /// How many of so many idle connections are to be closed in this turn.
--- a/src/memory/pressure.rs
+++ b/src/memory/pressure.rs
@@ -118,7 +118,7 @@
 
     /// Is a client that has left so many bytes unread to be read from, and to be given more? Those with more than their even part of
     /// what the account may hold are not, until they have read.
-    pub fn hears(&self, accounts: &Accounts, unread: usize, clients: usize) -> bool {
+    pub fn may_read(&self, accounts: &Accounts, unread: usize, clients: usize) -> bool {
         let cap = accounts.plan().limits[Purpose::Unread as usize].cap;
         self.level < Level::HoldSlow || unread <= cap / clients.max(1)
     }
@@ -179,7 +179,7 @@
             ledger.ask(AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) }, limit.reserve);
         let mut pressure = Pressure::default();
         assert!(pressure.look(&ledger.accounts()) >= Level::HoldSlow);
-        assert!(!pressure.hears(&ledger.accounts(), limit.cap / 10, 100));
-        assert!(pressure.hears(&ledger.accounts(), limit.cap / 200, 100));
+        assert!(!pressure.may_read(&ledger.accounts(), limit.cap / 10, 100));
+        assert!(pressure.may_read(&ledger.accounts(), limit.cap / 200, 100));
     }
 }
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -243,12 +243,12 @@
         let output = &self.session.output;
         let unsent = output.len();
         // One that leaves much unread is not read from, and sooner while all do.
-        let heard = self.session.front.memory.hears(unsent);
-        let held_back = unsent > UNSENT_MOST || output.crowded() || !heard;
+        let may_read = self.session.front.memory.may_read(unsent);
+        let held_back = unsent > UNSENT_MOST || output.crowded() || !may_read;
         let writes = !output.is_empty();
         // What is still unread so long after it was due is of no use to its client any more; where memory is scarce,
         // it has no such time.
-        let slack = if heard { STALLED } else { 0.0 };
+        let slack = if may_read { STALLED } else { 0.0 };
         let stalled_by = output.due().map_or(timers.stalled_at, |due| timers.stalled_at.min(due + slack));
         let nothing_owed = !writes && self.session.open.is_empty();
         let idle = nothing_owed && self.session.output.is_sent(stream);
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -57,11 +57,11 @@
 
 /// Who ended a connection.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Side {
-    /// This side: the node has yet to hear of it.
-    Own,
+pub enum EndedBy {
+    /// This front: the node has yet to hear of it.
+    Front,
     /// The node, or what lies between.
-    Other,
+    Node,
 }
 
 /// How far the reading of answers has come.
@@ -302,7 +302,7 @@
                 && self.coming.is_none()
             {
                 // A client that does not read what it has is given no more; that holds up nobody else.
-                let reads = |r: &Rc<Cell<usize>>| r.get() <= UNREAD && self.memory.hears(r.get());
+                let reads = |r: &Rc<Cell<usize>>| r.get() <= UNREAD && self.memory.may_read(r.get());
                 if !sent.never_kept && !sent.reader.as_ref().is_none_or(reads) {
                     self.give_up(buffer, &mut report);
                     continue;
@@ -393,12 +393,12 @@
 
     /// The connection has ended after so many bytes were written, by this side or by the other. What was out may have run;
     /// what waited, and that of which not a byte has left, was never sent and is handed back.
-    pub fn broken(&mut self, by: Side, written: u64, mut report: impl FnMut(Report)) -> VecDeque<Order> {
+    pub fn broken(&mut self, by: EndedBy, written: u64, mut report: impl FnMut(Report)) -> VecDeque<Order> {
         let settles = self.settles;
         // A connection's end gives up all that was out on it, as soon as both sides know.
         let mut over = |ticket, outcome| match by {
-            Side::Other => report(ended(ticket, outcome)),
-            Side::Own => report(Report::Left { ticket, outcome, settles }),
+            EndedBy::Node => report(ended(ticket, outcome)),
+            EndedBy::Front => report(Report::Left { ticket, outcome, settles }),
         };
         let gone = self.leaving.drain(..).map(|l| l.1).chain(self.cancels.drain(..).map(|c| c.1));
         gone.for_each(|l| over(l.ticket, Outcome::Cancelled));
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -2,7 +2,7 @@
 //! clock but the test's.
 
 use super::clients::{Front, Session};
-use super::exchange::{Exchange, Progress, Side};
+use super::exchange::{EndedBy, Exchange, Progress};
 use super::frames::{self, Frame};
 use super::{Buffer, coordinator, lines, resp};
 use crate::broker::{Answer, ClientRequest, Input, News, Order, Report, Ticket};
@@ -249,9 +249,9 @@
     let leaving = model.values().filter(|m| matches!(m.1, State::Leaving(_))).count();
     let mut reset = 0;
     // Where this side ends it, the node hears of that later; where the node does, it knows.
-    let by = if next.is_multiple_of(2) { Side::Own } else { Side::Other };
+    let by = if next.is_multiple_of(2) { EndedBy::Front } else { EndedBy::Node };
     let handed_back = x.broken(by, out.taken(), |r| {
-        assert_eq!(matches!(r, Report::Left { .. }), by == Side::Own);
+        assert_eq!(matches!(r, Report::Left { .. }), by == EndedBy::Front);
         match r {
             Report::Ended { outcome: Outcome::Reset, .. } | Report::Left { outcome: Outcome::Reset, .. } => {
                 reset += 1;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! pool; each connection is a task of its own that reports straight to the broker.
 
 use super::Buffer;
-use super::exchange::{Exchange, Progress, Side, ended};
+use super::exchange::{EndedBy, Exchange, Progress, ended};
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
@@ -332,9 +332,11 @@
         }
         let by = match &ended_by {
             // Given up here, for what the node said or did not take.
-            Err(e) if matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::TimedOut) => Side::Own,
-            Err(_) => Side::Other,
-            Ok(()) => Side::Own,
+            Err(e) if matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::TimedOut) => {
+                EndedBy::Front
+            }
+            Err(_) => EndedBy::Node,
+            Ok(()) => EndedBy::Front,
         };
         let unsent = self.state.borrow_mut().broken(by, output.taken(), |r| self.report(r));
         if let Err(e) = ended_by {
--- a/src/rollout/change.rs
+++ b/src/rollout/change.rs
@@ -5,7 +5,7 @@
 /// What a front runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
-pub enum Side {
+pub enum Release {
     /// What ran before.
     Old,
     /// What is rolled out.
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Health {
     /// It takes clients, and says that it runs this.
-    Yes(Side),
+    Yes(Release),
     /// It takes clients, and runs something else.
     Other,
     /// It takes none now.
@@ -44,13 +44,13 @@
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
 pub enum ProcessCommand {
     /// Start it, to run this.
-    Start(Run, Side),
+    Start(Run, Release),
     /// SIGTERM.
     Term(Run),
     /// SIGKILL.
     Kill(Run),
     /// Write the settings of this side and SIGHUP.
-    Reload(Run, Side),
+    Reload(Run, Release),
 }
 
 /// What came of it.
@@ -58,12 +58,12 @@
 #[cfg_attr(feature = "rollout", derive(serde::Serialize, serde::Deserialize))]
 pub enum ProcessEvent {
     /// The front now runs this.
-    Changed(Side),
+    Changed(Release),
     /// The process that was to run this did not start, gave no yes within its time, ended, or ran something else. The one
     /// before serves on.
-    GaveUp(Side),
+    GaveUp(Release),
     /// A process that served ended by itself.
-    Crashed(Side),
+    Crashed(Release),
     /// A process did not end when told to, and was killed.
     Killed,
     /// No process serves, and several tries to start one failed.
@@ -96,7 +96,7 @@
         /// Which.
         next: Run,
         /// What it is to run.
-        to: Side,
+        to: Release,
         /// Since when.
         since: f64,
         /// Since when it says yes.
@@ -120,7 +120,7 @@
         /// It was killed.
         killed: bool,
         /// What it was to run.
-        to: Side,
+        to: Release,
     },
     /// Nothing serves: a process is started, again and again.
     Down {
@@ -136,7 +136,7 @@
     /// The process was told to read its settings again.
     Reloading {
         /// What it is to run.
-        to: Side,
+        to: Release,
         /// Since when.
         since: f64,
         /// It was told to go back to what it had.
@@ -151,7 +151,7 @@
     /// All changed settings take effect in service.
     reload: bool,
     /// Which process serves, and what it runs.
-    serving: Option<(Run, Side)>,
+    serving: Option<(Run, Release)>,
     phase: Phase,
     /// The number of the process that is started next.
     next: Run,
@@ -163,7 +163,7 @@
 
 impl Change {
     /// A front whose process `run` serves.
-    pub fn new(times: Times, reload: bool, run: Run, side: Side) -> Change {
+    pub fn new(times: Times, reload: bool, run: Run, side: Release) -> Change {
         let phase = Phase::Settled;
         let serving = Some((run, side));
         Change { times, reload, serving, phase, next: run + 1, silent: None, leftovers: Vec::new() }
@@ -175,12 +175,12 @@
         now: f64,
         times: Times,
         reload: bool,
-        runs: &[(Run, Health, Side)],
+        runs: &[(Run, Health, Release)],
         next: Run,
         orders: &mut Vec<ProcessCommand>,
     ) -> Change {
         let said = |h: Health| if let Health::Yes(side) = h { Some(side) } else { None };
-        let mut change = Change { next, serving: None, ..Change::new(times, reload, 0, Side::Old) };
+        let mut change = Change { next, serving: None, ..Change::new(times, reload, 0, Release::Old) };
         match *runs {
             [] => change.revive(now, 0, orders),
             [(run, health, side)] => change.serving = Some((run, said(health).unwrap_or(side))),
@@ -196,7 +196,8 @@
                 } else {
                     // Withdrawn, it costs nothing; whether it would have come is not known.
                     change.serving = Some((old, said(was).unwrap_or(side)));
-                    change.phase = Phase::Withdrawing { next: new, since: now, killed: false, to: Side::New };
+                    change.phase =
+                        Phase::Withdrawing { next: new, since: now, killed: false, to: Release::New };
                     orders.push(ProcessCommand::Term(new));
                 }
             }
@@ -205,7 +206,7 @@
     }
 
     /// Which process serves, and what it runs.
-    pub fn serving(&self) -> Option<(Run, Side)> {
+    pub fn serving(&self) -> Option<(Run, Release)> {
         self.serving
     }
 
@@ -220,7 +221,7 @@
     }
 
     /// Is a process of this side serving, or on its way to?
-    pub fn towards(&self, side: Side) -> bool {
+    pub fn towards(&self, side: Release) -> bool {
         match self.phase {
             Phase::Coming { to, .. } | Phase::Reloading { to, back: false, .. } => to == side,
             _ => self.serving.is_some_and(|s| s.1 == side),
@@ -250,7 +251,7 @@
     }
 
     /// A settled front goes to this side; one that is there starts a process anew all the same.
-    pub fn go(&mut self, now: f64, to: Side, orders: &mut Vec<ProcessCommand>) {
+    pub fn go(&mut self, now: f64, to: Release, orders: &mut Vec<ProcessCommand>) {
         let (true, Some((run, side))) = (self.settled(), self.serving) else { return };
         if self.reload && side != to {
             self.phase = Phase::Reloading { to, since: now, back: false };
@@ -264,10 +265,10 @@
     /// What is on its way to the new side is not wanted any more.
     pub fn call_back(&mut self, now: f64, orders: &mut Vec<ProcessCommand>) {
         match self.phase {
-            Phase::Coming { next, to: Side::New, .. } => self.withdraw(now, next, Side::New, orders),
-            Phase::Reloading { to: Side::New, back: false, .. } => {
+            Phase::Coming { next, to: Release::New, .. } => self.withdraw(now, next, Release::New, orders),
+            Phase::Reloading { to: Release::New, back: false, .. } => {
                 let Some((run, side)) = self.serving else { return };
-                self.phase = Phase::Reloading { to: Side::New, since: now, back: true };
+                self.phase = Phase::Reloading { to: Release::New, since: now, back: true };
                 orders.push(ProcessCommand::Reload(run, side));
             }
             _ => {}
@@ -289,7 +290,7 @@
         }
         let next = self.number();
         self.phase = Phase::Down { next, since: now, failed: false, tries };
-        orders.push(ProcessCommand::Start(next, Side::Old));
+        orders.push(ProcessCommand::Start(next, Release::Old));
     }
 
     /// Hears of one of its processes; what is to be done, and what came of it.
@@ -353,7 +354,7 @@
                 }
             }
             Phase::Reloading { to, back, .. } if self.serving.is_some_and(|s| s.0 == run) => {
-                let wanted = if back { self.serving.map_or(Side::Old, |s| s.1) } else { to };
+                let wanted = if back { self.serving.map_or(Release::Old, |s| s.1) } else { to };
                 if health == Health::Yes(wanted) {
                     self.phase = Phase::Settled;
                     self.serving = Some((run, wanted));
@@ -364,7 +365,7 @@
         }
     }
 
-    fn withdraw(&mut self, now: f64, next: Run, to: Side, orders: &mut Vec<ProcessCommand>) {
+    fn withdraw(&mut self, now: f64, next: Run, to: Release, orders: &mut Vec<ProcessCommand>) {
         orders.push(ProcessCommand::Term(next));
         self.phase = Phase::Withdrawing { next, since: now, killed: false, to };
     }
--- a/src/rollout/controller/crashes.rs
+++ b/src/rollout/controller/crashes.rs
@@ -1,7 +1,7 @@
 //! New processes that end by themselves or fall silent, beside old ones that do the same.
 
 use super::RolloutController;
-use crate::rollout::change::Side;
+use crate::rollout::change::Release;
 use crate::rollout::evidence::tail;
 
 /// Crashes within so long of each other have one cause, and are judged together (seconds).
@@ -28,7 +28,7 @@
                 self.troubles.push((now, front, side));
             }
         }
-        let new = |t: &&(f64, usize, Side)| t.2 == Side::New;
+        let new = |t: &&(f64, usize, Release)| t.2 == Release::New;
         let first = self.troubles.iter().filter(new).map(|t| t.0).next()?;
         if now - first < TOGETHER_S {
             return None;
@@ -36,10 +36,11 @@
         let near = self.troubles.iter().filter(|t| (t.0 - first).abs() <= TOGETHER_S);
         let near: Vec<_> = near.copied().collect();
         let worse = near.iter().filter(new).count();
-        let on =
-            |side: Side| self.members.iter().filter(move |m| m.change.serving().is_some_and(|s| s.1 == side));
+        let on = |side: Release| {
+            self.members.iter().filter(move |m| m.change.serving().is_some_and(|s| s.1 == side))
+        };
         // Those that ended are on neither side now.
-        let news = on(Side::New).count() + worse;
+        let news = on(Release::New).count() + worse;
         let share = news as f64 / self.members.len() as f64;
         let by_chance = tail(worse as u64, near.len() as u64, share.min(1.0));
         if worse == near.len() || by_chance < CHANCE {
--- a/src/rollout/controller/mod.rs
+++ b/src/rollout/controller/mod.rs
@@ -6,7 +6,7 @@
 mod report;
 mod rollback;
 
-use super::change::{Change, Event, Health, ProcessCommand, ProcessEvent, Run, Side};
+use super::change::{Change, Event, Health, ProcessCommand, ProcessEvent, Release, Run};
 use super::fleet_health::{Changed, FleetHealth};
 use super::gate::{Gate, Verdict};
 use super::plan::{GroupBy, Plan};
@@ -68,7 +68,7 @@
     health: FleetHealth,
     watched: Vec<ClassCounts>,
     /// Processes that ended by themselves or fell silent: when, and of which side.
-    troubles: Vec<(f64, usize, Side)>,
+    troubles: Vec<(f64, usize, Release)>,
     /// Of this stage: new and old, by class.
     sums: Vec<[ClassCounts; 2]>,
     window: f64,
@@ -81,7 +81,7 @@
     pub fn new(now: f64, plan: Plan, found: Vec<Found>, records: &[Record]) -> RolloutController {
         let (locations, places) = plan.locations();
         // What each process was started to run, or told to read: one that says nothing is taken to run that.
-        let mut started: BTreeMap<(usize, Run), Side> = BTreeMap::new();
+        let mut started: BTreeMap<(usize, Run), Release> = BTreeMap::new();
         for record in records {
             if let Record::Ordered {
                 front,
@@ -95,9 +95,9 @@
         let mut members = Vec::new();
         for (i, (location, found)) in locations.into_iter().zip(found).enumerate() {
             let mut mine = Vec::new();
-            let side = |run| started.get(&(i, run)).copied().unwrap_or(Side::Old);
+            let side = |run| started.get(&(i, run)).copied().unwrap_or(Release::Old);
             let run = |r: &(Run, Health)| (r.0, r.1, side(r.0));
-            let runs: Vec<(Run, Health, Side)> = found.runs.iter().map(run).collect();
+            let runs: Vec<(Run, Health, Release)> = found.runs.iter().map(run).collect();
             let (times, reload) = (plan.spans.times(), plan.limits.reload);
             let change = Change::found(now, times, reload, &runs, found.next.max(1), &mut mine);
             orders.extend(mine.into_iter().map(|o| (i, o)));
@@ -164,7 +164,7 @@
                         self.members[f].restart = true;
                     }
                 }
-                Record::Noticed { front, notice: ProcessEvent::Changed(Side::Old) } => {
+                Record::Noticed { front, notice: ProcessEvent::Changed(Release::Old) } => {
                     self.members[*front].restart = false;
                 }
                 Record::Passed(stage) => self.stage = stage + 1,
@@ -204,7 +204,7 @@
     }
 
     /// The process of a front that serves, and what it runs.
-    pub fn serving(&self, front: usize) -> Option<(Run, Side)> {
+    pub fn serving(&self, front: usize) -> Option<(Run, Release)> {
         self.members[front].change.serving()
     }
 
@@ -272,13 +272,13 @@
             match notice {
                 ProcessEvent::Changed(side) => {
                     member.failed = 0;
-                    member.restart &= side == Side::New;
+                    member.restart &= side == Release::New;
                     member.says = None;
                 }
                 ProcessEvent::GaveUp(side) => {
                     member.failed += 1;
                     member.again = now + RETRY_AFTER_S;
-                    member.restart &= side == Side::New;
+                    member.restart &= side == Release::New;
                 }
                 ProcessEvent::Crashed(side) => self.troubles.push((now, front, side)),
                 ProcessEvent::Killed | ProcessEvent::Lost => {}
@@ -381,7 +381,7 @@
     /// The share of a location's fronts that run the new side.
     fn news(&self, location: usize) -> f64 {
         let new =
-            |m: &&Member| m.location == location && m.change.serving().is_some_and(|s| s.1 == Side::New);
+            |m: &&Member| m.location == location && m.change.serving().is_some_and(|s| s.1 == Release::New);
         self.members.iter().filter(new).count() as f64 / self.sizes[location].max(1) as f64
     }
 
@@ -392,12 +392,12 @@
             return self.back(now, why, false);
         }
         let upto = self.stages[..=self.stage].iter().flat_map(|s| s.fronts.iter().copied());
-        let wanted: Vec<usize> = upto.filter(|&f| !self.members[f].change.towards(Side::New)).collect();
+        let wanted: Vec<usize> = upto.filter(|&f| !self.members[f].change.towards(Release::New)).collect();
         let restarts: Vec<usize> = (0..self.members.len()).filter(|&f| self.members[f].restart).collect();
         let busy = self.members.iter().any(|m| !m.change.settled());
         if self.paused.is_none() && !self.health.in_trouble() {
             let turns =
-                wanted.iter().map(|&f| (f, Side::New)).chain(restarts.iter().map(|&f| (f, Side::Old)));
+                wanted.iter().map(|&f| (f, Release::New)).chain(restarts.iter().map(|&f| (f, Release::Old)));
             for (front, to) in turns.collect::<Vec<_>>() {
                 self.send(now, front, to);
             }
@@ -429,7 +429,7 @@
     }
 
     /// Has a front change, if its location bears one more at once.
-    fn send(&mut self, now: f64, front: usize, to: Side) {
+    fn send(&mut self, now: f64, front: usize, to: Release) {
         let location = self.members[front].location;
         let here = self.members.iter().filter(|m| m.location == location && !m.change.settled()).count();
         let most = match self.plan.limits.by {
--- a/src/rollout/controller/observation.rs
+++ b/src/rollout/controller/observation.rs
@@ -1,7 +1,7 @@
 //! What fronts did in a window, and what was usual before anything changed.
 
 use super::{Member, Phase, RolloutController};
-use crate::rollout::change::{Health, Side};
+use crate::rollout::change::{Health, Release};
 use crate::rollout::records::Record;
 use crate::rollout::stages::{Placement, stages};
 use crate::rollout::window::{ClassCounts, Window};
@@ -44,7 +44,7 @@
             let Some(last) = member.series.last(now, stale) else { continue };
             let uses = [last.memory_kb as f64, last.descriptors as f64, delta.processor];
             let young = member.series.age(now) < warm;
-            let new = side == Side::New;
+            let new = side == Release::New;
             for (class, sum) in sums.iter().enumerate() {
                 let total = &mut self.sums[class][usize::from(!new)];
                 (total.asked, total.unserved) = (total.asked + sum.asked, total.unserved + sum.unserved);
--- a/src/rollout/controller/report.rs
+++ b/src/rollout/controller/report.rs
@@ -1,7 +1,7 @@
 //! Where a rollout stands, for people.
 
 use super::{Phase, RolloutController};
-use crate::rollout::change::{Phase as Step, Side};
+use crate::rollout::change::{Phase as Step, Release};
 use crate::rollout::gate::{COUNTED, Undecided};
 use crate::rollout::records::Outcome;
 use crate::rollout::window::ClassCounts;
@@ -50,8 +50,8 @@
         for m in &self.members {
             let i = match (m.change.phase(), m.change.serving()) {
                 (Step::Settled, Some(_)) if m.change.silence(now) > self.plan.spans.stale_s => 3,
-                (Step::Settled, Some((_, Side::Old))) => 0,
-                (Step::Settled, Some((_, Side::New))) => 1,
+                (Step::Settled, Some((_, Release::Old))) => 0,
+                (Step::Settled, Some((_, Release::New))) => 1,
                 _ => 2,
             };
             counts[i] += 1;
--- a/src/rollout/controller/rollback.rs
+++ b/src/rollout/controller/rollback.rs
@@ -1,7 +1,7 @@
 //! The way back: every front runs the old side again, or is told to be stuck.
 
 use super::{Member, Phase, RolloutController};
-use crate::rollout::change::Side;
+use crate::rollout::change::Release;
 use crate::rollout::records::{Outcome, Record};
 
 /// A front that could not be brought back is tried so many times before the others count as all that is left.
@@ -24,7 +24,7 @@
     pub(super) fn go_back(&mut self, now: f64, aborted: bool) {
         for front in 0..self.members.len() {
             let member = &self.members[front];
-            if member.change.towards(Side::Old) || member.stuck {
+            if member.change.towards(Release::Old) || member.stuck {
                 continue;
             }
             if member.failed >= ROLLBACK_TRIES {
@@ -32,9 +32,9 @@
                 self.keep(Record::RollbackFailed(front));
                 continue;
             }
-            self.send(now, front, Side::Old);
+            self.send(now, front, Release::Old);
         }
-        let there = |m: &Member| m.change.settled() && (m.stuck || m.change.towards(Side::Old));
+        let there = |m: &Member| m.change.settled() && (m.stuck || m.change.towards(Release::Old));
         if self.members.iter().all(there) {
             let stuck = self.members.iter().any(|m| m.stuck);
             self.end(match (stuck, aborted) {
--- a/src/rollout/fleet_health.rs
+++ b/src/rollout/fleet_health.rs
@@ -30,7 +30,7 @@
 
 /// The whole does worse.
 #[derive(Debug, Clone, Copy)]
-struct Trouble {
+struct Decline {
     since: f64,
     class: usize,
 }
@@ -45,7 +45,7 @@
     /// For so long it may rise by more (seconds).
     patience: f64,
     recent: VecDeque<(f64, Locations)>,
-    trouble: Option<Trouble>,
+    trouble: Option<Decline>,
 }
 
 impl FleetHealth {
@@ -93,16 +93,16 @@
         match self.trouble {
             None => {
                 let class = self.classes().find(|&class| self.is_known_to_be_worse(class))?;
-                self.trouble = Some(Trouble { since: now, class });
+                self.trouble = Some(Decline { since: now, class });
                 Some(Changed::Worse(class))
             }
             Some(_) if !self.classes().any(|class| self.exceeds(class, None, self.margin / 2.0)) => {
                 self.trouble = None;
                 Some(Changed::Well)
             }
-            Some(Trouble { class, .. }) => {
+            Some(Decline { class, .. }) => {
                 if self.is_of_a_location(class, new_shares) {
-                    self.trouble = Some(Trouble { since: now, class });
+                    self.trouble = Some(Decline { since: now, class });
                 }
                 None
             }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -14,11 +14,11 @@
 mod usage;
 mod window;
 
-pub use change::{Change, Event, Health, Phase, ProcessCommand, ProcessEvent, Run, Side, Times};
+pub use change::{Change, Event, Health, Phase, ProcessCommand, ProcessEvent, Release, Run, Times};
 pub use controller::{Report, RolloutController};
 pub use evidence::{Evidence, tail};
 pub use gate::{COUNTED, Gate, Undecided, Verdict};
-pub use plan::{Built, Front, Gates, GroupBy, Limits, Mixing, Plan, Timeouts, mixing};
+pub use plan::{Built, Front, Gates, GroupBy, Limits, MixingRule, Plan, Timeouts, mixing};
 pub use readings::{Counts, Delta, Reading, Series};
 pub use records::{Action, Found, OperatorCommand, Outcome, Record};
 pub use stages::{Placement, Stage, stages};
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -260,7 +260,7 @@
 
 /// How a changed setting may be rolled out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Mixing {
+pub enum MixingRule {
     /// In service, by SIGHUP; old and new side by side.
     Reload,
     /// By replacement; old and new side by side.
@@ -273,22 +273,22 @@
 }
 
 /// What a change of a settings key allows. Keys are written with dots, as a reload tells them.
-pub fn mixing(key: &str) -> Mixing {
+pub fn mixing(key: &str) -> MixingRule {
     let under = |names: &[&str]| {
         names.iter().any(|n| key == *n || key.strip_prefix(n).is_some_and(|rest| rest.starts_with('.')))
     };
     if under(&["name", "listen", "settings.me", "settings.az", "signed.listen"]) {
-        return Mixing::Never;
+        return MixingRule::Never;
     }
     if under(&["coordinator", "xds.server", "xds.refresh_s", "limits.memory_mb", "memory"]) {
-        return Mixing::Reload;
+        return MixingRule::Reload;
     }
     // What one front does by itself; all else of `settings` decides where objects are at home, what a cold node
     // bears from all, or what a class permits.
     if under(&["admin_addr", "limits", "signed", "xds", "teams", "settings.caps", "settings.prices"]) {
-        return Mixing::Mixed;
+        return MixingRule::Mixed;
     }
-    Mixing::AtOnce
+    MixingRule::AtOnce
 }
 
 #[cfg(test)]
@@ -345,15 +345,15 @@
     #[test]
     fn settings_that_fronts_share_are_not_mixed() {
         for (key, how) in [
-            ("limits.memory_mb", Mixing::Reload),
-            ("coordinator", Mixing::Reload),
-            ("limits.sockets", Mixing::Mixed),
-            ("settings.caps.connect-timeout", Mixing::Mixed),
-            ("settings.fleet-size", Mixing::AtOnce),
-            ("settings.specifics.count-by-zone", Mixing::AtOnce),
-            ("settings.invariants.cold", Mixing::AtOnce),
-            ("listen", Mixing::Never),
-            ("settings.me", Mixing::Never),
+            ("limits.memory_mb", MixingRule::Reload),
+            ("coordinator", MixingRule::Reload),
+            ("limits.sockets", MixingRule::Mixed),
+            ("settings.caps.connect-timeout", MixingRule::Mixed),
+            ("settings.fleet-size", MixingRule::AtOnce),
+            ("settings.specifics.count-by-zone", MixingRule::AtOnce),
+            ("settings.invariants.cold", MixingRule::AtOnce),
+            ("listen", MixingRule::Never),
+            ("settings.me", MixingRule::Never),
         ] {
             assert_eq!(mixing(key), how, "{key}");
         }
--- a/src/routing/beliefs.rs
+++ b/src/routing/beliefs.rs
@@ -22,7 +22,7 @@
 const FIRST: u32 = 2;
 
 #[derive(Clone, Copy, Default)]
-struct Slot {
+struct BeliefSlot {
     object: u64,
     node: u64,
     part: u32,
@@ -32,7 +32,7 @@
 #[derive(Default)]
 struct Generation {
     /// A power of two of them, or none yet.
-    slots: Vec<Slot>,
+    slots: Vec<BeliefSlot>,
     /// Slots that are not empty.
     used: usize,
     base: f64,
@@ -40,7 +40,7 @@
 
 impl Generation {
     fn bytes(slots: usize) -> usize {
-        slots * size_of::<Slot>()
+        slots * size_of::<BeliefSlot>()
     }
 
     /// The places of a key's run, up to its first empty slot, which ends it.
@@ -52,9 +52,9 @@
 
     fn clear(&mut self, slots: usize, now: f64) {
         if self.slots.len() != slots {
-            self.slots = vec![Slot::default(); slots];
+            self.slots = vec![BeliefSlot::default(); slots];
         } else {
-            self.slots.fill(Slot::default());
+            self.slots.fill(BeliefSlot::default());
         }
         (self.used, self.base) = (0, now - BEFORE);
     }
@@ -130,7 +130,7 @@
         let at = g.stamp(since);
         if let Some(i) = g.run(hash).find(|&i| g.slots[i].at < FIRST) {
             g.used += usize::from(g.slots[i].at == EMPTY);
-            g.slots[i] = Slot { object: object.0, node: node.0, part, at };
+            g.slots[i] = BeliefSlot { object: object.0, node: node.0, part, at };
         }
     }
 
@@ -138,7 +138,8 @@
     pub fn disbelieve(&mut self, object: ObjectId, part: u32, node: NodeId) {
         let hash = self.hash(object, part);
         for g in &mut self.generations {
-            let same = |s: &Slot| (s.object, s.part, s.node) == (object.0, part, node.0) && s.at >= FIRST;
+            let same =
+                |s: &BeliefSlot| (s.object, s.part, s.node) == (object.0, part, node.0) && s.at >= FIRST;
             let mut run = g.run(hash).take_while(|&i| g.slots[i].at != EMPTY);
             if let Some(i) = run.find(|&i| same(&g.slots[i])) {
                 g.slots[i].at = GONE;
@@ -189,12 +190,12 @@
             return self.begin(now);
         }
         let g = &mut self.generations[GENERATIONS - 1];
-        let old = std::mem::replace(&mut g.slots, vec![Slot::default(); 2 * full]);
+        let old = std::mem::replace(&mut g.slots, vec![BeliefSlot::default(); 2 * full]);
         self.refill(old.into_iter().filter(|s| s.at >= FIRST));
     }
 
     /// Puts slots into the newest generation, which has no other.
-    fn refill(&mut self, slots: impl Iterator<Item = Slot>) {
+    fn refill(&mut self, slots: impl Iterator<Item = BeliefSlot>) {
         self.generations[GENERATIONS - 1].used = 0;
         for slot in slots {
             let hash = self.hash(ObjectId(slot.object), slot.part);
@@ -232,7 +233,7 @@
         }
         let g = &mut self.generations[GENERATIONS - 1];
         if slots < g.slots.len() {
-            let mut old = std::mem::replace(&mut g.slots, vec![Slot::default(); slots]);
+            let mut old = std::mem::replace(&mut g.slots, vec![BeliefSlot::default(); slots]);
             old.retain(|s| s.at >= FIRST);
             let kept = (slots / 2).min(old.len());
             if kept < old.len() {
--- a/src/spread/cold.rs
+++ b/src/spread/cold.rs
@@ -27,7 +27,7 @@
 
 /// A front's wish to send to a node.
 #[derive(Debug, Clone, Copy)]
-pub struct Turn {
+pub struct SlowStartRequest {
     /// The time.
     pub now: f64,
     /// When the node started, 0 if long ago.
@@ -69,20 +69,20 @@
     /// spent in turns: by hash, a front has the turn in so many windows that the sum over all stays in the
     /// budget but for chance. Turns that are not used are lost, so that none pile up; where fronts have less
     /// to send than there are fronts, there are the more turns.
-    pub fn admits(&self, turn: Turn) -> bool {
-        let part = self.part(turn.now, turn.ready_at);
+    pub fn admits(&self, request: SlowStartRequest) -> bool {
+        let part = self.part(request.now, request.ready_at);
         if part >= 1.0 {
             return true;
         }
-        let budget = USED * self.multiple * part * turn.link * self.window;
+        let budget = USED * self.multiple * part * request.link * self.window;
         let mine = budget / self.sharers;
-        if mine >= turn.work {
-            return turn.lately + turn.work <= mine;
+        if mine >= request.work {
+            return request.lately + request.work <= mine;
         }
-        let root = ((CHANCE * CHANCE + 4.0 * budget / turn.work).sqrt() - CHANCE) / 2.0;
-        let wants = (DEMAND * turn.rate * self.window).min(1.0) * self.sharers;
-        let window = (turn.now / self.window + unit(u64::MAX, turn.seed)) as u64;
-        turn.lately <= mine && unit(window, turn.seed) * wants < root * root
+        let root = ((CHANCE * CHANCE + 4.0 * budget / request.work).sqrt() - CHANCE) / 2.0;
+        let wants = (DEMAND * request.rate * self.window).min(1.0) * self.sharers;
+        let window = (request.now / self.window + unit(u64::MAX, request.seed)) as u64;
+        request.lately <= mine && unit(window, request.seed) * wants < root * root
     }
 }
 
--- a/src/spread/cold/tests.rs
+++ b/src/spread/cold/tests.rs
@@ -21,7 +21,7 @@
             asked += 1;
             let lately = if *last + COLD.window > now { work } else { 0.0 };
             let seed = me as u64 * 7919;
-            if COLD.admits(Turn { now, ready_at: 100.0, link, work, lately, rate: told, seed }) {
+            if COLD.admits(SlowStartRequest { now, ready_at: 100.0, link, work, lately, rate: told, seed }) {
                 *last = now;
                 sent.push((now, work));
             }
@@ -47,8 +47,16 @@
 
 #[test]
 fn a_warm_node_takes_all() {
-    let turn = Turn { now: 100.0, ready_at: 90.0, link: 0.1, work: 9.0, lately: 9.0, rate: 9.0, seed: 1 };
-    assert!(COLD.admits(turn) && COLD.admits(Turn { ready_at: 0.0, ..turn }));
+    let request = SlowStartRequest {
+        now: 100.0,
+        ready_at: 90.0,
+        link: 0.1,
+        work: 9.0,
+        lately: 9.0,
+        rate: 9.0,
+        seed: 1,
+    };
+    assert!(COLD.admits(request) && COLD.admits(SlowStartRequest { ready_at: 0.0, ..request }));
     assert!((COLD.part(95.0, 90.0) - 0.6).abs() < 1e-9);
 }
 
@@ -98,7 +106,15 @@
             }
             let lately = front.sent.iter().filter(|&&at| at + cold.window > now).count() as f64 * work;
             let seed = 77 ^ front.me << 32;
-            if cold.admits(Turn { now, ready_at: begin, link, work, lately, rate: front.rate, seed }) {
+            if cold.admits(SlowStartRequest {
+                now,
+                ready_at: begin,
+                link,
+                work,
+                lately,
+                rate: front.rate,
+                seed,
+            }) {
                 front.sent.push(now);
                 came.push(now);
             }
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -6,17 +6,17 @@
 mod cold;
 mod heat;
 mod homes;
+mod reasons;
 mod ring;
 mod share;
-mod sight;
 
 /// The number of the rule by which objects have homes: fronts of one location that follow different ones would halve
 /// the hits, so that a build with another one is rolled out by whole locations.
 pub const HOMES: u32 = 2;
 
-pub use cold::{Cold, Turn};
+pub use cold::{Cold, SlowStartRequest};
 pub use heat::Heat;
 pub use homes::{Home, Homes, unit};
+pub use reasons::{ReasonCounts, RoutingReason};
 pub use ring::Ring;
 pub use share::Share;
-pub use sight::{Sight, Why};
--- a/src/spread/sight.rs
+++ b/src/spread/reasons.rs
@@ -4,7 +4,7 @@
 
 /// Why an attempt went to the cache that it went to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Why {
+pub enum RoutingReason {
     /// It is the object's home by hash.
     #[default]
     Hash,
@@ -22,44 +22,51 @@
     Cold,
 }
 
-impl Why {
+impl RoutingReason {
     /// The first sign that holds, of a trial, a cold cache, spreading, nothing kept, heat and belief; else the hash.
-    pub fn first(signs: [bool; 6]) -> Why {
-        let order = [Why::Trial, Why::Cold, Why::Spread, Why::Free, Why::Heat, Why::Belief];
-        signs.iter().zip(order).find(|(sign, _)| **sign).map_or(Why::Hash, |(_, why)| why)
+    pub fn first(signs: [bool; 6]) -> RoutingReason {
+        let order = [
+            RoutingReason::Trial,
+            RoutingReason::Cold,
+            RoutingReason::Spread,
+            RoutingReason::Free,
+            RoutingReason::Heat,
+            RoutingReason::Belief,
+        ];
+        signs.iter().zip(order).find(|(sign, _)| **sign).map_or(RoutingReason::Hash, |(_, why)| why)
     }
 
     /// All, with their names in the log.
-    pub const ALL: [(Why, &'static str); 7] = [
-        (Why::Hash, "hash"),
-        (Why::Belief, "belief"),
-        (Why::Heat, "heat"),
-        (Why::Free, "free"),
-        (Why::Spread, "spread"),
-        (Why::Trial, "trial"),
-        (Why::Cold, "cold"),
+    pub const ALL: [(RoutingReason, &'static str); 7] = [
+        (RoutingReason::Hash, "hash"),
+        (RoutingReason::Belief, "belief"),
+        (RoutingReason::Heat, "heat"),
+        (RoutingReason::Free, "free"),
+        (RoutingReason::Spread, "spread"),
+        (RoutingReason::Trial, "trial"),
+        (RoutingReason::Cold, "cold"),
     ];
 }
 
 /// Attempts by why their cache was chosen, since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Sight([u64; Why::ALL.len()]);
+pub struct ReasonCounts([u64; RoutingReason::ALL.len()]);
 
-impl Sight {
+impl ReasonCounts {
     /// One more.
-    pub fn count(&mut self, why: Why) {
+    pub fn count(&mut self, why: RoutingReason) {
         self.0[why as usize] += 1;
     }
 
     /// How many.
-    pub fn of(&self, why: Why) -> u64 {
+    pub fn of(&self, why: RoutingReason) -> u64 {
         self.0[why as usize]
     }
 }
 
-impl fmt::Display for Sight {
+impl fmt::Display for ReasonCounts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "choices")?;
-        Why::ALL.iter().try_for_each(|(why, name)| write!(f, " {name}={}", self.of(*why)))
+        RoutingReason::ALL.iter().try_for_each(|(why, name)| write!(f, " {name}={}", self.of(*why)))
     }
 }
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -69,7 +69,7 @@
     let program = onyxyoke::net::admin::build(env!("CARGO_BIN_EXE_onyxyoke").as_ref()).unwrap();
     assert_eq!(words[..2], ["ok", &format!("build={program:016x}")], "{said}");
     let file = std::fs::read(node.folder.join("config.json")).unwrap();
-    let settings = onyxyoke::config::read(Some(("config", &file)), None).unwrap().told.digest();
+    let settings = onyxyoke::config::read(Some(("config", &file)), None).unwrap().loaded.digest();
     assert_eq!(words[2], format!("settings={settings:016x}"), "{said}");
     assert_eq!(words[4], format!("pid={}", node.child.id()), "{said}");
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -824,23 +824,23 @@
 /// Guards an operator's only way to tell why one front's load spreads as it does.
 #[test]
 fn the_log_tells_why_caches_were_chosen() {
-    use onyxyoke::spread::Why;
+    use onyxyoke::spread::RoutingReason;
     let nodes: Vec<Node> = (10..14).map(edge).chain([parent(40), origin(50)]).collect();
     let mut s = Stage::new(settings(), &nodes);
     s.mixed();
     s.hit(3, 50.0);
-    let before = *s.director.sight();
+    let before = *s.director.reason_counts();
     s.hit(3, 50.0);
-    assert_eq!(s.director.sight().of(Why::Belief), before.of(Why::Belief) + 1);
+    assert_eq!(s.director.reason_counts().of(RoutingReason::Belief), before.of(RoutingReason::Belief) + 1);
     for _ in 0..60 {
         s.hit(4, 50.0);
     }
-    assert!(s.director.sight().of(Why::Heat) > 20, "{}", s.director.sight());
+    assert!(s.director.reason_counts().of(RoutingReason::Heat) > 20, "{}", s.director.reason_counts());
     s.list(ListKind::Delta, &[Node { ready_at: s.now, ..edge(10) }]);
     for object in 2_000_000..2_000_200 {
         s.hit(object, 1.0);
     }
-    let sight = s.director.sight();
-    assert!(sight.of(Why::Cold) > 0 && sight.of(Why::Hash) > 400, "{sight}");
+    let sight = s.director.reason_counts();
+    assert!(sight.of(RoutingReason::Cold) > 0 && sight.of(RoutingReason::Hash) > 400, "{sight}");
     assert!(sight.to_string().starts_with("choices hash="), "{sight}");
 }
