--- a/crates/stand-ins/src/caches.rs
+++ b/crates/stand-ins/src/caches.rs
@@ -1,6 +1,7 @@
 //! Cache nodes and the origin: they hold what they were asked for lately, fill what they lack from the source that
 //! they are told, take their time, and fail in the ways that a [`NodeBehavior`] says.
 
+use crate::command::{Command, discard_body};
 use crate::{body, unix_ms};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -9,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, watch};
@@ -115,11 +116,9 @@
         let open: Rc<RefCell<Vec<Open>>> = Rc::default();
         let mut line = String::new();
         while read.read_line(&mut line).await.is_ok_and(|n| n > 0) {
-            let words: Vec<&str> = line.trim_end().split(' ').collect();
-            match words[..] {
-                ["serve", id, fields, length] => {
-                    let mut body = vec![0; length.parse().unwrap_or(0) + 2];
-                    if read.read_exact(&mut body).await.is_err() {
+            match Command::parse(&line) {
+                Some(Command::Serve { id, fields, length }) => {
+                    if discard_body(&mut read, length).await.is_err() {
                         break;
                     }
                     let (alive, ended) = watch::channel(());
@@ -131,11 +130,11 @@
                         open.borrow_mut().retain(|o| o.0 != id);
                     });
                 }
-                ["cancel", id] => {
+                Some(Command::Cancel { id }) => {
                     self.cancelled.set(self.cancelled.get() + 1);
                     open.borrow_mut().retain(|o| o.0 != id);
                 }
-                _ => break,
+                None => break,
             }
             line.clear();
         }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod caches;
+pub mod command;
 pub mod coordinator;
 pub mod fleet;
 pub mod link;
