Let scarce memory close no connection in the middle of a message

The bytes that are passed over are not in the buffer, so that nothing seemed to have begun; since scarce memory closes idle connections though no client comes, that was seen. Half a request that lies in the buffer was as much at risk.

--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -187,7 +187,8 @@
         let mut timers = Timers::new(clock::now());
         loop {
             self.write_answers(stream, &mut timers)?;
-            let wait = self.plan(stream, !input.is_empty(), &mut timers);
+            let half_a_frame = !input.is_empty() || input.skipping() > 0;
+            let wait = self.plan(stream, half_a_frame, &mut timers);
             let throttled_until = wait.throttled_until.unwrap_or(wait.now);
             let next_peer_check = wait.now + PEER_CHECK_INTERVAL;
             let until = wait.until.unwrap_or(timers.idle_at);
@@ -256,7 +257,7 @@
         let was_untaken = timers.taken_by.is_some();
         timers.taken_by = untaken.then_some(timers.taken_by.unwrap_or(timers.idle_at + STALLED));
         match idle {
-            true => self.slot.mark_idle(now, self.session.spoken),
+            true => self.slot.mark_idle(now, self.session.spoken, half_a_frame),
             false => self.slot.mark_active(),
         }
         if idle && was_untaken {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -90,20 +90,18 @@
         first.inspect(|(_, entry)| entry.ask_to_close()).is_some()
     }
 
-    /// The same, but only one that was left to its client for [`IDLE_GRACE`].
+    /// The same, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a message.
     pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
         let key = self.first_idle_since(now - IDLE_GRACE);
         let entry = key.and_then(|key| self.idle.borrow_mut().remove(&key));
         entry.inspect(|entry| entry.ask_to_close()).is_some()
     }
 
-    /// The first connection in the order of closing that has been idle since then.
+    /// The first connection in the order of closing that has been idle since then, between two messages.
     fn first_idle_since(&self, then: f64) -> Option<IdleKey> {
         let idle = self.idle.borrow();
-        // Of those that have spoken, and of those that have not, the first is the longest idle.
-        let first_of = |spoken| idle.range((spoken, 0)..=(spoken, u64::MAX)).next();
-        let since = |(key, entry): (&IdleKey, &Rc<Entry>)| (entry.idle_since.get() <= then).then_some(*key);
-        [false, true].into_iter().filter_map(first_of).find_map(since)
+        let rests = |entry: &Entry| entry.idle_since.get() <= then && !entry.mid_message.get();
+        idle.iter().find(|(_, entry)| rests(entry)).map(|(key, _)| *key)
     }
 }
 
@@ -114,6 +112,8 @@
     key: Cell<Option<IdleKey>>,
     /// Since when it is idle (Unix seconds).
     idle_since: Cell<f64>,
+    /// Part of a message has come from its client.
+    mid_message: Cell<bool>,
     /// It is asked to close once it is idle.
     asked_to_close: Cell<bool>,
     /// When it is to close may have changed.
@@ -144,13 +144,14 @@
     pub(super) fn new(table: Rc<ConnectionTable>, now: f64) -> Self {
         table.open.set(table.open.get() + 1);
         let slot = ConnectionSlot { table, entry: Rc::default() };
-        slot.mark_idle(now, false);
+        slot.mark_idle(now, false, false);
         slot
     }
 
-    /// The connection waits for its client, which has sent something usable before, or has not: nothing is open, and the
-    /// system has sent every answer.
-    pub fn mark_idle(&self, now: f64, spoken: bool) {
+    /// The connection waits for its client, which has sent something usable before, or has not, and may be in the middle of a
+    /// message: nothing is open, and the system has sent every answer.
+    pub fn mark_idle(&self, now: f64, spoken: bool, mid_message: bool) {
+        self.entry.mid_message.set(mid_message);
         if self.is_idle() {
             return;
         }
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -8,7 +8,7 @@
     let idle = |&(spoken, since): &(bool, f64)| {
         let slot = ConnectionSlot::new(table.clone(), since);
         slot.mark_active();
-        slot.mark_idle(since, spoken);
+        slot.mark_idle(since, spoken, false);
         slot
     };
     let slots = connections.iter().map(idle).collect();
@@ -45,7 +45,7 @@
     assert!(table.close_most_idle());
     slots[0].mark_active();
     assert_eq!(slots[0].closes_at(), None, "it is not idle");
-    slots[0].mark_idle(2.0, true);
+    slots[0].mark_idle(2.0, true, false);
     assert_eq!(slots[0].closes_at(), Some(2.0), "another was accepted for it");
     assert_eq!(slots[1].closes_at(), None);
 }
@@ -59,3 +59,13 @@
     table.close_all_immediately();
     assert_eq!(slots[0].closes_at(), Some(1.0));
 }
+
+#[test]
+fn scarce_memory_closes_none_in_the_middle_of_a_message_but_a_crowd_does() {
+    let (table, slots) = table(&[(true, 1.0), (true, 2.0)]);
+    slots[0].mark_idle(1.0, true, true);
+    assert!(table.close_idle_since_grace(10.0) && !table.close_idle_since_grace(10.0));
+    assert_eq!(asked(&slots), [false, true]);
+    assert!(table.close_most_idle());
+    assert_eq!(asked(&slots), [true, true]);
+}
--- a/src/signed/connection.rs
+++ b/src/signed/connection.rs
@@ -187,11 +187,12 @@
     async fn fill_between_requests(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
         loop {
             let sent = self.output.is_sent(stream);
+            let half_a_head = !self.input.is_empty();
             if sent {
-                self.slot.mark_idle(clock::now(), self.tag > 0);
+                self.slot.mark_idle(clock::now(), self.tag > 0, half_a_head);
             }
             // Half a head is waited for, where there is no other in need of the place.
-            let waits = !self.input.is_empty() && self.slot.is_closing_all();
+            let waits = half_a_head && self.slot.is_closing_all();
             let closes_at = self.slot.closes_at().filter(|_| !waits);
             tokio::select! {
                 biased;
