Split the program's wiring into short steps: listeners, fronts, signals, the end

main::run was 190 lines. What both fronts share, where clients connect, and what is kept beside other processes are types; serving each front, heeding signals and closing are functions.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,9 @@
 //! One real front: reads its configuration, listens, wires the tasks together, and ends when it is told to.
 #![forbid(unsafe_code)]
 
-use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Inputs, News, Setup};
-use onyxyoke::config::{self, Config, LoadedSettings};
+use onyxyoke::broker::{self, Broker, Close, Contracts, Figures, Input, Inputs, News, Setup};
+use onyxyoke::config::{self, Classes, Config, LoadedSettings};
+use onyxyoke::interface::Class;
 use onyxyoke::memory::{AccountOwner, Ledger, Purpose};
 use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
@@ -16,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::sync::mpsc::{channel, unbounded_channel};
+use tokio::sync::mpsc::{Sender, channel, unbounded_channel};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep_until, timeout_at};
 
@@ -138,107 +139,178 @@
     }
 }
 
-async fn run(config: Config, signals: Signals) -> std::io::Result<()> {
-    let Signals { mut terminate, mut hangup, mut usr1 } = signals;
-    let loaded = config.loaded;
-    let settings = Rc::new(Cell::new(loaded.digest()));
-    let (news_in, news) = unbounded_channel();
-    let (operators_in, operators) = unbounded_channel();
-    let (reports_in, reports) = unbounded_channel();
-    let (commands_in, commands) = unbounded_channel();
-    let waiting = config.memory.limits[Purpose::Waiting as usize].cap;
-    let (asks_in, asks) = channel((waiting / broker::REQUEST).clamp(1, ASKS));
-    let (close, closes) = unbounded_channel();
-    let print = Rc::new(Notify::new());
-    let ready = Rc::new(Cell::new(false));
-    let numbers = Rc::new(Cell::new(0));
-    let memory = Ledger::new(config.memory, config.contracts.0.len());
-    let contracts: Rc<Contracts> = Rc::new(config.contracts);
-    let classes = Rc::new(config.classes);
-    let figures = Figures::new(classes.names.clone());
-    let wait = config.settings.max_wait;
-    let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-    let fronts = usize::from(config.listen.is_some()) + usize::from(config.signed.is_some());
-    // Clients hold a third at most; what they have just closed may not be gone here yet.
-    let connections = config.sockets * 2 / 5 / fronts.max(1);
+/// What both fronts share.
+struct Fronts {
+    asks: Sender<Input>,
+    classes: Rc<Classes>,
+    contracts: Rc<Contracts>,
+    ready: Rc<Cell<bool>>,
+    figures: Rc<Figures>,
+    memory: Ledger,
+    numbers: Rc<Cell<u64>>,
+    /// Most connections of one front.
+    connections: usize,
+    /// What a refusal of a front's own says (seconds).
+    wait: f64,
+    listening: Rc<ListenerState>,
+    served: JoinSet<()>,
+}
 
-    let client_listener = config.listen.map(onyxyoke::net::listen).transpose()?;
-    let signed_listener = config.signed.as_ref().map(|s| onyxyoke::net::listen(s.listen)).transpose()?;
-    let listeners = || [&client_listener, &signed_listener].into_iter().flatten();
-    let addresses = listeners().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>()?;
-    // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
-    let state = config.admin.map(|_| StateStore::open(std::env::temp_dir(), &config.name, &addresses));
-    let mut succession = state.as_ref().map(|(store, _)| store.succession());
-    if succession.as_ref().is_some_and(|s| !s.another_serves()) {
-        // One that is closing may still listen: it is to be given no more clients.
-        listeners().for_each(onyxyoke::net::prefer_youngest);
-    }
-    let listening = ListenerState::new();
-    let mut served = JoinSet::new();
-    if let Some(listener) = client_listener {
+impl Fronts {
+    /// Serves RESP clients.
+    fn serve_clients(&mut self, name: &str, listener: TcpListener) -> std::io::Result<()> {
         let front = clients::Front {
-            asks: asks_in.clone(),
-            classes: classes.clone(),
-            contracts: contracts.clone(),
-            ready: ready.clone(),
-            connections,
-            numbers: numbers.clone(),
-            memory: memory.clone(),
-            wait,
-            figures: figures.clone(),
+            asks: self.asks.clone(),
+            classes: self.classes.clone(),
+            contracts: self.contracts.clone(),
+            ready: self.ready.clone(),
+            connections: self.connections,
+            numbers: self.numbers.clone(),
+            memory: self.memory.clone(),
+            wait: self.wait,
+            figures: self.figures.clone(),
         };
-        log!("{} serves on {}", config.name, listener.local_addr()?);
-        let accepting = clients::accept(listener, Rc::new(front), listening.clone());
-        served.spawn_local(measured(TaskKind::Listener, accepting));
+        log!("{name} serves on {}", listener.local_addr()?);
+        let accepting = clients::accept(listener, Rc::new(front), self.listening.clone());
+        self.served.spawn_local(measured(TaskKind::Listener, accepting));
+        Ok(())
     }
-    if let (Some(signed), Some(listener)) = (config.signed, signed_listener) {
+
+    /// Serves signed links, and reads the signers' keys again and again.
+    fn serve_signed(
+        &mut self,
+        name: &str,
+        listener: TcpListener,
+        signed: config::Signed,
+        classes: Vec<Class>,
+    ) -> std::io::Result<()> {
         let wrong = |e: String| std::io::Error::other(format!("'signed.keys': {e}"));
         let text = std::fs::read_to_string(&signed.keys).map_err(|e| wrong(e.to_string()))?;
         let mut keys = Keys::default();
         keys.replace(clock::now(), 0.0, KeyFile::parse(&text).map_err(wrong)?);
-        let held = memory.ask(AccountOwner::of(Purpose::Signed), keys.footprint());
+        let held = self.memory.ask(AccountOwner::of(Purpose::Signed), keys.footprint());
         let held = held.map_err(|_| wrong("they are larger than 'memory.signed' allows".into()))?;
         let keys = Rc::new(RefCell::new(keys));
         let times = (signed.reread, signed.overlap);
         let watching = signed::watch_keys(signed.keys, text, keys.clone(), times, held);
         spawn_local(measured(TaskKind::Keys, watching));
         let front = signed::Front {
-            asks: asks_in.clone(),
-            contracts: contracts.clone(),
-            classes: config.settings.classes.clone(),
+            asks: self.asks.clone(),
+            contracts: self.contracts.clone(),
+            classes,
             base: signed.base,
             audience: signed.audience,
             leeway: signed.leeway,
             keys,
-            connections,
-            numbers,
-            memory: memory.clone(),
-            wait,
+            connections: self.connections,
+            numbers: self.numbers.clone(),
+            memory: self.memory.clone(),
+            wait: self.wait,
         };
-        log!("{} serves signed links on {}", config.name, listener.local_addr()?);
-        let accepting = signed::accept(listener, Rc::new(front), listening.clone());
-        served.spawn_local(measured(TaskKind::Listener, accepting));
+        log!("{name} serves signed links on {}", listener.local_addr()?);
+        let accepting = signed::accept(listener, Rc::new(front), self.listening.clone());
+        self.served.spawn_local(measured(TaskKind::Listener, accepting));
+        Ok(())
+    }
+}
+
+/// Where clients connect.
+struct Listeners {
+    clients: Option<TcpListener>,
+    signed: Option<TcpListener>,
+}
+
+impl Listeners {
+    fn open(config: &Config) -> std::io::Result<Self> {
+        let clients = config.listen.map(onyxyoke::net::listen).transpose()?;
+        let signed = config.signed.as_ref().map(|s| onyxyoke::net::listen(s.listen)).transpose()?;
+        Ok(Listeners { clients, signed })
+    }
+
+    fn all(&self) -> impl Iterator<Item = &TcpListener> {
+        [&self.clients, &self.signed].into_iter().flatten()
+    }
+
+    fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
+        self.all().map(TcpListener::local_addr).collect()
+    }
+}
+
+/// What the process keeps beside others of its front.
+struct Kept {
+    store: StateStore,
+    /// Cordons that were there at the start.
+    cordons: Option<onyxyoke::membership::Kept>,
+    succession: Succession,
+}
+
+impl Kept {
+    /// Finds what an earlier process of the front has left. One that is closing may still listen: it is to be given no more
+    /// clients.
+    fn open(name: &str, listeners: &Listeners) -> std::io::Result<Self> {
+        let (store, cordons) = StateStore::open(std::env::temp_dir(), name, &listeners.addresses()?);
+        let succession = store.succession();
+        if !succession.another_serves() {
+            listeners.all().for_each(onyxyoke::net::prefer_youngest);
+        }
+        Ok(Kept { store, cordons, succession })
+    }
+}
+
+async fn run(config: Config, signals: Signals) -> std::io::Result<()> {
+    let settings = Rc::new(Cell::new(config.loaded.digest()));
+    let (news_in, news) = unbounded_channel();
+    let (operators_in, operators) = unbounded_channel();
+    let (reports_in, reports) = unbounded_channel();
+    let (commands_in, commands) = unbounded_channel();
+    let waiting = config.memory.limits[Purpose::Waiting as usize].cap;
+    let (asks_in, asks) = channel((waiting / broker::REQUEST).clamp(1, ASKS));
+    let (close, closes) = unbounded_channel();
+    let print = Rc::new(Notify::new());
+    let ready = Rc::new(Cell::new(false));
+    let memory = Ledger::new(config.memory, config.contracts.0.len());
+    let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+
+    let listeners = Listeners::open(&config)?;
+    // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
+    let kept = config.admin.map(|_| Kept::open(&config.name, &listeners)).transpose()?;
+    let classes = Rc::new(config.classes);
+    let mut fronts = Fronts {
+        asks: asks_in,
+        figures: Figures::new(classes.names.clone()),
+        classes,
+        contracts: Rc::new(config.contracts),
+        ready: ready.clone(),
+        memory: memory.clone(),
+        numbers: Rc::default(),
+        // Clients hold a third at most; what they have just closed may not be gone here yet.
+        connections: config.sockets * 2 / 5 / listeners.all().count().max(1),
+        wait: config.settings.max_wait,
+        listening: ListenerState::new(),
+        served: JoinSet::new(),
+    };
+    if let Some(listener) = listeners.clients {
+        fronts.serve_clients(&config.name, listener)?;
+    }
+    if let (Some(listener), Some(signed)) = (listeners.signed, config.signed) {
+        fronts.serve_signed(&config.name, listener, signed, config.settings.classes.clone())?;
     }
-    drop(asks_in);
-    let mut kept = None;
-    if let (Some(address), Some((store, found))) = (config.admin, state) {
+    let (mut cordons, mut succession) = (None, None);
+    if let (Some(address), Some(mut kept)) = (config.admin, kept) {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
-        kept = found;
-        if let Some(succession) = &mut succession {
-            succession.note();
-        }
-        let operators = operators_in.clone();
+        kept.succession.note();
         let context = admin::AdminContext {
             ready: ready.clone(),
-            figures: figures.clone(),
-            operators,
-            store: Rc::new(store),
+            figures: fronts.figures.clone(),
+            operators: operators_in.clone(),
+            store: Rc::new(kept.store),
             kept: Cell::new(0),
             settings: settings.clone(),
             build: Cell::new(None),
         };
         spawn_local(measured(TaskKind::Operators, admin::serve(listener, Rc::new(context))));
+        (cordons, succession) = (kept.cordons, Some(kept.succession));
     }
     drop(operators_in);
     let limits = pool::Limits {
@@ -255,22 +327,17 @@
     let mut broker = Broker::new(Setup {
         seed,
         settings: config.settings,
-        class_names: classes.names.clone(),
-        contracts,
+        class_names: fronts.classes.names.clone(),
+        contracts: fronts.contracts.clone(),
         memory: memory.clone(),
-        figures,
+        figures: fronts.figures.clone(),
     });
     // Before the first list: a node that was cordoned is never seen ready.
-    if let Some(kept) = kept {
-        broker.take_kept(clock::now(), &kept);
+    if let Some(cordons) = cordons {
+        broker.take_kept(clock::now(), &cordons);
     }
     let (last, events) = config.known;
-    let mut first = true;
-    for event in events {
-        let cached = first && matches!(event, News::Roster { .. });
-        first &= !cached;
-        broker.news(clock::now(), event, cached);
-    }
+    take_known(&mut broker, events);
     let feed = Feed {
         discovery: config.xds.map(|xds| Live::new((xds.server, xds.refresh))),
         coordinator: config.coordinator.map(Live::new),
@@ -287,20 +354,13 @@
     let inputs =
         Inputs { news, operators, reports, asks, ready: ready.clone(), print: print.clone(), close: closes };
     let mut core = spawn_local(measured(TaskKind::Broker, broker::run(broker, inputs, commands_in)));
+    // The core ends with the last connection that may ask.
+    let Fronts { listening, mut served, asks, .. } = fronts;
+    drop(asks);
 
-    loop {
-        tokio::select! {
-            Some(()) = terminate.recv() => {
-                #[cfg(feature = "planted")]
-                if onyxyoke::planted::has("deaf") {
-                    continue;
-                }
-                break;
-            }
-            Some(()) = usr1.recv() => print.notify_one(),
-            Some(()) = hangup.recv() => feed.reload(&loaded),
-            ended = &mut core => return ended.map_err(std::io::Error::other),
-        }
+    tokio::select! {
+        () = until_terminated(signals, &print, &feed, &config.loaded) => {}
+        ended = &mut core => return ended.map_err(std::io::Error::other),
     }
     // Health says no from here on, but whoever comes is still served until the closing window is over and
     // all that was taken is answered; what would take longer is failed before SIGKILL may come.
@@ -312,18 +372,54 @@
         Some(succession) => serve_or_hand_over(succession, &listening, told + CLOSING).await,
         None => sleep_until(clock::instant(told + CLOSING)).await,
     }
-    // Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that
-    // ended over open ones would reset those on which something comes just then, with the last answers.
+    close_connections(&mut served, &listening, killed).await;
+    let _ = close.send(Close::WhenAnswered);
+    core.await.map_err(std::io::Error::other)?;
+    write_last_answers(&memory, killed).await;
+    Ok(())
+}
+
+/// Takes in what was known at the start; the first whole list is an earlier one.
+fn take_known(broker: &mut Broker, events: Vec<News>) {
+    let mut first = true;
+    for event in events {
+        let cached = first && matches!(event, News::Roster { .. });
+        first &= !cached;
+        broker.news(clock::now(), event, cached);
+    }
+}
+
+/// Heeds signals until the process is told to end.
+async fn until_terminated(mut signals: Signals, print: &Notify, feed: &Feed, loaded: &LoadedSettings) {
+    loop {
+        tokio::select! {
+            Some(()) = signals.terminate.recv() => {
+                #[cfg(feature = "planted")]
+                if onyxyoke::planted::has("deaf") {
+                    continue;
+                }
+                return;
+            }
+            Some(()) = signals.usr1.recv() => print.notify_one(),
+            Some(()) = signals.hangup.recv() => feed.reload(loaded),
+        }
+    }
+}
+
+/// Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that ended over
+/// open ones would reset those on which something comes just then, with the last answers.
+async fn close_connections(served: &mut JoinSet<()>, listening: &ListenerState, killed: f64) {
     listening.close();
     let gone = async { while served.join_next().await.is_some() {} };
     let _ = timeout_at(clock::instant(killed - BEFORE.1), gone).await;
-    let _ = close.send(Close::WhenAnswered);
-    core.await.map_err(std::io::Error::other)?;
-    // The last answers are with their connections' tasks, which get the time to write them.
+}
+
+/// The last answers are with their connections' tasks, which get the time to write them.
+async fn write_last_answers(memory: &Ledger, killed: f64) {
     loop {
         sleep_until(clock::instant(clock::now() + 0.05)).await;
         if memory.accounts().used(Purpose::Unread) == 0 || clock::now() > killed - BEFORE.1 {
-            return Ok(());
+            return;
         }
     }
 }
