Share what closing.rs and signed.rs start with, so that other tests can

`idle_client`, `hold`, `is_closed` and `replaced` move from tests/closing.rs, `talks`, `stage` and `same` from tests/signed.rs to tests/stand_ins/mod.rs; a node keeps its TMPDIR and the second front's log can be searched like the first one's. No assertion changes.

--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -54,26 +54,6 @@
     }
 }
 
-/// A client that has spoken, and is idle from now on.
-fn idle_client(node: &Node) -> Client {
-    let mut client = node.connect();
-    client.send(&["HEALTH", "8", ""]);
-    client.answer();
-    client
-}
-
-/// A request of a class that the reserve is for, so that scarce memory refuses none of it.
-fn hold(client: &mut Client, tag: u64) {
-    let fields = format!("call={tag:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,dedupe=k{tag}");
-    client.send(&["REQ", &tag.to_string(), "holds", &fields, ""]);
-}
-
-/// Has the front closed it?
-fn is_closed(client: &mut Client) -> bool {
-    client.stream.set_nonblocking(true).unwrap();
-    client.stream.peek(&mut [0]).is_ok_and(|n| n == 0)
-}
-
 /// Memory is scarce: idle connections are closed, the longest idle first.
 #[test]
 fn scarce_memory_closes_no_connection_over_unread_answers() {
@@ -200,12 +180,3 @@
     let client = Client::new(connect(&node));
     Unread::answered(node, served, client)
 }
-
-/// A newer process of the front has noted itself, for which this one stands, and the front is told to end.
-fn replaced(node: &Node, tmp: &std::path::Path) {
-    let notes = std::fs::read_dir(tmp).unwrap().map(|entry| entry.unwrap().path());
-    for note in notes.filter(|path| path.extension().is_some_and(|e| e == "live")) {
-        std::fs::write(note, std::process::id().to_string()).unwrap();
-    }
-    node.signal("-TERM");
-}
--- a/tests/signed.rs
+++ b/tests/signed.rs
@@ -10,7 +10,6 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 
-const TALKS: &str = "talks.example.org";
 const DOCUMENTS: &str = "documents.example.org";
 
 fn base64url(bytes: &[u8]) -> String {
@@ -23,10 +22,6 @@
     base64::engine::general_purpose::STANDARD.decode(text).unwrap()
 }
 
-fn talks() -> Signer {
-    Signer::new("t1", TALKS, b"the talks team's secret, 32 byte")
-}
-
 fn documents() -> Signer {
     Signer::new("d1", DOCUMENTS, b"the documents team's secret, 32b")
 }
@@ -43,23 +38,6 @@
     Signer { kid: "t-ec", issuer: TALKS, algorithm: Algorithm::ES256, key, jwk }
 }
 
-/// A front, its cache node (which is its origin too) and the first of its discovery server's requests.
-fn stage(name: &str, keys: &[&Signer], change: impl Fn(String) -> String) -> (Front, Receiver<Served>) {
-    let (cache, served) = cache_node();
-    let (origin, held) = cache_node();
-    let (server, asked) = discovery(vec![("standard", cache), ("origin", origin)]);
-    let front = Front::start(name, keys, server, change);
-    // The third request of a type says that the first two answers were taken in.
-    (0..6).for_each(|_| drop(asked.recv_timeout(PATIENCE).unwrap()));
-    assert_eq!(asked.recv_timeout(PATIENCE).unwrap()["version_info"], "1");
-    std::mem::forget(held);
-    (front, served)
-}
-
-fn same(text: String) -> String {
-    text
-}
-
 fn next(served: &Receiver<Served>) -> Served {
     served.recv_timeout(PATIENCE).expect("a request at the cache node")
 }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -69,6 +69,11 @@
         signal(&self.child, name);
     }
 
+    /// Reads the log until a line has this in it.
+    pub fn logged(&self, what: &str) -> String {
+        logged(&self.log, what)
+    }
+
     /// What the counters say of the accounts of memory.
     pub fn accounts(&self) -> BTreeMap<String, f64> {
         accounts(&self.child, &self.log)
@@ -150,6 +155,8 @@
     pub address: SocketAddr,
     pub log: Receiver<String>,
     pub folder: PathBuf,
+    /// Its `TMPDIR`, where it is not the test's.
+    pub tmp: Option<PathBuf>,
     /// The coordinator: each connection of the front, with the number it asked from.
     pub feeds: Receiver<(u64, TcpStream)>,
 }
@@ -183,7 +190,7 @@
             &folder.join("config.json"),
             &more,
         );
-        Node { child, address, log, folder, feeds }
+        Node { child, address, log, folder, tmp: tmp.map(Path::to_owned), feeds }
     }
 
     pub fn signal(&self, name: &str) {
@@ -289,3 +296,58 @@
 pub fn next(served: &Receiver<Served>) -> Served {
     served.recv_timeout(PATIENCE).expect("a command at the cache node")
 }
+
+/// A client that has spoken, and is idle from now on.
+pub fn idle_client(node: &Node) -> Client {
+    let mut client = node.connect();
+    client.send(&["HEALTH", "8", ""]);
+    client.answer();
+    client
+}
+
+/// A request of a class that the reserve is for, so that scarce memory refuses none of it.
+pub fn hold(client: &mut Client, tag: u64) {
+    let fields = format!("call={tag:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,dedupe=k{tag}");
+    client.send(&["REQ", &tag.to_string(), "holds", &fields, ""]);
+}
+
+/// Has the front closed it?
+pub fn is_closed(client: &mut Client) -> bool {
+    client.stream.set_nonblocking(true).unwrap();
+    client.stream.peek(&mut [0]).is_ok_and(|n| n == 0)
+}
+
+/// A newer process of the front has noted itself, for which this one stands, and the front is told to end.
+pub fn replaced(node: &Node, tmp: &Path) {
+    let notes = std::fs::read_dir(tmp).unwrap().map(|entry| entry.unwrap().path());
+    for note in notes.filter(|path| path.extension().is_some_and(|e| e == "live")) {
+        std::fs::write(note, std::process::id().to_string()).unwrap();
+    }
+    node.signal("-TERM");
+}
+
+/// The issuer of [`talks`].
+pub const TALKS: &str = "talks.example.org";
+
+/// The signer of the talks team's links.
+pub fn talks() -> Signer {
+    Signer::new("t1", TALKS, b"the talks team's secret, 32 byte")
+}
+
+/// A front, its cache node (which is its origin too) and the first of its discovery server's requests.
+pub fn stage(name: &str, keys: &[&Signer], change: impl Fn(String) -> String) -> (Front, Receiver<Served>) {
+    let (cache, served) = cache_node();
+    let (origin, held) = cache_node();
+    let (server, asked) = discovery(vec![("standard", cache), ("origin", origin)]);
+    let front = Front::start(name, keys, server, change);
+    // The third request of a type says that the first two answers were taken in.
+    (0..6).for_each(|_| drop(asked.recv_timeout(PATIENCE).unwrap()));
+    assert_eq!(asked.recv_timeout(PATIENCE).unwrap()["version_info"], "1");
+    std::mem::forget(held);
+    (front, served)
+}
+
+/// The file as it is.
+pub fn same(text: String) -> String {
+    text
+}
