Ask the system whether a client has its answers in the moment of a close

Callers: behind a closed window a few small answers lie unsent, and the front closed the connection all the same. The client could not see the end behind them; what it sent next was lost.

Cause: SendQueue took up to 4 KB for sent without asking ("so few bytes fit any window"). A client that reads nothing has no window, however few the bytes. The table of connections held that guess as a fact, for every closer.

Change: idle is a candidate now, not a fact, and costs no call for a short answer, as before. Whoever wants to close asks the system at that moment: the table for a new client's place and for scarce memory, the connection's task for its idle time and where all close. What is unsent is passed over, and is idle again at the event that it was sent, from which its time to be read counts. Why not a bound of 0: two calls for each short answer.

The table knows each connection by one state. One that is asked to close for a new client and is asked something just then has another idle one close in its stead; where none is idle it closes after its client had the time to read (before: in the instant of being idle). Scarce memory chooses anew. One that is being closed, or owes its place, is not chosen again and is not counted: a newcomer had the place of a connection that was closing already. The test of connections.rs that wanted the instant is replaced by four that are as strict about the place.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -258,7 +258,7 @@
     };
     let _ = timeout_at(clock::instant(clock::now() + TAKE), stream.write_all(reply.as_bytes())).await;
     let by = clock::instant(clock::now() + PARTING.0);
-    let _ = timeout_at(by, super::shut_and_discard(&mut stream, PARTING.1)).await;
+    let _ = timeout_at(by, super::shut_and_discard(&stream, PARTING.1)).await;
 }
 
 #[cfg(test)]
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,7 +1,7 @@
 //! What a connection holds: bytes that come ([`Buffer`]) and bytes that are to go ([`Output`]). Both take what they
 //! need beyond their connection's own from an account, before they use it.
 
-use super::send_queue::SendQueue;
+use super::ClientSocket;
 use crate::memory::{Grant, Refused};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -203,7 +203,6 @@
     spare: Vec<u8>,
     unread: Grant,
     reader: Rc<Cell<usize>>,
-    send_queue: SendQueue,
 }
 
 impl Output {
@@ -217,17 +216,11 @@
         self.len
     }
 
-    /// Is nothing held here? The system may still hold what it took ([`Output::is_sent`]).
+    /// Is nothing held here? The system may still hold what it took ([`super::SendState::all_sent`]).
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    /// Is nothing held here, and has the system sent all that it took? While it has not, the stream is not writable, and
-    /// becomes writable once it has.
-    pub fn is_sent(&mut self, stream: &TcpStream) -> bool {
-        self.is_empty() && self.send_queue.is_empty(stream)
-    }
-
     /// Is so much text unsent that nothing more is to be taken in?
     pub fn crowded(&self) -> bool {
         self.text > TEXT / 2
@@ -265,20 +258,16 @@
     }
 
     /// Writes what the socket takes without waiting.
-    pub fn write_to(&mut self, stream: &TcpStream) -> io::Result<usize> {
+    pub fn write_to(&mut self, socket: &ClientSocket) -> io::Result<usize> {
         let mut sent = 0;
-        if !self.is_empty() {
-            self.send_queue.before_write(stream);
-        }
         while !self.is_empty() {
             let mut pieces = [IoSlice::new(&[]); PIECES];
             let count = self.parts.len().min(PIECES);
             for (piece, part) in pieces.iter_mut().zip(&self.parts) {
                 *piece = IoSlice::new(&part.data[part.left.clone()]);
             }
-            let Some(n) = taken(stream.try_write_vectored(&pieces[..count]))? else { break };
+            let Some(n) = taken(socket.try_write_vectored(&pieces[..count]))? else { break };
             self.consume(n);
-            self.send_queue.wrote(n);
             sent += n;
         }
         // Shown, not asked: the connection has paid for it. A refusal leaves the sum as it was.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -50,6 +50,6 @@
 
 /// Accepts clients until the program ends, or the front takes no more.
 pub async fn accept(listener: TcpListener, front: Rc<Front>, state: Rc<ListenerState>) {
-    let serve = |stream, slot, grant| ClientConnection::new(front.clone(), slot, grant).serve(stream);
+    let serve = |socket, slot, grant| ClientConnection::new(front.clone(), socket, slot, grant).serve();
     super::accept(listener, state, front.connections, front.memory.clone(), serve).await;
 }
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -7,13 +7,12 @@
 use crate::memory::{AccountOwner, Grant, Purpose};
 use crate::net::resp::FrameError;
 use crate::net::{
-    Buffer, ConnectionSlot, INPUT, PEER_CHECK_INTERVAL, Unreadable, linger, peer_has_closed,
-    readable_within_window,
+    Buffer, ClientSocket, ConnectionSlot, INPUT, PEER_CHECK_INTERVAL, SendState, Unreadable, linger,
+    peer_has_closed, readable_within_window,
 };
 use std::io;
 use std::rc::Rc;
 use tokio::io::{Interest, Ready};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::sleep_until;
 
@@ -69,9 +68,9 @@
     now: f64,
     /// Answers are unsent.
     writes: bool,
-    /// Nothing is open and all is written, but the system has not sent all of it.
+    /// Nothing is open and all is written, but the system is known not to have sent all of it.
     untaken: bool,
-    /// Nothing is open and all is sent.
+    /// Nothing is open, and nothing is known to be unsent.
     idle: bool,
     /// Nothing is read, since too much is unsent.
     held_back: bool,
@@ -127,6 +126,7 @@
 
 /// A client connection.
 pub(super) struct ClientConnection {
+    socket: Rc<ClientSocket>,
     slot: ConnectionSlot,
     session: Session,
     answers: UnboundedReceiver<(u64, Answer)>,
@@ -134,14 +134,19 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(front: Rc<Front>, slot: ConnectionSlot, grant: Grant) -> Self {
+    pub(super) fn new(
+        front: Rc<Front>,
+        socket: Rc<ClientSocket>,
+        slot: ConnectionSlot,
+        grant: Grant,
+    ) -> Self {
         let (reply, answers) = unbounded_channel();
-        ClientConnection { slot, session: Session::new(front, reply), answers, grant }
+        ClientConnection { socket, slot, session: Session::new(front, reply), answers, grant }
     }
 
-    pub(super) async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let ended = self.exchange(&stream).await;
+    pub(super) async fn serve(mut self) -> io::Result<()> {
+        self.socket.set_nodelay(true)?;
+        let ended = self.exchange().await;
         if let Err(Ended::Unreadable(broken)) = &ended {
             self.session.fail_open(broken.tag);
         }
@@ -150,12 +155,12 @@
         self.cancel_open_requests().await;
         match ended {
             Ok(End::ByFront) => {
-                self.close(&mut stream).await;
+                self.close().await;
                 Ok(())
             }
             Ok(End::ByClient) => Ok(()),
             Err(Ended::Unreadable(broken)) => {
-                self.close(&mut stream).await;
+                self.close().await;
                 Err(io::Error::new(io::ErrorKind::InvalidData, broken.why.0))
             }
             Err(Ended::Io(e)) => match e.kind() {
@@ -174,21 +179,22 @@
 
     /// Writes the last answers and ends the stream in order. A request among what still comes is not taken, and its client
     /// sends it again elsewhere.
-    async fn close(&mut self, stream: &mut TcpStream) {
+    async fn close(&mut self) {
         // Its place in memory is somebody else's from now on; what is still unsent keeps its own.
         self.grant.shrink(usize::MAX);
-        linger(stream, &self.slot, &mut self.session.output).await;
+        linger(&self.socket, &self.slot, &mut self.session.output).await;
     }
 
     /// Reads requests and writes answers until the connection ends.
-    async fn exchange(&mut self, stream: &TcpStream) -> Result<End, Ended> {
+    async fn exchange(&mut self) -> Result<End, Ended> {
+        let socket = self.socket.clone();
         let bodies = self.session.front.memory.empty(AccountOwner::of(Purpose::Bodies));
         let mut input = Buffer::new(INPUT, bodies);
         let mut timers = Timers::new(clock::now());
         loop {
-            self.write_answers(stream, &mut timers)?;
+            self.write_answers(&mut timers)?;
             let half_a_frame = !input.is_empty() || input.skipping() > 0;
-            let wait = self.plan(stream, half_a_frame, &mut timers);
+            let wait = self.plan(half_a_frame, &mut timers);
             let throttled_until = wait.throttled_until.unwrap_or(wait.now);
             let next_peer_check = wait.now + PEER_CHECK_INTERVAL;
             let until = wait.until.unwrap_or(timers.idle_at);
@@ -199,10 +205,10 @@
                     self.session.answer(tag, answer);
                     None
                 }
-                ready = stream.ready(wait.interest()),
+                ready = socket.ready(wait.interest()),
                     if wait.writes || wait.untaken || wait.throttled_until.is_none() =>
                 {
-                    self.ready(stream, ready?, &wait, &mut input, &mut timers).await?
+                    self.ready(ready?, &wait, &mut input, &mut timers).await?
                 }
                 () = sleep_until(clock::instant(throttled_until)), if wait.throttled_until.is_some() => {
                     self.take_frames(&mut input).await?;
@@ -213,11 +219,11 @@
                 () = sleep_until(clock::instant(next_peer_check)),
                     if wait.reads_paused() && !self.session.open.is_empty() =>
                 {
-                    peer_has_closed(stream).await?.then_some(End::ByClient)
+                    peer_has_closed(&socket).await?.then_some(End::ByClient)
                 }
-                () = self.slot.closes_at_changed(), if wait.idle => None,
+                () = self.slot.changed(), if wait.idle => None,
                 () = sleep_until(clock::instant(until)), if wait.until.is_some() => {
-                    self.time_out(stream, &wait, &timers).await?
+                    self.time_out(&wait, &timers).await?
                 }
             };
             if let Some(end) = end {
@@ -227,19 +233,19 @@
     }
 
     /// Writes what the socket takes of the answers that are there.
-    fn write_answers(&mut self, stream: &TcpStream, timers: &mut Timers) -> io::Result<()> {
+    fn write_answers(&mut self, timers: &mut Timers) -> io::Result<()> {
         while let Ok((tag, answer)) = self.answers.try_recv() {
             self.session.answer(tag, answer);
         }
         let output = &mut self.session.output;
-        if output.write_to(stream)? > 0 || output.is_empty() {
+        if output.write_to(&self.socket)? > 0 || output.is_empty() {
             timers.stalled_at = clock::now() + STALLED;
         }
         Ok(())
     }
 
     /// What is waited for next, by what is open and unsent; keeps the connection's place in the table true.
-    fn plan(&mut self, stream: &TcpStream, half_a_frame: bool, timers: &mut Timers) -> Wait {
+    fn plan(&mut self, half_a_frame: bool, timers: &mut Timers) -> Wait {
         let now = clock::now();
         let output = &self.session.output;
         let unsent = output.len();
@@ -252,8 +258,8 @@
         let slack = if may_read { STALLED } else { 0.0 };
         let stalled_by = output.due().map_or(timers.stalled_at, |due| timers.stalled_at.min(due + slack));
         let nothing_owed = !writes && self.session.open.is_empty();
-        let idle = nothing_owed && self.session.output.is_sent(stream);
-        let untaken = nothing_owed && !idle;
+        let untaken = nothing_owed && self.slot.is_unsent();
+        let idle = nothing_owed && !untaken;
         let was_untaken = timers.taken_by.is_some();
         timers.taken_by = untaken.then_some(timers.taken_by.unwrap_or(timers.idle_at + STALLED));
         match idle {
@@ -269,7 +275,7 @@
             timers.whole_by = timers.whole_by.map(|_| now + WHOLE);
         }
         // Guards the share of clients' connections against those that never say anything whole.
-        let silent = (!self.session.spoken).then_some(timers.speak_by);
+        let silent = (!self.session.spoken && !untaken).then_some(timers.speak_by);
         let stalled = writes.then_some(stalled_by);
         let idle_at = idle.then_some(timers.idle_at);
         // Half a request is waited for, where there is no other in need of the place.
@@ -283,20 +289,19 @@
     /// The socket can be read from or written to, or its end has come.
     async fn ready(
         &mut self,
-        stream: &TcpStream,
         ready: Ready,
         wait: &Wait,
         input: &mut Buffer,
         timers: &mut Timers,
     ) -> Result<Option<End>, Ended> {
         if ready.is_read_closed() {
-            self.client_left(stream, wait, input).await?;
+            self.client_left(wait, input).await?;
             return Ok(Some(End::ByClient));
         }
         if !ready.is_readable() || wait.reads_paused() {
             return Ok(None);
         }
-        match input.read_from(stream) {
+        match input.read_from(&self.socket) {
             Ok(0) => return Ok(Some(End::ByClient)),
             Ok(_) => {
                 timers.active();
@@ -317,23 +322,18 @@
 
     /// The client has closed its side. That is heeded before what it said last, and behind whatever of that is not read:
     /// nothing is sent for it any more. What needs no cache is still answered, as to one that closed its side only.
-    async fn client_left(
-        &mut self,
-        stream: &TcpStream,
-        wait: &Wait,
-        input: &mut Buffer,
-    ) -> Result<(), Ended> {
+    async fn client_left(&mut self, wait: &Wait, input: &mut Buffer) -> Result<(), Ended> {
         self.session.client_left = true;
         self.cancel_open_requests().await;
-        if !wait.reads_paused() && input.read_from(stream).is_ok_and(|n| n > 0) {
+        if !wait.reads_paused() && input.read_from(&self.socket).is_ok_and(|n| n > 0) {
             self.take_frames(input).await?;
-            self.session.output.write_to(stream)?;
+            self.session.output.write_to(&self.socket)?;
         }
         Ok(())
     }
 
     /// A timer is due: is the connection to end?
-    async fn time_out(&self, stream: &TcpStream, wait: &Wait, timers: &Timers) -> Result<Option<End>, Ended> {
+    async fn time_out(&self, wait: &Wait, timers: &Timers) -> Result<Option<End>, Ended> {
         let now = clock::now();
         if timers.whole_by.is_some_and(|by| now >= by) {
             return Err(FrameError { why: Unreadable("half a frame and no more"), tag: None }.into());
@@ -342,7 +342,11 @@
         if untaken || wait.writes && now >= wait.stalled_by {
             return Ok(Some(End::ByClient));
         }
-        Ok((!readable_within_window(stream).await).then_some(End::ByFront))
+        if !self.socket.all_sent() {
+            // Its client cannot see an end: it is waited for, as known to be unsent from now on.
+            return Ok(None);
+        }
+        Ok((!readable_within_window(&self.socket).await).then_some(End::ByFront))
     }
 
     /// Takes the whole frames off the buffer; was there one?
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -1,9 +1,14 @@
 //! How a client connection closes: one last look for input, a lingering close, and seeing that the other side has closed.
 
-use super::{ConnectionSlot, Output};
+use super::{ClientSocket, ConnectionSlot, Output};
 use crate::clock;
+use nix::errno::Errno;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use socket2::SockRef;
 use std::io;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use std::net::Shutdown;
+use std::os::fd::AsFd;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
@@ -32,31 +37,49 @@
     timeout_at(clock::instant(clock::now() + FINAL_READ_WINDOW), stream.readable()).await.is_ok()
 }
 
+/// Asks the system itself whether a socket is ready for this: [`io::ErrorKind::WouldBlock`] if it is not. Has the system
+/// tell the runtime once it is.
+pub(super) fn ready_now(stream: &TcpStream, wanted: PollFlags) -> io::Result<()> {
+    let mut polled = [PollFd::new(stream.as_fd(), wanted)];
+    loop {
+        match poll(&mut polled, PollTimeout::ZERO) {
+            Ok(0) => return Err(io::ErrorKind::WouldBlock.into()),
+            Err(Errno::EINTR) => {}
+            Ok(_) => return Ok(()),
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
 /// A lingering close: writes the last answers, shuts the write side, and discards what still comes until the client has
 /// closed too. Closing with bytes unread would reset the connection, and the client might lose what it was sent last.
-pub async fn linger(stream: &mut TcpStream, slot: &ConnectionSlot, last: &mut Output) {
+pub async fn linger(socket: &ClientSocket, slot: &ConnectionSlot, last: &mut Output) {
+    slot.begin_close();
     let permit = slot.linger();
     let discard = if permit.is_some() { LINGER_DISCARD } else { 0 };
     let by = clock::instant(clock::now() + LINGER_WINDOW);
     let closing = async {
         while !last.is_empty() {
-            stream.writable().await?;
-            last.write_to(stream)?;
+            socket.writable().await?;
+            last.write_to(socket)?;
         }
-        shut_and_discard(stream, discard).await
+        shut_and_discard(socket, discard).await
     };
     // Whether the client got them or not, the connection is closed now.
     let _ = timeout_at(by, closing).await;
 }
 
 /// Shuts the write side, and discards up to so many bytes of what still comes until the other side has closed too.
-pub async fn shut_and_discard(stream: &mut TcpStream, most: usize) -> io::Result<()> {
-    stream.shutdown().await?;
+pub async fn shut_and_discard(stream: &TcpStream, most: usize) -> io::Result<()> {
+    SockRef::from(stream).shutdown(Shutdown::Write)?;
     let (mut rest, mut discarded) = ([0; 512], 0);
     while discarded < most {
-        match stream.read(&mut rest).await? {
-            0 => break,
-            n => discarded += n,
+        stream.readable().await?;
+        match stream.try_read(&mut rest) {
+            Ok(0) => break,
+            Ok(n) => discarded += n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
         }
     }
     Ok(())
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,6 +1,7 @@
-//! The table of a front's client connections: which of them are idle, in what order they may be closed to make room, and
-//! how many may linger after their close. It owns no socket.
+//! The table of a front's client connections: which of them may be idle, in what order they may be closed to make room, and
+//! how many may linger after their close. Whether a client has been sent its answers is asked in the moment of a close.
 
+use super::SendState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -27,6 +28,29 @@
     Immediately,
 }
 
+/// Why one connection is asked to close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseReason {
+    /// Memory is scarce. Once something is read on it another may close in its stead, which the next look decides.
+    Memory,
+    /// A new client has its place: it closes, or another does in its stead.
+    Place,
+}
+
+/// Where a connection stands between its accept and its end.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+enum State {
+    /// Something is open on it, was just read from it, or is known to be unsent.
+    #[default]
+    Active,
+    /// Nothing is, as far as is known without asking the system: it may be chosen to close.
+    Idle(IdleKey),
+    /// It is idle and closes at this time, if nothing is read on it before (Unix seconds).
+    ClosesAt(f64),
+    /// It is being closed.
+    Closing,
+}
+
 /// The client connections of one front.
 #[derive(Default)]
 pub(super) struct ConnectionTable {
@@ -36,6 +60,7 @@
     lingering: Cell<usize>,
     lingering_most: usize,
     open: Cell<usize>,
+    closing: Cell<usize>,
     closed: Notify,
 }
 
@@ -50,7 +75,12 @@
         self.open.get()
     }
 
-    /// How many connections are idle.
+    /// How many connections are open and not being closed: each has a place that is nobody else's.
+    pub(super) fn places_taken(&self) -> usize {
+        self.open.get() - self.closing.get()
+    }
+
+    /// How many connections may be chosen to close.
     pub(super) fn idle(&self) -> usize {
         self.idle.borrow().len()
     }
@@ -86,50 +116,73 @@
 
     /// Asks the first idle connection to close, so that another gets its place; is there one?
     pub(super) fn close_most_idle(&self) -> bool {
-        let first = self.idle.borrow_mut().pop_first();
-        first.inspect(|(_, entry)| entry.ask_to_close()).is_some()
+        self.close_first(CloseReason::Place, |_| true)
     }
 
-    /// The same, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a message.
+    /// The same for its memory, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a
+    /// message.
     pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
-        let key = self.first_idle_since(now - IDLE_GRACE);
-        let entry = key.and_then(|key| self.idle.borrow_mut().remove(&key));
-        entry.inspect(|entry| entry.ask_to_close()).is_some()
+        let since = now - IDLE_GRACE;
+        self.close_first(CloseReason::Memory, |entry| {
+            entry.idle_since.get() <= since && !entry.mid_message.get()
+        })
     }
 
-    /// The first connection in the order of closing that has been idle since then, between two messages.
-    fn first_idle_since(&self, then: f64) -> Option<IdleKey> {
-        let idle = self.idle.borrow();
-        let rests = |entry: &Entry| entry.idle_since.get() <= then && !entry.mid_message.get();
-        idle.iter().find(|(_, entry)| rests(entry)).map(|(key, _)| *key)
+    /// Asks the first idle connection that may close to do so, and passes over those whose answers are not all sent: what is
+    /// idle is a candidate, and only the system knows at this moment whether its client can see an end.
+    fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> bool {
+        while let Some(entry) = self.take_first(&may_close) {
+            if entry.socket.all_sent() {
+                entry.ask_to_close(reason);
+                return true;
+            }
+            entry.state.set(State::Active);
+            entry.changed.notify_one();
+        }
+        false
+    }
+
+    fn take_first(&self, may_close: impl Fn(&Entry) -> bool) -> Option<Rc<Entry>> {
+        let mut idle = self.idle.borrow_mut();
+        let key = idle.iter().find(|(_, entry)| may_close(entry)).map(|(key, _)| *key)?;
+        idle.remove(&key)
+    }
+
+    fn add_idle(&self, entry: &Rc<Entry>) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let key = (entry.spoken.get(), number);
+        entry.state.set(State::Idle(key));
+        self.idle.borrow_mut().insert(key, entry.clone());
     }
 }
 
 /// What the table knows of a connection.
-#[derive(Default)]
 struct Entry {
-    /// While it is idle, its place in the order.
-    key: Cell<Option<IdleKey>>,
+    socket: Rc<dyn SendState>,
+    state: Cell<State>,
     /// Since when it is idle (Unix seconds).
     idle_since: Cell<f64>,
+    /// Something usable has come from its client.
+    spoken: Cell<bool>,
     /// Part of a message has come from its client.
     mid_message: Cell<bool>,
-    /// It is asked to close once it is idle.
-    asked_to_close: Cell<bool>,
-    /// When it is to close may have changed.
+    /// A new client has its place, and it did not close yet.
+    owes_place: Cell<bool>,
+    /// Its state, or when it is to close, may have changed.
     changed: Notify,
 }
 
 impl Entry {
-    fn ask_to_close(&self) {
-        self.asked_to_close.set(true);
+    fn ask_to_close(&self, reason: CloseReason) {
+        self.owes_place.set(reason == CloseReason::Place);
+        self.state.set(State::ClosesAt(self.idle_since.get()));
         self.changed.notify_one();
     }
 
     /// Its client has read its last answer by then, if it was sent one (Unix seconds).
     fn read_by(&self) -> f64 {
-        let spoken = self.key.get().is_some_and(|(spoken, _)| spoken);
-        self.idle_since.get() + if spoken { IDLE_GRACE } else { 0.0 }
+        self.idle_since.get() + if self.spoken.get() { IDLE_GRACE } else { 0.0 }
     }
 }
 
@@ -141,58 +194,95 @@
 
 impl ConnectionSlot {
     /// A place for a new connection. It is idle from the start, since it may be asked to close before its task runs.
-    pub(super) fn new(table: Rc<ConnectionTable>, now: f64) -> Self {
+    pub(super) fn new(table: Rc<ConnectionTable>, socket: Rc<dyn SendState>, now: f64) -> Self {
         table.open.set(table.open.get() + 1);
-        let slot = ConnectionSlot { table, entry: Rc::default() };
+        let entry = Rc::new(Entry {
+            socket,
+            state: Cell::default(),
+            idle_since: Cell::default(),
+            spoken: Cell::default(),
+            mid_message: Cell::default(),
+            owes_place: Cell::default(),
+            changed: Notify::default(),
+        });
+        let slot = ConnectionSlot { table, entry };
         slot.mark_idle(now, false, false);
         slot
     }
 
     /// The connection waits for its client, which has sent something usable before, or has not, and may be in the middle of a
-    /// message: nothing is open, and the system has sent every answer.
+    /// message: nothing is open, and nothing is known to be unsent.
     pub fn mark_idle(&self, now: f64, spoken: bool, mid_message: bool) {
-        self.entry.mid_message.set(mid_message);
+        let entry = &self.entry;
+        entry.mid_message.set(mid_message);
         if self.is_idle() {
             return;
         }
-        let number = self.table.next_number.get();
-        self.table.next_number.set(number + 1);
-        let key = (spoken, number);
-        self.entry.key.set(Some(key));
-        self.entry.idle_since.set(now);
-        self.table.idle.borrow_mut().insert(key, self.entry.clone());
+        entry.spoken.set(spoken);
+        entry.idle_since.set(now);
+        if entry.owes_place.get() && !self.give_other_place() {
+            entry.state.set(State::ClosesAt(entry.read_by()));
+        } else {
+            self.table.add_idle(entry);
+        }
     }
 
-    /// Something was read from the client, or is owed to it. If it was asked to close, it does once it is idle again: another
-    /// has its place already.
+    /// Something was read from the client, is owed to it, or is not sent. If it was asked to close, another may do so in its
+    /// stead.
     pub fn mark_active(&self) {
-        if let Some(key) = self.entry.key.take() {
+        if !self.is_idle() {
+            return;
+        }
+        if let State::Idle(key) = self.entry.state.replace(State::Active) {
             self.table.idle.borrow_mut().remove(&key);
+        } else if self.entry.owes_place.get() {
+            self.give_other_place();
+        }
+    }
+
+    /// Has another idle connection close in place of this one, whose client is in the middle of something; is there one?
+    /// Clients that never said anything usable close all the same.
+    fn give_other_place(&self) -> bool {
+        let given = self.entry.spoken.get() && self.table.close_most_idle();
+        if given {
+            self.entry.owes_place.set(false);
         }
+        given
     }
 
-    /// Is the connection idle?
+    /// The connection closes now: its place is free from now on.
+    pub fn begin_close(&self) {
+        let before = self.entry.state.replace(State::Closing);
+        if let State::Idle(key) = before {
+            self.table.idle.borrow_mut().remove(&key);
+        }
+        if before != State::Closing {
+            self.table.closing.set(self.table.closing.get() + 1);
+        }
+    }
+
+    /// Is the connection idle, as far as is known?
     pub fn is_idle(&self) -> bool {
-        self.entry.key.get().is_some()
+        matches!(self.entry.state.get(), State::Idle(_) | State::ClosesAt(_))
     }
 
     /// When the idle connection is to close, if it is asked to (Unix seconds).
     pub fn closes_at(&self) -> Option<f64> {
-        if !self.is_idle() {
-            return None;
-        }
-        if self.entry.asked_to_close.get() {
-            return Some(self.entry.idle_since.get());
-        }
-        match self.table.close_all.get() {
-            CloseAll::No => None,
-            CloseAll::AfterReading => Some(self.entry.read_by()),
-            CloseAll::Immediately => Some(self.entry.idle_since.get()),
-        }
+        let asked = match self.entry.state.get() {
+            State::Active | State::Closing => return None,
+            State::Idle(_) => f64::INFINITY,
+            State::ClosesAt(at) => at,
+        };
+        let all = match self.table.close_all.get() {
+            CloseAll::No => f64::INFINITY,
+            CloseAll::AfterReading => self.entry.read_by(),
+            CloseAll::Immediately => self.entry.idle_since.get(),
+        };
+        Some(asked.min(all)).filter(|at| at.is_finite())
     }
 
-    /// Waits until [`ConnectionSlot::closes_at`] may have changed.
-    pub async fn closes_at_changed(&self) {
+    /// Waits until what the table holds of the connection may have changed: whether it is idle, or when it is to close.
+    pub async fn changed(&self) {
         self.entry.changed.notified().await;
     }
 
@@ -201,6 +291,15 @@
         self.table.is_closing_all()
     }
 
+    /// Is something that was written known to be unsent? Once all connections close, the client's time to read its last
+    /// answer begins as that is sent, so that the system is asked.
+    pub fn is_unsent(&self) -> bool {
+        match self.is_closing_all() {
+            true => !self.entry.socket.all_sent(),
+            false => self.entry.socket.is_known_unsent(),
+        }
+    }
+
     /// A permit to wait, after this side was shut, for the client to close too. `None` where so many do that they would take
     /// the place of others; once all close, no others are to come.
     pub fn linger(&self) -> Option<LingerPermit> {
@@ -214,7 +313,8 @@
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.mark_active();
+        self.begin_close();
+        self.table.closing.set(self.table.closing.get() - 1);
         self.table.open.set(self.table.open.get() - 1);
         self.table.closed.notify_one();
     }
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -1,12 +1,31 @@
 //! Tests of `connections.rs`.
 
-use super::{ConnectionSlot, ConnectionTable, IDLE_GRACE};
+use super::{ConnectionSlot, ConnectionTable, IDLE_GRACE, SendState};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A socket of which is told whether all that was written is sent.
+struct Socket(Cell<bool>);
+
+impl SendState for Socket {
+    fn all_sent(&self) -> bool {
+        self.0.get()
+    }
+
+    fn is_known_unsent(&self) -> bool {
+        !self.0.get()
+    }
+}
+
+fn sent() -> Rc<Socket> {
+    Rc::new(Socket(Cell::new(true)))
+}
 
 /// A table with a connection for each of these: whether it has spoken, and since when it is idle.
-fn table(connections: &[(bool, f64)]) -> (std::rc::Rc<ConnectionTable>, Vec<ConnectionSlot>) {
+fn table(connections: &[(bool, f64)]) -> (Rc<ConnectionTable>, Vec<ConnectionSlot>) {
     let table = ConnectionTable::new(1);
     let idle = |&(spoken, since): &(bool, f64)| {
-        let slot = ConnectionSlot::new(table.clone(), since);
+        let slot = ConnectionSlot::new(table.clone(), sent(), since);
         slot.mark_active();
         slot.mark_idle(since, spoken, false);
         slot
@@ -39,17 +58,86 @@
     assert_eq!(asked(&slots), [true, false, true]);
 }
 
+/// A client that has taken little of its answers, which costs a question to find out, cannot see an end.
+#[test]
+fn whoever_wants_to_close_passes_over_those_whose_answers_are_not_sent() {
+    let table = ConnectionTable::new(1);
+    let sockets = [sent(), sent()];
+    let slots = sockets.each_ref().map(|socket| ConnectionSlot::new(table.clone(), socket.clone(), 1.0));
+    sockets[0].0.set(false);
+    assert!(table.close_idle_since_grace(1.0 + IDLE_GRACE));
+    assert_eq!(asked(&slots), [false, true]);
+    assert!(!slots[0].is_idle(), "it is known now, and its task waits for it to be sent");
+    assert!(!table.close_most_idle());
+    sockets[0].0.set(true);
+    slots[0].mark_idle(3.0, true, false);
+    assert!(!table.close_idle_since_grace(2.9 + IDLE_GRACE), "its client has just been sent the rest");
+    assert!(table.close_most_idle());
+    assert_eq!(asked(&slots), [true, true]);
+}
+
+/// A request comes on a connection that is asked to close for a new client: another that is idle gives its place.
+#[test]
+fn one_whose_request_comes_as_it_is_to_close_stays_and_another_closes_at_once() {
+    let (table, slots) = table(&[(true, 1.0), (true, 1.5)]);
+    assert!(table.close_most_idle());
+    slots[0].mark_active();
+    assert_eq!(slots[1].closes_at(), Some(1.5), "another was accepted for one of them");
+    slots[0].mark_idle(2.0, true, false);
+    assert_eq!(slots[0].closes_at(), None);
+}
+
+/// The same where no other is idle: one closes for a client that was accepted, and only one, whose client had the time to read.
 #[test]
 fn one_that_is_asked_to_close_as_its_request_comes_closes_behind_the_answer() {
     let (table, slots) = table(&[(true, 1.0), (true, 1.5)]);
+    slots[1].mark_active();
     assert!(table.close_most_idle());
     slots[0].mark_active();
     assert_eq!(slots[0].closes_at(), None, "it is not idle");
     slots[0].mark_idle(2.0, true, false);
-    assert_eq!(slots[0].closes_at(), Some(2.0), "another was accepted for it");
+    assert_eq!(slots[0].closes_at(), Some(2.0 + IDLE_GRACE), "another was accepted for it");
+    assert!(!table.close_most_idle(), "its place is given away already");
+    slots[1].mark_idle(2.5, true, false);
     assert_eq!(slots[1].closes_at(), None);
 }
 
+/// The same where another has become idle by then: that one closes, which is sooner.
+#[test]
+fn a_place_that_is_owed_is_given_by_the_next_that_is_idle() {
+    let (table, slots) = table(&[(true, 1.0), (true, 1.5)]);
+    slots[1].mark_active();
+    assert!(table.close_most_idle());
+    slots[0].mark_active();
+    slots[1].mark_idle(2.0, true, false);
+    slots[0].mark_idle(3.0, true, false);
+    assert_eq!((slots[0].closes_at(), slots[1].closes_at()), (None, Some(2.0)));
+}
+
+/// Nobody has the place of one that scarce memory asks to close, and its client has begun something.
+#[test]
+fn one_that_scarce_memory_asks_to_close_as_its_request_comes_stays() {
+    let (table, slots) = table(&[(true, 1.0)]);
+    assert!(table.close_idle_since_grace(1.0 + IDLE_GRACE));
+    slots[0].mark_active();
+    slots[0].mark_idle(3.0, true, false);
+    assert_eq!(slots[0].closes_at(), None);
+    assert!(!table.close_idle_since_grace(2.9 + IDLE_GRACE));
+}
+
+/// What is being closed has no place any more, which is counted once, and is not chosen to close again.
+#[test]
+fn one_that_is_being_closed_is_neither_counted_nor_chosen() {
+    let (table, mut slots) = table(&[(true, 1.0), (true, 1.5)]);
+    slots[0].begin_close();
+    slots[0].begin_close();
+    assert_eq!((table.places_taken(), table.open()), (1, 2));
+    assert!(table.close_most_idle() && !table.close_most_idle());
+    assert_eq!(asked(&slots), [false, true]);
+    slots.remove(0);
+    assert_eq!((table.places_taken(), table.open()), (1, 1));
+}
+
 #[test]
 fn when_all_close_each_has_the_time_to_read_until_the_end() {
     let (table, slots) = table(&[(true, 1.0), (false, 1.0)]);
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -2,7 +2,7 @@
 
 use super::closing::FINAL_READ_WINDOW;
 use super::connections::{ConnectionSlot, ConnectionTable};
-use super::{INPUT, TEXT};
+use super::{ClientSocket, INPUT, TEXT};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
@@ -151,7 +151,7 @@
     state: Rc<ListenerState>,
     most: usize,
     memory: Ledger,
-    serve: impl Fn(TcpStream, ConnectionSlot, Grant) -> F,
+    serve: impl Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F,
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
@@ -228,12 +228,12 @@
 
 impl<S, F> Acceptor<S>
 where
-    S: Fn(TcpStream, ConnectionSlot, Grant) -> F,
+    S: Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F,
     F: Future<Output = io::Result<()>> + 'static,
 {
     /// Serves a connection, for which another may be closed, or turns it away.
     async fn take(&self, (stream, peer): Accepted) {
-        if self.table.open() >= self.most {
+        if self.table.places_taken() >= self.most {
             if !self.table.close_most_idle() {
                 return log!("client {peer} is turned away: {} are connected", self.most);
             }
@@ -245,7 +245,9 @@
         };
         self.memory.clients(1);
         let memory = self.memory.clone();
-        let served = (self.serve)(stream, ConnectionSlot::new(self.table.clone(), clock::now()), grant);
+        let socket = Rc::new(ClientSocket::new(stream));
+        let slot = ConnectionSlot::new(self.table.clone(), socket.clone(), clock::now());
+        let served = (self.serve)(socket, slot, grant);
         tokio::task::spawn_local(measured(TaskKind::Client, async move {
             if let Err(e) = served.await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 mod buffer;
+mod client_socket;
 pub mod clients;
 mod closing;
 mod connections;
@@ -18,6 +19,7 @@
 mod send_queue;
 
 pub use buffer::{Buffer, Output, TEXT};
+pub use client_socket::{ClientSocket, SendState};
 pub use closing::{PEER_CHECK_INTERVAL, linger, peer_has_closed, readable_within_window, shut_and_discard};
 pub use connections::{ConnectionSlot, LingerPermit};
 pub use listener::{ListenerState, accept, listen, prefer_youngest};
--- a/src/net/send_queue.rs
+++ b/src/net/send_queue.rs
@@ -1,10 +1,10 @@
 //! What the system holds of the bytes that were written to a socket and has not sent, since the peer takes no more.
 
-use nix::errno::Errno;
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use super::closing::ready_now;
+use nix::poll::PollFlags;
 use socket2::SockRef;
+use std::cell::Cell;
 use std::io;
-use std::os::fd::AsFd;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -12,61 +12,56 @@
 const ALL_SENT: u32 = 1;
 /// With this, a socket has the system's own bound.
 const SYSTEM_BOUND: u32 = 0;
-/// So few bytes fit any window: they are sent unless more waits before them (bytes).
-const SENT_AT_ONCE: usize = 4 * 1024;
+/// Beyond so many bytes since all was last seen to be sent, the system is asked without anybody's wish (bytes). It costs
+/// two calls, which one short answer is not worth.
+const ASKED_BEYOND: usize = 4 * 1024;
 
 /// Follows what the system has sent of a socket's bytes. TCP_NOTSENT_LOWAT tells, which bounds writes too: it is set only
 /// while nothing is written.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(super) struct SendQueue {
-    /// Bytes written since all was known to be sent.
-    unconfirmed: usize,
-    /// The socket's writes are bounded.
-    bounded: bool,
+    /// Bytes written since all was seen to be sent.
+    unconfirmed: Cell<usize>,
+    /// The socket's writes are bounded, and it tells once all is sent.
+    bounded: Cell<bool>,
 }
 
 impl SendQueue {
     /// Lets the system take as much as usual. To be called before each write.
-    pub(super) fn before_write(&mut self, stream: &TcpStream) {
-        if std::mem::take(&mut self.bounded) {
+    pub(super) fn before_write(&self, stream: &TcpStream) {
+        if self.bounded.take() {
             let _ = SockRef::from(stream).set_tcp_notsent_lowat(SYSTEM_BOUND);
         }
     }
 
     /// The system took so many bytes.
-    pub(super) fn wrote(&mut self, bytes: usize) {
-        self.unconfirmed += bytes;
+    pub(super) fn wrote(&self, bytes: usize) {
+        self.unconfirmed.set(self.unconfirmed.get() + bytes);
     }
 
-    /// Has the system sent all that was written? While it has not, the stream is not writable, and becomes writable once
-    /// it has.
-    pub(super) fn is_empty(&mut self, stream: &TcpStream) -> bool {
-        if self.unconfirmed <= SENT_AT_ONCE {
+    /// Has the system sent all that was written? Asks it. While it has not, the stream is not writable, and becomes
+    /// writable once it has.
+    pub(super) fn is_empty(&self, stream: &TcpStream) -> bool {
+        if self.unconfirmed.get() == 0 {
             return true;
         }
-        if !self.bounded {
+        if !self.bounded.get() {
             // Where the system refuses it, it is not known what is sent, and all counts as sent.
-            self.bounded = SockRef::from(stream).set_tcp_notsent_lowat(ALL_SENT).is_ok();
+            self.bounded.set(SockRef::from(stream).set_tcp_notsent_lowat(ALL_SENT).is_ok());
         }
         let waits = |e: io::Error| e.kind() == io::ErrorKind::WouldBlock;
-        let sent = !stream.try_io(Interest::WRITABLE, || writable_now(stream)).is_err_and(waits);
+        let writable = || ready_now(stream, PollFlags::POLLOUT);
+        let sent = !stream.try_io(Interest::WRITABLE, writable).is_err_and(waits);
         if sent {
-            self.unconfirmed = 0;
+            self.unconfirmed.set(0);
         }
         sent
     }
-}
 
-/// Asks the system itself; where the socket is not writable, that has it tell the runtime once it is.
-fn writable_now(stream: &TcpStream) -> io::Result<()> {
-    let mut polled = [PollFd::new(stream.as_fd(), PollFlags::POLLOUT)];
-    loop {
-        match poll(&mut polled, PollTimeout::ZERO) {
-            Ok(0) => return Err(io::ErrorKind::WouldBlock.into()),
-            Err(Errno::EINTR) => {}
-            Ok(_) => return Ok(()),
-            Err(e) => return Err(e.into()),
-        }
+    /// Is something known to be unsent? Asks the system only where it was found unsent before, or much was written since:
+    /// that nothing is known says little of a few bytes.
+    pub(super) fn is_known_unsent(&self, stream: &TcpStream) -> bool {
+        (self.bounded.get() || self.unconfirmed.get() > ASKED_BEYOND) && !self.is_empty(stream)
     }
 }
 
--- a/src/net/send_queue/tests.rs
+++ b/src/net/send_queue/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `send_queue.rs`.
 
-use super::{SENT_AT_ONCE, SendQueue};
+use super::{ASKED_BEYOND, SendQueue};
 use std::io::Read;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -14,7 +14,7 @@
 #[tokio::test]
 async fn what_the_peer_has_no_room_for_is_unsent_until_it_reads() {
     let (stream, mut peer) = pair().await;
-    let mut queue = SendQueue::default();
+    let queue = SendQueue::default();
     let bytes = vec![b'x'; 240_000];
     queue.before_write(&stream);
     let written = stream.try_write(&bytes).unwrap();
@@ -35,7 +35,7 @@
 #[tokio::test]
 async fn a_write_is_not_bounded_by_what_is_unsent() {
     let (stream, _peer) = pair().await;
-    let mut queue = SendQueue::default();
+    let queue = SendQueue::default();
     queue.wrote(stream.try_write(&[b'x'; 100_000]).unwrap());
     assert!(!queue.is_empty(&stream));
     queue.before_write(&stream);
@@ -43,11 +43,18 @@
     assert_eq!(stream.try_write(&[b'x'; 100_000]).unwrap(), 100_000);
 }
 
-/// A short answer costs no look at the socket.
+/// A short answer costs no look at the socket by itself, and is looked for when somebody asks.
 #[tokio::test]
-async fn few_bytes_count_as_sent() {
-    let (stream, _peer) = pair().await;
-    let mut queue = SendQueue::default();
-    queue.wrote(SENT_AT_ONCE);
-    assert!(queue.is_empty(&stream) && !queue.bounded);
+async fn few_bytes_are_looked_for_only_when_it_matters() {
+    let (stream, peer) = pair().await;
+    let queue = SendQueue::default();
+    // As many short answers as the other side has room for, and some behind them.
+    while queue.is_empty(&stream) {
+        queue.before_write(&stream);
+        queue.wrote(stream.try_write(&[b'x'; 900]).unwrap());
+        assert!(queue.unconfirmed.get() <= ASKED_BEYOND);
+        assert!(!queue.is_known_unsent(&stream) && !queue.bounded.get());
+    }
+    assert!(queue.is_known_unsent(&stream));
+    drop(peer);
 }
--- a/src/signed/connection.rs
+++ b/src/signed/connection.rs
@@ -5,14 +5,14 @@
 use crate::clock;
 use crate::memory::{AccountOwner, Grant, Purpose, Refused};
 use crate::net::{
-    Buffer, ConnectionSlot, INPUT, Output, PEER_CHECK_INTERVAL, linger, peer_has_closed,
-    readable_within_window,
+    Buffer, ClientSocket, ConnectionSlot, INPUT, Output, PEER_CHECK_INTERVAL, SendState, linger,
+    peer_has_closed, readable_within_window,
 };
 use http::Unusable;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::Interest;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep_until};
 
@@ -28,6 +28,7 @@
 /// A connection of the second front.
 pub(super) struct Connection {
     front: Rc<Front>,
+    socket: Rc<ClientSocket>,
     slot: ConnectionSlot,
     number: u64,
     tag: u64,
@@ -39,21 +40,26 @@
 }
 
 impl Connection {
-    pub(super) fn new(front: Rc<Front>, slot: ConnectionSlot, grant: Grant) -> Self {
+    pub(super) fn new(
+        front: Rc<Front>,
+        socket: Rc<ClientSocket>,
+        slot: ConnectionSlot,
+        grant: Grant,
+    ) -> Self {
         let (reply, answers) = unbounded_channel();
         let number = front.numbers.get() + 1;
         front.numbers.set(number);
         let input = Buffer::new(INPUT, front.memory.empty(AccountOwner::of(Purpose::Signed)));
         let unread = AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) };
         let output = Output::new(front.memory.empty(unread));
-        Connection { front, slot, number, tag: 0, reply, answers, input, output, _grant: grant }
+        Connection { front, socket, slot, number, tag: 0, reply, answers, input, output, _grant: grant }
     }
 
-    pub(super) async fn serve(mut self, mut stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let ended = self.requests(&stream).await;
+    pub(super) async fn serve(mut self) -> io::Result<()> {
+        self.socket.set_nodelay(true)?;
+        let ended = self.requests().await;
         if ended.is_ok() {
-            linger(&mut stream, &self.slot, &mut self.output).await;
+            linger(&self.socket, &self.slot, &mut self.output).await;
         }
         match ended {
             Err(e) if matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => {
@@ -64,18 +70,18 @@
     }
 
     /// Serves one request after the other.
-    async fn requests(&mut self, stream: &TcpStream) -> io::Result<()> {
+    async fn requests(&mut self) -> io::Result<()> {
         loop {
-            match self.head(stream).await? {
+            match self.head().await? {
                 Some(Ok(request)) => {
-                    if !self.serve_request(stream, &request).await? {
+                    if !self.serve_request(&request).await? {
                         return Ok(());
                     }
                 }
                 Some(Err(Unusable(status))) => {
                     // Where it ends is unknown, so that nothing after it can be read.
                     self.say(status, &[("Connection", "close")], "the message cannot be taken", false);
-                    return self.flush(stream).await;
+                    return self.flush().await;
                 }
                 None => return Ok(()),
             }
@@ -83,7 +89,7 @@
     }
 
     /// Serves one request; is another to be read from the connection?
-    async fn serve_request(&mut self, stream: &TcpStream, request: &http::Request) -> io::Result<bool> {
+    async fn serve_request(&mut self, request: &http::Request) -> io::Result<bool> {
         let arrived = clock::now();
         // What was read of its head is held while it is served.
         let text = request.fields.iter().map(|(name, value)| name.len() + value.len() + FIELD).sum::<usize>();
@@ -97,11 +103,11 @@
         match admitted {
             Err(rejection) => self.reject(&rejection, end, request.method == "HEAD"),
             Ok(mut ask) => {
-                if !self.body(stream, request, &mut ask, arrived).await? {
+                if !self.body(request, &mut ask, arrived).await? {
                     return Ok(false);
                 }
                 let deadline = ask.deadline;
-                let Some(mut answer) = self.ask(stream, ask).await? else { return Ok(false) };
+                let Some(mut answer) = self.ask(ask).await? else { return Ok(false) };
                 // What the core gave up on since its time was over is told as that.
                 if matches!(answer, Answer::Refused(_) | Answer::Failed) && clock::now() >= deadline {
                     answer = Answer::Late;
@@ -109,7 +115,7 @@
                 self.answer(answer, request, end);
             }
         }
-        self.flush(stream).await?;
+        self.flush().await?;
         Ok(keep)
     }
 
@@ -117,14 +123,13 @@
     /// it comes, and needs no room in the buffer.
     async fn body(
         &mut self,
-        stream: &TcpStream,
         request: &http::Request,
         ask: &mut ClientRequest,
         arrived: f64,
     ) -> io::Result<bool> {
         if request.expects {
             self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
-            self.flush(stream).await?;
+            self.flush().await?;
         }
         let by = clock::instant(arrived + WHOLE);
         ask.body = Vec::with_capacity(request.length);
@@ -135,7 +140,7 @@
             if ask.body.len() == request.length {
                 return Ok(true);
             }
-            if !self.fill(stream, by).await? {
+            if !self.fill(by).await? {
                 return Ok(false);
             }
         }
@@ -155,7 +160,7 @@
     }
 
     /// Reads until a head is whole; `None` if the client has gone, or never began.
-    async fn head(&mut self, stream: &TcpStream) -> io::Result<Option<Result<http::Request, Unusable>>> {
+    async fn head(&mut self) -> io::Result<Option<Result<http::Request, Unusable>>> {
         let mut by = clock::instant(clock::now() + IDLE);
         let mut begun = false;
         loop {
@@ -171,7 +176,7 @@
             if !begun && !self.input.is_empty() {
                 (begun, by) = (true, clock::instant(clock::now() + WHOLE));
             }
-            let more = match self.fill_between_requests(stream, by).await {
+            let more = match self.fill_between_requests(by).await {
                 // Half a head that may not grow.
                 Err(e) if e.kind() == io::ErrorKind::OutOfMemory => return Ok(Some(Err(Unusable(503)))),
                 more => more?,
@@ -184,50 +189,66 @@
     }
 
     /// Reads once while nothing is owed; `false` at the end of the stream or of the time, or if the connection is to close.
-    async fn fill_between_requests(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
+    async fn fill_between_requests(&mut self, mut by: Instant) -> io::Result<bool> {
+        let mut was_unsent = false;
+        let half_a_head = !self.input.is_empty();
         loop {
-            let sent = self.output.is_sent(stream);
-            let half_a_head = !self.input.is_empty();
-            if sent {
-                self.slot.mark_idle(clock::now(), self.tag > 0, half_a_head);
+            let now = clock::now();
+            let unsent = self.slot.is_unsent();
+            if !half_a_head && unsent != was_unsent {
+                // An end is seen only by a client that took its answer: until then it has longer, and then a whole time.
+                by = if unsent { by + Duration::from_secs_f64(IDLE) } else { clock::instant(now + IDLE) };
+            }
+            was_unsent = unsent;
+            match unsent {
+                true => self.slot.mark_active(),
+                false => self.slot.mark_idle(now, self.tag > 0, half_a_head),
             }
             // Half a head is waited for, where there is no other in need of the place.
             let waits = half_a_head && self.slot.is_closing_all();
             let closes_at = self.slot.closes_at().filter(|_| !waits);
             tokio::select! {
                 biased;
-                ready = stream.readable() => {
+                ready = self.socket.readable() => {
                     ready?;
-                    return self.read(stream);
+                    return self.read();
                 }
-                ready = stream.writable(), if !sent => ready?,
-                () = self.slot.closes_at_changed(), if sent => {}
+                ready = self.socket.writable(), if unsent => ready?,
+                () = self.slot.changed(), if !unsent => {}
                 () = sleep_until(clock::instant(closes_at.unwrap_or_default())), if closes_at.is_some() => {
+                    // Its client could not see an end.
+                    if !self.socket.all_sent() {
+                        continue;
+                    }
                     // One that is asked to close just as its request comes serves that first.
-                    if !readable_within_window(stream).await {
+                    if !readable_within_window(&self.socket).await {
                         return Ok(false);
                     }
                     self.slot.mark_active();
-                    return self.read(stream);
+                    return self.read();
+                }
+                () = sleep_until(by) => {
+                    if unsent || half_a_head || self.socket.all_sent() {
+                        return Ok(false);
+                    }
                 }
-                () = sleep_until(by) => return Ok(false),
             }
         }
     }
 
     /// Reads once; `false` at the end of the stream or of the time.
-    async fn fill(&mut self, stream: &TcpStream, by: Instant) -> io::Result<bool> {
+    async fn fill(&mut self, by: Instant) -> io::Result<bool> {
         tokio::select! {
             biased;
-            ready = stream.readable() => ready?,
+            ready = self.socket.readable() => ready?,
             () = sleep_until(by) => return Ok(false),
         }
-        self.read(stream)
+        self.read()
     }
 
     /// Reads what is there; `false` at the end of the stream.
-    fn read(&mut self, stream: &TcpStream) -> io::Result<bool> {
-        match self.input.read_from(stream) {
+    fn read(&mut self) -> io::Result<bool> {
+        match self.input.read_from(&self.socket) {
             Ok(n) => Ok(n > 0),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(true),
             Err(e) => Err(e),
@@ -235,7 +256,7 @@
     }
 
     /// Hands the request to the core and waits for its answer; `None` if the client left before.
-    async fn ask(&mut self, stream: &TcpStream, ask: ClientRequest) -> io::Result<Option<Answer>> {
+    async fn ask(&mut self, ask: ClientRequest) -> io::Result<Option<Answer>> {
         self.tag += 1;
         let caller = Caller { connection: self.number, tag: self.tag };
         let ended = |_| io::Error::other("the broker has ended");
@@ -252,15 +273,15 @@
                     }
                     false
                 }
-                ready = stream.ready(Interest::READABLE), if reads => match ready {
+                ready = self.socket.ready(Interest::READABLE), if reads => match ready {
                     Ok(ready) if ready.is_read_closed() => true,
-                    ready => match ready.and_then(|_| self.input.read_from(stream)) {
+                    ready => match ready.and_then(|_| self.input.read_from(&self.socket)) {
                         Ok(n) => n == 0,
                         Err(e) => e.kind() != io::ErrorKind::WouldBlock,
                     },
                 },
                 // Its end is seen behind what it has sent ahead.
-                () = sleep_until(clock::instant(clock::now() + PEER_CHECK_INTERVAL)), if !reads => peer_has_closed(stream).await?,
+                () = sleep_until(clock::instant(clock::now() + PEER_CHECK_INTERVAL)), if !reads => peer_has_closed(&self.socket).await?,
             };
             if left {
                 gone.set(true);
@@ -333,10 +354,10 @@
     }
 
     /// Writes all that is to be written; a client that takes nothing for long is dropped.
-    async fn flush(&mut self, stream: &TcpStream) -> io::Result<()> {
+    async fn flush(&mut self) -> io::Result<()> {
         let mut by = clock::instant(clock::now() + IDLE);
         loop {
-            if self.output.write_to(stream)? > 0 {
+            if self.output.write_to(&self.socket)? > 0 {
                 by = clock::instant(clock::now() + IDLE);
             }
             if self.output.is_empty() {
@@ -344,7 +365,7 @@
             }
             tokio::select! {
                 biased;
-                ready = stream.ready(Interest::WRITABLE) => { ready?; }
+                ready = self.socket.ready(Interest::WRITABLE) => { ready?; }
                 () = sleep_until(by) => return Err(io::ErrorKind::TimedOut.into()),
             }
         }
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -101,7 +101,7 @@
 
 /// Accepts clients until the program ends, or the front takes no more.
 pub async fn accept(listener: TcpListener, front: Rc<Front>, state: Rc<ListenerState>) {
-    let serve = |stream, slot, grant| Connection::new(front.clone(), slot, grant).serve(stream);
+    let serve = |socket, slot, grant| Connection::new(front.clone(), socket, slot, grant).serve();
     crate::net::accept(listener, state, front.connections, front.memory.clone(), serve).await;
 }
 
