--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -153,14 +153,18 @@
         });
     }
 
-    /// Every deadline that has passed brings a time-out, as hosts do.
-    fn deadlines(&mut self) {
-        let due: Vec<(u32, usize)> = self
-            .asked
+    /// The attempts that are out, by request and number.
+    fn outstanding(&self) -> Vec<(u32, usize)> {
+        self.asked
             .iter()
-            .filter(|(_, a)| a.request.expires <= self.now)
             .flat_map(|(id, a)| (0..a.tries.len()).filter(|&i| a.tries[i].out).map(|i| (*id, i)))
-            .collect();
+            .collect()
+    }
+
+    /// Every deadline that has passed brings a time-out, as hosts do.
+    fn deadlines(&mut self) {
+        let mut due = self.outstanding();
+        due.retain(|(id, _)| self.asked[id].request.expires <= self.now);
         for (id, number) in due {
             self.end(id, number, Outcome::TimedOut, Note::None);
         }
@@ -184,11 +188,7 @@
                 self.event(Event::Request(request));
             }
             Step::End { which, how } => {
-                let out: Vec<(u32, usize)> = self
-                    .asked
-                    .iter()
-                    .flat_map(|(id, a)| (0..a.tries.len()).filter(|&i| a.tries[i].out).map(|i| (*id, i)))
-                    .collect();
+                let out = self.outstanding();
                 let Some(&(id, number)) = out.get(usize::from(which) % out.len().max(1)) else { return };
                 let outcomes = [
                     (Outcome::Ok, Note::Hit),
