Split the emulator's world by job: schedule, caches, fronts, requests, attempts, faults

No change in behaviour.

Counts that nothing read (attempts by cache, hits, late, served) are gone. Transfers lie in the order of their ids, so that those a stopped cache loses no longer end in the order of a hash map.

--- /dev/null
+++ b/crates/lab/src/emulate/world/attempts.rs
@@ -0,0 +1,185 @@
+//! Attempts: what a cache finds, the transfer over its link, and the end that the front hears of.
+
+use super::World;
+use super::caches::{CACHE_CAPACITY, CacheIndex};
+use super::requests::{OpenRequest, RequestKey};
+use super::schedule::ScheduledEvent;
+use super::transfers::{AttemptKey, Transfer, TransferId};
+use super::upstream::{ORIGIN_WAIT, PARENT_WAIT, UpstreamAnswer};
+use onyxyoke::interface::{Event, NodeId, Note, Outcome};
+
+/// To a cache and back (seconds).
+const ROUND_TRIP: f64 = 0.004;
+const ONE_WAY: f64 = ROUND_TRIP / 2.0;
+/// From one cache to another, by way of what lies above both (seconds).
+const SIBLING_WAIT: f64 = 2.0 * ROUND_TRIP;
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, Copy)]
+pub struct FetchOrder {
+    pub node: NodeId,
+    /// Where the cache fills from what it lacks.
+    pub source: NodeId,
+    /// The source is not to fetch what it lacks.
+    pub held_only: bool,
+}
+
+/// What a cache finds for an attempt.
+enum Lookup {
+    /// A copy, its own or the source's.
+    Found { note: Note, source_wait: f64, fills: bool },
+    /// Nothing, which it says after so many seconds.
+    Missed { note: Note, after: f64 },
+}
+
+impl Lookup {
+    fn filled(note: Note, source_wait: f64) -> Self {
+        Lookup::Found { note, source_wait, fills: true }
+    }
+}
+
+impl World {
+    /// A front sends an attempt of a request that is still open.
+    pub(super) fn start_attempt(&mut self, key: RequestKey, order: FetchOrder) {
+        let Some(request) = self.open.get_mut(&key) else { return };
+        let number = request.attempts;
+        request.attempts += 1;
+        let request = *request;
+        let cache = self.cache_index(order.node);
+        let transfer = Transfer {
+            attempt: AttemptKey { request: key, number },
+            cache,
+            sent_at: self.schedule.now(),
+            source_wait: 0.0,
+            note: Note::Hit,
+            fills: false,
+        };
+        if !self.caches[cache].up {
+            return self.end_attempt_after(ROUND_TRIP, transfer, Outcome::ConnectFailed);
+        }
+        match self.look_up(cache, &request, order) {
+            Lookup::Found { note, source_wait, fills } => {
+                let id = self.transfers.insert(Transfer { note, source_wait, fills, ..transfer });
+                self.schedule.after(ONE_WAY + source_wait, ScheduledEvent::TransferStart(id));
+            }
+            Lookup::Missed { note, after } => {
+                self.end_attempt_after(after, Transfer { note, ..transfer }, Outcome::Miss);
+            }
+        }
+    }
+
+    fn look_up(&mut self, cache: CacheIndex, request: &OpenRequest, order: FetchOrder) -> Lookup {
+        if self.caches[cache].copies.contains(request.object) {
+            return Lookup::Found { note: Note::Hit, source_wait: 0.0, fills: false };
+        }
+        if order.source == order.node {
+            return Lookup::Missed { note: Note::None, after: ROUND_TRIP };
+        }
+        match self.caches.iter().position(|sibling| sibling.id == order.source && sibling.up) {
+            Some(sibling) => self.fill_from_sibling(sibling, request),
+            None => self.fill_from_upstream(request, order),
+        }
+    }
+
+    /// What a sibling gives takes of its link too.
+    fn fill_from_sibling(&mut self, sibling: CacheIndex, request: &OpenRequest) -> Lookup {
+        if !self.caches[sibling].copies.contains(request.object) {
+            return Lookup::Missed { note: Note::SourceLacks, after: SIBLING_WAIT };
+        }
+        let id = self.transfers.new_id();
+        self.caches[sibling].link.add(self.schedule.now(), id, request.work);
+        self.schedule_link_progress(sibling);
+        Lookup::filled(Note::Filled, SIBLING_WAIT)
+    }
+
+    fn fill_from_upstream(&mut self, request: &OpenRequest, order: FetchOrder) -> Lookup {
+        match self.upstream.fetch(order.source, request.object, order.held_only) {
+            UpstreamAnswer::NotHeld => Lookup::Missed { note: Note::SourceLacks, after: PARENT_WAIT },
+            UpstreamAnswer::FromParent => {
+                self.statistics.work_filled += request.work;
+                Lookup::filled(Note::Filled, PARENT_WAIT)
+            }
+            UpstreamAnswer::FromOrigin => {
+                self.statistics.work_filled += request.work;
+                self.statistics.work_from_origin += request.work;
+                Lookup::filled(Note::FilledFromOrigin, PARENT_WAIT + ORIGIN_WAIT)
+            }
+        }
+    }
+
+    /// The cache begins to send, unless the attempt was taken back.
+    pub(super) fn start_transfer(&mut self, id: TransferId) {
+        let Some(transfer) = self.transfers.get(id) else { return };
+        let work = self.open.get(&transfer.attempt.request).map_or(0.0, |request| request.work);
+        self.caches[transfer.cache].link.add(self.schedule.now(), id, work);
+        self.schedule_link_progress(transfer.cache);
+    }
+
+    /// Ends the transfers that are whole, unless the link has changed since this was scheduled.
+    pub(super) fn finish_transfers(&mut self, cache: CacheIndex, version: u64) {
+        if self.caches[cache].link.version != version {
+            return;
+        }
+        for id in self.caches[cache].link.whole(self.schedule.now()) {
+            if let Some(transfer) = self.transfers.remove(id) {
+                self.end_attempt_after(ONE_WAY, transfer, Outcome::Ok);
+            }
+        }
+        self.schedule_link_progress(cache);
+    }
+
+    /// A front takes an attempt back.
+    pub(super) fn cancel_attempt(&mut self, attempt: AttemptKey) {
+        if let Some(transfer) = self.take_off_link(attempt) {
+            self.end_attempt_after(0.0, transfer, Outcome::Cancelled);
+        }
+    }
+
+    /// Stops the transfer of an attempt that is under way.
+    pub(super) fn take_off_link(&mut self, attempt: AttemptKey) -> Option<Transfer> {
+        let (id, transfer) = self.transfers.remove_attempt(attempt)?;
+        self.caches[transfer.cache].link.remove(self.schedule.now(), id);
+        self.schedule_link_progress(transfer.cache);
+        Some(transfer)
+    }
+
+    pub(super) fn end_attempt_after(&mut self, delay: f64, transfer: Transfer, outcome: Outcome) {
+        self.schedule.after(delay, ScheduledEvent::AttemptEnd(transfer, outcome));
+    }
+
+    /// An attempt has ended: its request may be answered, the cache may have a copy, and the front hears of it.
+    pub(super) fn end_attempt(&mut self, transfer: Transfer, outcome: Outcome) {
+        let key = transfer.attempt.request;
+        let mut done = true;
+        if let Some(request) = self.open.get(&key).copied() {
+            if outcome == Outcome::Ok {
+                self.answer(key, request);
+                self.keep_copy(&transfer, request.object);
+            } else {
+                done = self.schedule.now() >= request.expires;
+            }
+        }
+        self.notify_front(key.front, self.attempt_end_event(&transfer, outcome, done));
+    }
+
+    fn keep_copy(&mut self, transfer: &Transfer, object: u64) {
+        let cache = &mut self.caches[transfer.cache];
+        if transfer.fills && cache.up {
+            cache.copies.insert(object, CACHE_CAPACITY);
+        }
+    }
+
+    fn attempt_end_event(&self, transfer: &Transfer, outcome: Outcome, done: bool) -> Event {
+        Event::AttemptEnd {
+            request: transfer.attempt.request.id,
+            attempt: transfer.attempt.number,
+            node: self.caches[transfer.cache].id,
+            outcome,
+            took: self.schedule.now() - transfer.sent_at,
+            done,
+            note: transfer.note,
+            source_wait: transfer.source_wait,
+            load: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/emulate/world/fronts.rs
@@ -0,0 +1,119 @@
+//! The fronts: their directors, or a plain policy in place of these.
+
+use super::World;
+use super::attempts::FetchOrder;
+use super::requests::RequestKey;
+use super::schedule::ScheduledEvent;
+use super::transfers::AttemptKey;
+use super::upstream::Upstream;
+use crate::emulate::plain::Policy;
+use crate::emulate::scenario::Scenario;
+use onyxyoke::Director;
+use onyxyoke::interface::{Action, Event, ListKind, Node, Request, Settings};
+use rand::Rng;
+use std::ops::Range;
+use std::sync::Arc;
+
+/// A front's place in the world, which is its number in the settings too.
+pub type FrontIndex = usize;
+
+/// One front.
+pub struct Front {
+    pub director: Director,
+    /// Requests a second.
+    pub request_rate: f64,
+    /// What it sent each cache (kB), which plain policies go by.
+    pub sent_kb: Vec<f64>,
+}
+
+/// Requests a second of a front; the busy ones come first.
+pub fn request_rate(scenario: &Scenario, front: FrontIndex) -> f64 {
+    let busy_fronts = (scenario.busy_share * scenario.fronts as f64) as usize;
+    let mean_factor = 1.0 + scenario.busy_share * (scenario.busy_factor - 1.0);
+    let factor = if front < busy_fronts { scenario.busy_factor } else { 1.0 };
+    scenario.request_rate * factor / mean_factor
+}
+
+impl World {
+    /// A director that has just started and knows the list of the nodes only.
+    pub(super) fn new_director(&mut self, front: FrontIndex) -> Director {
+        let settings = Settings { me: front as u16, ..self.settings.clone() };
+        let mut director = Director::new(self.random.random(), settings);
+        let list = Event::List { kind: ListKind::Cached, nodes: self.listed_nodes() };
+        director.handle(self.schedule.now(), list, &mut Vec::new());
+        director
+    }
+
+    fn listed_nodes(&self) -> Arc<[Node]> {
+        let caches = self.caches.iter().filter(|cache| cache.up).map(|cache| cache.listed());
+        caches.chain(Upstream::listed()).collect()
+    }
+
+    /// The directors of these fronts start again.
+    pub(super) fn restart_directors(&mut self, fronts: Range<FrontIndex>) {
+        for front in fronts {
+            self.fronts[front].director = self.new_director(front);
+        }
+    }
+
+    /// All fronts hear of a cache's state.
+    pub(super) fn list_cache(&mut self, cache: usize) {
+        let nodes: Arc<[Node]> = [self.caches[cache].listed()].into();
+        for front in 0..self.fronts.len() {
+            self.notify_front(front, Event::List { kind: ListKind::Delta, nodes: nodes.clone() });
+        }
+    }
+
+    /// A front hears an event, and does what its director or its plain policy wants done.
+    pub(super) fn notify_front(&mut self, front: FrontIndex, event: Event) {
+        if let Some(policy) = self.scenario.policy {
+            return self.apply_plain_policy(policy, front, &event);
+        }
+        let mut actions = Vec::new();
+        self.fronts[front].director.handle(self.schedule.now(), event, &mut actions);
+        for action in actions {
+            self.perform(front, action);
+        }
+    }
+
+    fn perform(&mut self, front: FrontIndex, action: Action) {
+        match action {
+            Action::Fetch { request, node, source, options, .. } => {
+                let order = FetchOrder { node, source, held_only: options.held_only };
+                self.start_attempt(RequestKey { front, id: request }, order);
+            }
+            Action::Refuse { request, .. } => self.refuse(RequestKey { front, id: request }),
+            Action::Fail { request } => self.fail(RequestKey { front, id: request }),
+            Action::Cancel { request, attempt } => {
+                self.cancel_attempt(AttemptKey {
+                    request: RequestKey { front, id: request },
+                    number: attempt,
+                });
+            }
+            Action::Alarm { token, after } => {
+                self.schedule.after(after, ScheduledEvent::Alarm(front, token));
+            }
+            _ => {}
+        }
+    }
+
+    /// A plain policy chooses the cache, fills from a parent by hash, and does not try again.
+    fn apply_plain_policy(&mut self, policy: Policy, front: FrontIndex, event: &Event) {
+        match event {
+            Event::Request(request) => self.send_by_plain_policy(policy, front, request),
+            Event::AttemptEnd { request, done: false, .. } => self.fail(RequestKey { front, id: *request }),
+            _ => {}
+        }
+    }
+
+    fn send_by_plain_policy(&mut self, policy: Policy, front: FrontIndex, request: &Request) {
+        let up: Vec<usize> = (0..self.caches.len()).filter(|&cache| self.caches[cache].up).collect();
+        let object = request.object.0;
+        let sent_kb = &mut self.fronts[front].sent_kb;
+        let Some(cache) = policy.choose(object, &up, sent_kb, &mut self.random) else { return };
+        sent_kb[cache] += request.kb;
+        let order =
+            FetchOrder { node: self.caches[cache].id, source: Upstream::parent_of(object), held_only: false };
+        self.start_attempt(RequestKey { front, id: request.id }, order);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/emulate/world/transfers.rs
@@ -0,0 +1,87 @@
+//! The attempts that are under way, each of them a transfer over a cache's link.
+
+use super::caches::CacheIndex;
+use super::fronts::FrontIndex;
+use super::requests::RequestKey;
+use onyxyoke::interface::Note;
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Range;
+
+/// The name of a transfer on its link.
+pub type TransferId = u64;
+
+/// An attempt of a request, by number from 0 on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct AttemptKey {
+    pub request: RequestKey,
+    pub number: u16,
+}
+
+/// An attempt on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Transfer {
+    pub attempt: AttemptKey,
+    pub cache: CacheIndex,
+    pub sent_at: f64,
+    /// How long the cache waits for the source of its fill (seconds).
+    pub source_wait: f64,
+    pub note: Note,
+    /// Whether the cache has a copy of the object once the transfer is whole.
+    pub fills: bool,
+}
+
+/// All transfers, by id and by attempt.
+#[derive(Default)]
+pub struct TransferTable {
+    last_id: TransferId,
+    transfers: BTreeMap<TransferId, Transfer>,
+    /// Only the attempts whose front still waits for them.
+    ids: HashMap<AttemptKey, TransferId>,
+}
+
+impl TransferTable {
+    /// An id that no transfer had before.
+    pub fn new_id(&mut self) -> TransferId {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    pub fn insert(&mut self, transfer: Transfer) -> TransferId {
+        let id = self.new_id();
+        self.transfers.insert(id, transfer);
+        self.ids.insert(transfer.attempt, id);
+        id
+    }
+
+    pub fn get(&self, id: TransferId) -> Option<Transfer> {
+        self.transfers.get(&id).copied()
+    }
+
+    pub fn remove(&mut self, id: TransferId) -> Option<Transfer> {
+        let transfer = self.transfers.remove(&id)?;
+        self.ids.remove(&transfer.attempt);
+        Some(transfer)
+    }
+
+    pub fn remove_attempt(&mut self, attempt: AttemptKey) -> Option<(TransferId, Transfer)> {
+        let id = self.ids.remove(&attempt)?;
+        let transfer = self.transfers.remove(&id)?;
+        Some((id, transfer))
+    }
+
+    /// Takes all transfers of a cache, the oldest first.
+    pub fn remove_of_cache(&mut self, cache: CacheIndex) -> Vec<Transfer> {
+        let ids: Vec<TransferId> = self
+            .transfers
+            .iter()
+            .filter(|(_, transfer)| transfer.cache == cache)
+            .map(|(id, _)| *id)
+            .collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// These fronts wait for nothing any longer; their transfers go on at the caches.
+    pub fn disown(&mut self, fronts: &Range<FrontIndex>) {
+        self.ids.retain(|attempt, _| !fronts.contains(&attempt.request.front));
+    }
+}
