--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -206,7 +206,7 @@
 
 impl Order {
     /// May its first byte go out now? Asked last, by whoever writes it.
-    pub fn goes(&self, now: f64) -> bool {
+    pub fn may_be_sent(&self, now: f64) -> bool {
         now < self.due.min(self.begin_by) && !self.called_off.get() && !self.ask.gone.get()
     }
 }
--- a/src/net/model.rs
+++ b/src/net/model.rs
@@ -104,8 +104,8 @@
                 let name = format!("{call:016x}");
                 let clash =
                     model.values().any(|m| m.0 == call && m.1 != State::Ended) || used.contains(&call);
-                prop_assert!(!(clash && x.takes(&name)), "a name that could be mistaken");
-                if x.takes(&name) {
+                prop_assert!(!(clash && x.accepts(&name)), "a name that could be mistaken");
+                if x.accepts(&name) {
                     next += 1;
                     let due = now + f64::from(life) / 10.0;
                     x.queue(order(next, call, due));
@@ -116,14 +116,14 @@
             Step::Recall(which) => {
                 let state = if which % 2 == 0 { State::Waiting } else { State::Out };
                 if let Some(id) = at(which / 2, state.clone(), &model) {
-                    reports.extend(x.recall(now, Ticket { request: RequestId(id), attempt: 0 }));
+                    reports.extend(x.cancel(now, Ticket { request: RequestId(id), attempt: 0 }));
                     if state == State::Waiting {
                         expect.insert(id, Outcome::Moot);
                     } else {
                         model.get_mut(&id).unwrap().1 = State::Leaving(None);
                     }
                 }
-                let again = x.recall(now, Ticket { request: RequestId(next + 1), attempt: 0 });
+                let again = x.cancel(now, Ticket { request: RequestId(next + 1), attempt: 0 });
                 prop_assert!(again.is_none(), "an attempt that is not here");
             }
             Step::Encode(part) => {
@@ -159,7 +159,7 @@
                     prop_assert!(wire.starts_with(&format!("serve {name} ")), "{} for {}", wire, name);
                     written.extend(taken.then_some(id));
                     prop_assert!(taken || before > 0 && out.is_empty(), "taken back whole");
-                    prop_assert_eq!(x.stuck(), !taken);
+                    prop_assert_eq!(x.is_write_blocked(), !taken);
                     break;
                 }
                 for r in &reports {
@@ -250,7 +250,7 @@
     let mut reset = 0;
     // Where this side ends it, the node hears of that later; where the node does, it knows.
     let by = if next.is_multiple_of(2) { EndedBy::Front } else { EndedBy::Node };
-    let handed_back = x.broken(by, out.taken(), |r| {
+    let handed_back = x.close(by, out.taken(), |r| {
         assert_eq!(matches!(r, Report::Left { .. }), by == EndedBy::Front);
         match r {
             Report::Ended { outcome: Outcome::Reset, .. } | Report::Left { outcome: Outcome::Reset, .. } => {
@@ -289,8 +289,8 @@
     x.encode(1000.0, &mut out, |_| {});
     out.consume(usize::MAX);
     assert!(!x.written(1000.0, &mut out, |_| {}));
-    assert!(x.recall(1002.0, Ticket { request: RequestId(1), attempt: 0 }).is_none());
-    assert!(x.leaving_since() == Some(1002.0), "it is out until its cancel is written");
+    assert!(x.cancel(1002.0, Ticket { request: RequestId(1), attempt: 0 }).is_none());
+    assert!(x.oldest_cancel_since() == Some(1002.0), "it is out until its cancel is written");
     x.encode(1002.0, &mut out, |_| {});
     let (written, mut ended) = (out.len(), 0);
     out.consume(written - 1);
@@ -300,11 +300,11 @@
     x.written(1002.0, &mut out, |r| {
         ended += usize::from(matches!(r, Report::Left { outcome: Outcome::Cancelled, .. }))
     });
-    assert!(ended == 1 && x.leaving_since().is_none());
-    assert!(x.worn() && !x.takes("other"));
+    assert!(ended == 1 && x.oldest_cancel_since().is_none());
+    assert!(x.closes_when_idle() && !x.accepts("other"));
     assert!(input.push(b"0000000000000009 NONE - 0\r\n\r\n"));
     x.decode(1003.0, &mut input, |_| {}).unwrap();
-    assert!(x.takes("other") && !x.takes("0000000000000001"), "the old name may still be answered");
+    assert!(x.accepts("other") && !x.accepts("0000000000000001"), "the old name may still be answered");
 }
 
 /// The byte form of an order, which cache nodes check word by word.
@@ -598,37 +598,37 @@
     // A large one under an unknown id is passed over as it comes.
     let (unknown, large, small) = (answer(99, 100_000), answer(1, 5000), answer(5, 1500));
     input.arrive(&unknown[..400]);
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Wants));
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert_eq!((input.len(), used(Purpose::Partial)), (0, 0));
     input.arrive(&unknown[400..]);
     input.arrive(&large[..100]);
     // Its announcement alone decides; nothing more of it is read.
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Held));
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
     assert_eq!((used(Purpose::Unread), used(Purpose::Partial)), (0, 0));
     let mut reports = Vec::new();
-    x.give_up(&mut input, &mut |r| reports.push(r));
+    x.discard_answer(&mut input, &mut |r| reports.push(r));
     assert_eq!(reports, [Report::NoMemory(Ticket { request: RequestId(1), attempt: 0 })]);
     input.arrive(&large[100..]);
     input.arrive(&small[..60]);
     // One that fits has its memory before its bytes are here.
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Wants));
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert!(used(Purpose::Unread) >= 1500 && used(Purpose::Partial) >= 1500 - 512);
     assert!(input.push(&small[60..]));
     reports.clear();
-    assert_eq!(x.decode(1000.0, &mut input, |r| reports.push(r)), Ok(Progress::Wants));
+    assert_eq!(x.decode(1000.0, &mut input, |r| reports.push(r)), Ok(Progress::NeedsBytes));
     assert!(
         matches!(&reports[..], [Report::Ended { outcome: Outcome::Ok, content: Some(c), .. }] if c.body.len() == 1500)
     );
     assert_eq!(used(Purpose::Partial), 0, "given back with the buffer");
     // The one after it fits only once the client has read that.
     assert!(input.push(&answer(7, 1500)[..100]));
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Held));
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
     reports.clear();
     assert_eq!(used(Purpose::Unread), 0, "the client has it");
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Wants));
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     // Withdrawn in the middle: its memory is back, and its bytes are nobody's.
-    x.recall(1000.0, Ticket { request: RequestId(7), attempt: 0 });
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::Wants));
+    x.cancel(1000.0, Ticket { request: RequestId(7), attempt: 0 });
+    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert_eq!(memory.accounts().sum(), 0);
     // Said to have 3 GB: told from its line.
     let mut input = Buffer::default();
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! pool; each connection is a task of its own that reports straight to the broker.
 
 use super::Buffer;
-use super::exchange::{EndedBy, Exchange, Progress, ended};
+use super::exchange::{EndedBy, Exchange, Progress, ended_without_answer};
 use crate::broker::{Command, Member, Order, Report, Ticket};
 use crate::interface::{NodeId, NodeState, Outcome};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
@@ -203,7 +203,7 @@
     /// found it neither there nor on another connection.
     fn send_again(&mut self, order: Order) {
         match self.cancelled.contains(&order.ticket) {
-            true => _ = self.reports.send(ended(order.ticket, Outcome::Moot)),
+            true => _ = self.reports.send(ended_without_answer(order.ticket, Outcome::Moot)),
             false => self.send(order),
         }
     }
@@ -216,11 +216,11 @@
         }
         let ticket = order.ticket;
         let Some(peer) = self.peers.get_mut(&order.node).filter(|p| p.address.is_some()) else {
-            let _ = self.reports.send(ended(ticket, Outcome::Moot));
+            let _ = self.reports.send(ended_without_answer(ticket, Outcome::Moot));
             return;
         };
         peer.links.retain(|l| !l.jobs.is_closed());
-        let usable = |l: &&Link| l.state.borrow().takes(&order.ask.call) && l.load() < self.limits.streams;
+        let usable = |l: &&Link| l.state.borrow().accepts(&order.ask.call) && l.load() < self.limits.streams;
         let least = peer.links.iter().filter(usable).min_by_key(|l| l.load());
         let room = peer.links.len() < PER_NODE && total < self.limits.connections;
         // A further one is opened where none is free, if there is room for it and memory.
@@ -236,13 +236,13 @@
             }
             _ => {
                 // Nothing may be opened and nothing can be used: it was not sent. That says nothing of the node.
-                let _ = self.reports.send(ended(ticket, Outcome::Full));
+                let _ = self.reports.send(ended_without_answer(ticket, Outcome::Full));
                 return;
             }
         };
         link.pending.set(link.pending.get() + 1);
         if link.jobs.send(Job::Write(order)).is_err() {
-            let _ = self.reports.send(ended(ticket, Outcome::ConnectFailed));
+            let _ = self.reports.send(ended_without_answer(ticket, Outcome::ConnectFailed));
         }
     }
 }
@@ -302,7 +302,7 @@
                 state.queue(order);
             }
             Job::Recall(ticket) => {
-                if let Some(report) = state.recall(clock::now(), ticket) {
+                if let Some(report) = state.cancel(clock::now(), ticket) {
                     let _ = self.reports.send(report);
                 }
             }
@@ -338,13 +338,13 @@
             Err(_) => EndedBy::Node,
             Ok(()) => EndedBy::Front,
         };
-        let unsent = self.state.borrow_mut().broken(by, output.taken(), |r| self.report(r));
+        let unsent = self.state.borrow_mut().close(by, output.taken(), |r| self.report(r));
         if let Err(e) = ended_by {
             log!("cache node at {}: {e}", self.address);
         }
         for mut order in unsent {
             if refused || order.returned >= RETURNS {
-                self.report(ended(order.ticket, Outcome::ConnectFailed));
+                self.report(ended_without_answer(order.ticket, Outcome::ConnectFailed));
             } else {
                 order.returned += 1;
                 let _ = self.returned.send(order);
@@ -365,7 +365,7 @@
                 made = &mut connecting => {
                     let stream = made.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                     stream.set_nodelay(true)?;
-                    self.state.borrow_mut().came_up(clock::now() - began);
+                    self.state.borrow_mut().established(clock::now() - began);
                     return Ok(stream);
                 }
             }
@@ -392,8 +392,8 @@
                     break;
                 }
             }
-            let leaves_by = self.state.borrow().leaving_since().map(|since| since + CANCEL_WITHIN);
-            let (load, worn) = (self.state.borrow().load(), self.state.borrow().worn());
+            let leaves_by = self.state.borrow().oldest_cancel_since().map(|since| since + CANCEL_WITHIN);
+            let (load, worn) = (self.state.borrow().load(), self.state.borrow().closes_when_idle());
             if load > 0 {
                 idle_at = clock::now() + self.limits.idle;
             } else if (worn || self.retired) && output.is_empty() {
@@ -403,13 +403,13 @@
                 part = part.map(|_| (clock::now(), clock::now() + STALL.0));
             }
             let stalled_at = part.map(|(since, goes_on)| goes_on.min(since + STALL.1));
-            let stuck = self.state.borrow().stuck();
+            let stuck = self.state.borrow().is_write_blocked();
             let interest = match output.is_empty() && !stuck {
                 true => Interest::READABLE,
                 false => Interest::READABLE | Interest::WRITABLE,
             };
             // An order whose body there is no memory to write.
-            let unwritten = self.state.borrow().waits() && output.is_empty() && !stuck;
+            let unwritten = self.state.borrow().has_waiting() && output.is_empty() && !stuck;
             let mut decode = give_up_at.is_some();
             tokio::select! {
                 biased;
@@ -444,20 +444,20 @@
                 let before = (input.taken(), input.skipping());
                 let mut state = self.state.borrow_mut();
                 let mut progress = state.decode(now, &mut input, |r| self.report(r));
-                while progress == Ok(Progress::Held) {
+                while progress == Ok(Progress::NeedsMemory) {
                     if now < *give_up_at.get_or_insert(now + HELD_UP) {
                         break;
                     }
-                    state.give_up(&mut input, &mut |r| self.report(r));
+                    state.discard_answer(&mut input, &mut |r| self.report(r));
                     give_up_at = None;
                     progress = state.decode(now, &mut input, |r| self.report(r));
                 }
                 let progress = progress.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.0))?;
-                give_up_at = give_up_at.filter(|_| progress == Progress::Held);
+                give_up_at = give_up_at.filter(|_| progress == Progress::NeedsMemory);
                 // Something whole has come, or was passed over: what follows it begins now.
                 let whole = (input.taken(), input.skipping()) != before;
                 let since = part.filter(|_| !whole).map_or(now, |p| p.0);
-                part = state.midway(&input).then_some((since, now + STALL.0));
+                part = state.note_partial_answer(&input).then_some((since, now + STALL.0));
             }
         }
     }
