Call a given-up attempt abandoned, and its wait the propagation time, from wire to broker

Report::Left, Broker::left and Timer::Settled are Report::Abandoned, Broker::abandoned and Timer::Propagated. The content of an answer is built by a function of its own; the models name their subjects. No change in behaviour.

--- a/src/broker/attempts.rs
+++ b/src/broker/attempts.rs
@@ -19,7 +19,7 @@
     /// Its end proves that it did not run.
     pub(super) never_ran: bool,
     /// It was given up on the wire: how it ends once that is surely known to its node.
-    pub(super) left: Option<Outcome>,
+    pub(super) abandoned: Option<Outcome>,
 }
 
 impl Attempt {
@@ -74,7 +74,7 @@
     /// An attempt was given up on the wire. Guards against two attempts out for one request: its node reads that on one
     /// connection and the next attempt on another, or another node reads the next one, and nothing orders the two but
     /// the time between them. Where there is no next attempt, nothing is waited for.
-    pub(super) fn left(&mut self, now: f64, ticket: Ticket, outcome: Outcome, settles: f64) {
+    pub(super) fn abandoned(&mut self, now: f64, ticket: Ticket, outcome: Outcome, propagation: f64) {
         let classes = &self.director.settings().classes;
         let closes = self.closes;
         let again = self.open.get(&ticket.request).is_some_and(|o| {
@@ -83,8 +83,9 @@
             !o.done && !o.ask.gone.get() && now < until
         });
         if again && let Some(a) = self.attempt(ticket).filter(|a| a.out) {
-            a.left = Some(outcome);
-            return self.timers.set(now + settles, timers::Timer::Settled(ticket.request, ticket.attempt));
+            a.abandoned = Some(outcome);
+            let timer = timers::Timer::Propagated(ticket.request, ticket.attempt);
+            return self.timers.set(now + propagation, timer);
         }
         self.ended(now, ticket, outcome, Note::None, 0.0, None);
     }
@@ -158,8 +159,8 @@
     }
 
     /// Whether its node has heard or not, an attempt that was given up on the wire has ended now.
-    pub(super) fn settled(&mut self, now: f64, ticket: Ticket) {
-        if let Some(outcome) = self.attempt(ticket).and_then(|a| a.left.take()) {
+    pub(super) fn propagated(&mut self, now: f64, ticket: Ticket) {
+        if let Some(outcome) = self.attempt(ticket).and_then(|a| a.abandoned.take()) {
             self.ended(now, ticket, outcome, Note::None, 0.0, None);
         }
     }
@@ -194,7 +195,7 @@
             timed_out: false,
             called_off: called_off.clone(),
             never_ran: false,
-            left: None,
+            abandoned: None,
         });
         if !may {
             if gone {
--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -253,13 +253,13 @@
     /// It was answered, and there is no memory for the answer. That says nothing of the node.
     NoMemory(Ticket),
     /// It was given up on the wire, and its node may not have read that yet: it is out for a little longer.
-    Left {
+    Abandoned {
         /// Which.
         ticket: Ticket,
         /// `Cancelled`, or `Reset` with its connection.
         outcome: Outcome,
-        /// So long (seconds).
-        settles: f64,
+        /// Its node has surely read that after so long (seconds).
+        propagation: f64,
     },
 }
 
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -290,7 +290,9 @@
                 self.ended(now, ticket, outcome, note, source_wait, content);
             }
             Report::NoMemory(ticket) => self.no_memory(now, ticket),
-            Report::Left { ticket, outcome, settles } => self.left(now, ticket, outcome, settles),
+            Report::Abandoned { ticket, outcome, propagation } => {
+                self.abandoned(now, ticket, outcome, propagation)
+            }
         }
         self.settle(now);
     }
@@ -301,7 +303,9 @@
             match timer {
                 timers::Timer::Alarm(token) => self.feed(now, Event::Alarm { token }),
                 timers::Timer::Deadline(id) => self.overdue(now, id),
-                timers::Timer::Settled(request, attempt) => self.settled(now, Ticket { request, attempt }),
+                timers::Timer::Propagated(request, attempt) => {
+                    self.propagated(now, Ticket { request, attempt })
+                }
             }
         }
         self.settle(now);
@@ -313,13 +317,13 @@
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         // No further attempt may go: whether the node has heard of the last is nothing to wait for any more.
         if now >= open.ask.deadline.min(self.closes)
-            && let Some(i) = open.attempts.iter().position(|a| a.left.is_some())
+            && let Some(i) = open.attempts.iter().position(|a| a.abandoned.is_some())
         {
-            self.settled(now, Ticket { request: id, attempt: i as u16 });
+            self.propagated(now, Ticket { request: id, attempt: i as u16 });
         }
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.done) else { return };
         let mut asked = false;
-        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && a.left.is_none()) {
+        for (i, a) in open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && a.abandoned.is_none()) {
             asked |= !std::mem::replace(&mut a.timed_out, true);
             let ticket = Ticket { request: id, attempt: i as u16 };
             if a.call_off() {
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -18,8 +18,8 @@
     Outcome::Reset,
     Outcome::Moot,
 ];
-/// How long a node may take to hear that an attempt was given up (seconds).
-const SETTLES: f64 = 0.01;
+/// How long a node may take to hear that an attempt was given up.
+const PROPAGATION_SECONDS: f64 = 0.01;
 /// Edges 0 to 3, a parent, the origin.
 const NODES: u64 = 6;
 
@@ -192,8 +192,9 @@
         let note = if outcome == Outcome::Ok { Note::Hit } else { Note::None };
         let ticket = out.order.ticket;
         if outcome == Outcome::Cancelled || ours {
-            self.unheard.insert(key, self.now + SETTLES);
-            return broker.report(self.now, Report::Left { ticket, outcome, settles: SETTLES });
+            self.unheard.insert(key, self.now + PROPAGATION_SECONDS);
+            let propagation = PROPAGATION_SECONDS;
+            return broker.report(self.now, Report::Abandoned { ticket, outcome, propagation });
         }
         broker.report(self.now, Report::Ended { ticket, outcome, note, source_wait: 0.0, content });
     }
@@ -338,7 +339,8 @@
     };
     let ticket = ordered(&mut b).unwrap();
     b.report(1000.1, Report::Written(ticket));
-    b.report(1000.995, Report::Left { ticket, outcome: Outcome::Reset, settles: SETTLES });
+    let (outcome, propagation) = (Outcome::Reset, PROPAGATION_SECONDS);
+    b.report(1000.995, Report::Abandoned { ticket, outcome, propagation });
     assert_eq!(ordered(&mut b), None);
     b.tick(1001.0);
     let effects: Vec<Effect> = b.effects().collect();
--- a/src/broker/timers.rs
+++ b/src/broker/timers.rs
@@ -12,7 +12,7 @@
     /// A request's time, or that of its attempt, is up.
     Deadline(RequestId),
     /// Whoever had this attempt of a request has heard by now that it was given up.
-    Settled(RequestId, u16),
+    Propagated(RequestId, u16),
 }
 
 /// A heap of timers by Unix time, kept in microseconds.
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -154,11 +154,11 @@
     /// The connection has ended after so many bytes were written, by this side or by the other. What was in flight may
     /// have run; what waited, and that of which not a byte has left, was never sent and is handed back.
     pub fn close(&mut self, by: EndedBy, written: u64, mut report: impl FnMut(Report)) -> VecDeque<Order> {
-        let settles = self.propagation;
+        let propagation = self.propagation;
         // A connection's end gives up all that was in flight on it, as soon as both sides know.
         let mut end = |ticket, outcome| match by {
             EndedBy::Node => report(ended_without_answer(ticket, outcome)),
-            EndedBy::Front => report(Report::Left { ticket, outcome, settles }),
+            EndedBy::Front => report(Report::Abandoned { ticket, outcome, propagation }),
         };
         for attempt in self.cancels.drain() {
             end(attempt.ticket, Outcome::Cancelled);
--- a/src/net/exchange/receive.rs
+++ b/src/net/exchange/receive.rs
@@ -5,6 +5,7 @@
 use super::{Exchange, Progress};
 use crate::broker::{Content, Report};
 use crate::interface::Outcome;
+use crate::memory::Grant;
 use crate::net::{Buffer, Unreadable, lines};
 use std::ops::ControlFlow;
 
@@ -69,18 +70,10 @@
             return Ok(ControlFlow::Break(Progress::NeedsBytes));
         }
         let grant = self.incoming.take_grant();
-        let ended = Report::Ended {
-            ticket: request.ticket,
-            outcome,
-            note: head.answer.note,
-            source_wait: head.answer.source_wait,
-            content: (outcome == Outcome::Ok).then(|| Content {
-                body: layout.body(buffer.bytes()).to_vec(),
-                etag: head.answer.etag.into(),
-                current: head.answer.valid,
-                grant,
-            }),
-        };
+        let is_served = outcome == Outcome::Ok;
+        let content = is_served.then(|| content_of(&head.answer, layout.body(buffer.bytes()), grant));
+        let (note, source_wait) = (head.answer.note, head.answer.source_wait);
+        let ended = Report::Ended { ticket: request.ticket, outcome, note, source_wait, content };
         self.in_flight.take_answered(head.answer.id);
         match buffered {
             true => buffer.consume(layout.total),
@@ -132,3 +125,8 @@
     let too_old = made.is_some_and(|made| made < request.oldest - CLOCK_SKEW_SECONDS);
     Ok(if outcome == Outcome::Ok && too_old { Outcome::Error } else { outcome })
 }
+
+/// The content of an answer, held by this grant.
+fn content_of(answer: &lines::Answer<'_>, body: &[u8], grant: Grant) -> Content {
+    Content { body: body.to_vec(), etag: answer.etag.into(), current: answer.valid, grant }
+}
--- a/src/net/exchange/send.rs
+++ b/src/net/exchange/send.rs
@@ -57,8 +57,8 @@
     fn end_cancelled(&mut self, taken: u64, report: &mut impl FnMut(Report)) -> bool {
         let mut any = false;
         while let Some(attempt) = self.cancels.pop_written(taken) {
-            let (outcome, settles) = (Outcome::Cancelled, self.propagation);
-            report(Report::Left { ticket: attempt.ticket, outcome, settles });
+            let (outcome, propagation) = (Outcome::Cancelled, self.propagation);
+            report(Report::Abandoned { ticket: attempt.ticket, outcome, propagation });
             any = true;
         }
         any
--- a/src/net/model/exchange.rs
+++ b/src/net/model/exchange.rs
@@ -293,8 +293,9 @@
     fn check_step(&mut self) -> Result<(), TestCaseError> {
         for report in std::mem::take(&mut self.reports) {
             // A cancel that is written is reported as that: its node may not have read it yet.
-            let cancels = matches!(report, Report::Left { .. });
-            if let Report::Ended { ticket, outcome, .. } | Report::Left { ticket, outcome, .. } = report {
+            let cancels = matches!(report, Report::Abandoned { .. });
+            if let Report::Ended { ticket, outcome, .. } | Report::Abandoned { ticket, outcome, .. } = report
+            {
                 prop_assert_eq!(cancels, outcome == Outcome::Cancelled);
                 let id = ticket.request.0;
                 prop_assert_eq!(self.expected.remove(&id), Some(outcome), "{:?} of {:?}", id, &self.attempts);
@@ -320,14 +321,14 @@
         // Where this side ends it, the node hears of that later; where the node does, it knows.
         let by = if self.last_request.is_multiple_of(2) { EndedBy::Front } else { EndedBy::Node };
         let handed_back = self.exchange.close(by, self.out.taken(), |report| {
-            assert_eq!(matches!(report, Report::Left { .. }), by == EndedBy::Front);
+            assert_eq!(matches!(report, Report::Abandoned { .. }), by == EndedBy::Front);
             match report {
                 Report::Ended { outcome: Outcome::Reset, .. }
-                | Report::Left { outcome: Outcome::Reset, .. } => {
+                | Report::Abandoned { outcome: Outcome::Reset, .. } => {
                     reset += 1;
                 }
                 Report::Ended { outcome: Outcome::Cancelled, .. }
-                | Report::Left { outcome: Outcome::Cancelled, .. } => cancelled += 1,
+                | Report::Abandoned { outcome: Outcome::Cancelled, .. } => cancelled += 1,
                 other => panic!("{other:?}"),
             }
         });
@@ -368,26 +369,29 @@
 /// Guards against a machine that has vanished: its connection takes everything and says nothing.
 #[test]
 fn a_silent_connection_is_not_chosen_until_it_speaks() {
-    let (mut x, mut out, mut input) =
+    let (mut exchange, mut out, mut input) =
         (Exchange::new(Ledger::unlimited()), Buffer::default(), Buffer::default());
-    x.queue(order(1, 1, 1010.0));
-    x.encode(1000.0, &mut out, |_| {});
+    exchange.queue(order(1, 1, 1010.0));
+    exchange.encode(1000.0, &mut out, |_| {});
     out.consume(usize::MAX);
-    assert!(!x.written(1000.0, &mut out, |_| {}));
-    assert!(x.cancel(1002.0, ticket(1)).is_none());
-    assert!(x.oldest_cancel_since() == Some(1002.0), "it is out until its cancel is written");
-    x.encode(1002.0, &mut out, |_| {});
+    assert!(!exchange.written(1000.0, &mut out, |_| {}));
+    assert!(exchange.cancel(1002.0, ticket(1)).is_none());
+    assert!(exchange.oldest_cancel_since() == Some(1002.0), "it is out until its cancel is written");
+    exchange.encode(1002.0, &mut out, |_| {});
     let (written, mut ended) = (out.len(), 0);
     out.consume(written - 1);
-    x.written(1002.0, &mut out, |_| ended += 1);
+    exchange.written(1002.0, &mut out, |_| ended += 1);
     assert_eq!(ended, 0, "nor is it while a byte of that is left");
     out.consume(1);
-    x.written(1002.0, &mut out, |r| {
-        ended += usize::from(matches!(r, Report::Left { outcome: Outcome::Cancelled, .. }))
+    exchange.written(1002.0, &mut out, |r| {
+        ended += usize::from(matches!(r, Report::Abandoned { outcome: Outcome::Cancelled, .. }))
     });
-    assert!(ended == 1 && x.oldest_cancel_since().is_none());
-    assert!(x.closes_when_idle() && !x.accepts("other"));
+    assert!(ended == 1 && exchange.oldest_cancel_since().is_none());
+    assert!(exchange.closes_when_idle() && !exchange.accepts("other"));
     assert!(input.push(b"0000000000000009 NONE - 0\r\n\r\n"));
-    x.decode(1003.0, &mut input, |_| {}).unwrap();
-    assert!(x.accepts("other") && !x.accepts("0000000000000001"), "the old name may still be answered");
+    exchange.decode(1003.0, &mut input, |_| {}).unwrap();
+    assert!(
+        exchange.accepts("other") && !exchange.accepts("0000000000000001"),
+        "the old name may still be answered"
+    );
 }
--- a/src/net/model/memory.rs
+++ b/src/net/model/memory.rs
@@ -21,14 +21,14 @@
 #[test]
 fn an_answer_without_memory_is_given_up_and_those_behind_it_are_read() {
     let memory = scarce(Purpose::Unread, 2000, 0);
-    let (mut x, mut out) = (Exchange::new(memory.clone()), Buffer::default());
+    let (mut exchange, mut out) = (Exchange::new(memory.clone()), Buffer::default());
     let mut input = Buffer::new(512, memory.empty(AccountOwner::of(Purpose::Partial)));
     let used = |purpose| memory.accounts().used(purpose);
     for call in [1, 5, 7] {
-        x.queue(order(call.into(), call, 1010.0));
-        x.encode(1000.0, &mut out, |_| {});
+        exchange.queue(order(call.into(), call, 1010.0));
+        exchange.encode(1000.0, &mut out, |_| {});
         out.consume(usize::MAX);
-        x.written(1000.0, &mut out, |_| {});
+        exchange.written(1000.0, &mut out, |_| {});
     }
     let answer = |call: u8, n: usize| {
         let head = format!("{call:016x} HIT n=TCP_HIT,etag=e,made=999000 {n}\r\n");
@@ -37,42 +37,42 @@
     // A large one under an unknown id is passed over as it comes.
     let (unknown, large, small) = (answer(99, 100_000), answer(1, 5000), answer(5, 1500));
     input.arrive(&unknown[..400]);
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert_eq!((input.len(), used(Purpose::Partial)), (0, 0));
     input.arrive(&unknown[400..]);
     input.arrive(&large[..100]);
     // Its announcement alone decides; nothing more of it is read.
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
     assert_eq!((used(Purpose::Unread), used(Purpose::Partial)), (0, 0));
     let mut reports = Vec::new();
-    x.discard_answer(&mut input, &mut |r| reports.push(r));
+    exchange.discard_answer(&mut input, &mut |r| reports.push(r));
     assert_eq!(reports, [Report::NoMemory(ticket(1))]);
     input.arrive(&large[100..]);
     input.arrive(&small[..60]);
     // One that fits has its memory before its bytes are here.
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert!(used(Purpose::Unread) >= 1500 && used(Purpose::Partial) >= 1500 - 512);
     assert!(input.push(&small[60..]));
     reports.clear();
-    assert_eq!(x.decode(1000.0, &mut input, |r| reports.push(r)), Ok(Progress::NeedsBytes));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| reports.push(r)), Ok(Progress::NeedsBytes));
     assert!(
         matches!(&reports[..], [Report::Ended { outcome: Outcome::Ok, content: Some(c), .. }] if c.body.len() == 1500)
     );
     assert_eq!(used(Purpose::Partial), 0, "given back with the buffer");
     // The one after it fits only once the client has read that.
     assert!(input.push(&answer(7, 1500)[..100]));
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsMemory));
     reports.clear();
     assert_eq!(used(Purpose::Unread), 0, "the client has it");
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     // Withdrawn in the middle: its memory is back, and its bytes are nobody's.
-    x.cancel(1000.0, ticket(7));
-    assert_eq!(x.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
+    exchange.cancel(1000.0, ticket(7));
+    assert_eq!(exchange.decode(1000.0, &mut input, |r| panic!("{r:?}")), Ok(Progress::NeedsBytes));
     assert_eq!(memory.accounts().sum(), 0);
     // Said to have 3 GB: told from its line.
     let mut input = Buffer::default();
     assert!(input.push(b"0000000000000001 HIT etag=e,made=1 3000000000\r\n"));
-    assert!(x.decode(1000.0, &mut input, |_| {}).is_err());
+    assert!(exchange.decode(1000.0, &mut input, |_| {}).is_err());
 }
 
 /// A body that there is no memory for is refused by its announcement, with the time to stay away, and passed over;
@@ -80,12 +80,12 @@
 #[test]
 fn a_body_without_memory_is_refused_and_passed_over() {
     let memory = scarce(Purpose::Bodies, 20_000, 12_000);
-    let mut s = session(memory.clone());
+    let mut session = session(memory.clone());
     let mut input = Buffer::new(4096, memory.empty(AccountOwner::of(Purpose::Bodies)));
-    let mut feed = |s: &mut Session, bytes: &[u8]| {
+    let mut feed = |session: &mut Session, bytes: &[u8]| {
         assert!(input.push(bytes));
         let mut heard = Vec::new();
-        while let Some(one) = s.take(1000.0, &mut input).unwrap() {
+        while let Some(one) = session.take(1000.0, &mut input).unwrap() {
             heard.extend(one);
         }
         (heard, input.skipping())
@@ -95,22 +95,22 @@
         frame(&["REQ", tag, class, &fields, &"b".repeat(n)])
     };
     let large = write("1", "media", 15_000);
-    let (heard, skipping) = feed(&mut s, &large[..300]);
+    let (heard, skipping) = feed(&mut session, &large[..300]);
     assert!(heard.is_empty() && skipping == large.len() - 300);
     assert_eq!(
-        String::from_utf8(s.output.bytes()).unwrap(),
+        String::from_utf8(session.output.bytes()).unwrap(),
         "*4\r\n$1\r\n1\r\n$4\r\nfull\r\n$12\r\npushback=500\r\n$0\r\n\r\n"
     );
     assert_eq!(memory.accounts().used(Purpose::Bodies), 0);
-    s.output.consume(usize::MAX);
+    session.output.consume(usize::MAX);
     // The same connection goes on behind it.
     let mut input = Buffer::new(4096, memory.empty(AccountOwner::of(Purpose::Bodies)));
     let hold = write("2", "holds", 5_000);
     assert!(input.push(&hold[..300]));
-    assert!(matches!(s.take(1000.0, &mut input), Ok(None)), "granted, and waited for");
+    assert!(matches!(session.take(1000.0, &mut input), Ok(None)), "granted, and waited for");
     assert!(memory.accounts().used(Purpose::Bodies) > 0);
     assert!(input.push(&hold[300..]));
-    let Ok(Some(Some(Input::Ask { ask, .. }))) = s.take(1000.0, &mut input) else {
+    let Ok(Some(Some(Input::Ask { ask, .. }))) = session.take(1000.0, &mut input) else {
         panic!("a hold has the reserve")
     };
     assert_eq!((ask.body.len(), memory.accounts().used(Purpose::Bodies)), (5_000, 5_000));
--- a/src/net/model/session.rs
+++ b/src/net/model/session.rs
@@ -36,9 +36,9 @@
 }
 
 /// Tags and words of the answers that were written; none of them has fields or a body.
-fn answers(s: &mut Session) -> Vec<(u64, String)> {
-    let text = String::from_utf8(s.output.bytes()).unwrap();
-    s.output.consume(text.len());
+fn answers(session: &mut Session) -> Vec<(u64, String)> {
+    let text = String::from_utf8(session.output.bytes()).unwrap();
+    session.output.consume(text.len());
     let lines: Vec<&str> = text.split_terminator("\r\n").collect();
     lines.chunks(9).map(|a| (a[2].parse().unwrap(), a[4].to_owned())).collect()
 }
@@ -72,7 +72,7 @@
 fn a_client_connection_keeps_to_its_states() {
     let step = (0u8..6, 1u64..7, 0usize..SPOILT.len());
     check(400, vec(step, 1..120), |steps| {
-        let (mut s, mut input, mut now) = (session(Ledger::unlimited()), Buffer::default(), 1000.0);
+        let (mut session, mut input, mut now) = (session(Ledger::unlimited()), Buffer::default(), 1000.0);
         let mut open = BTreeSet::new();
         for (kind, tag, which) in steps {
             now += 1.0;
@@ -94,14 +94,14 @@
             };
             let (first, rest) = bytes.split_at(bytes.len() / 2);
             assert!(input.push(first));
-            prop_assert!(!matches!(s.take(now, &mut input), Ok(Some(_))), "half a frame is none");
+            prop_assert!(!matches!(session.take(now, &mut input), Ok(Some(_))), "half a frame is none");
             assert!(input.push(rest));
-            let heard = match s.take(now, &mut input) {
+            let heard = match session.take(now, &mut input) {
                 Ok(heard) => heard.flatten(),
                 Err(broken) => {
                     prop_assert!(kind < 3 && open.contains(&tag) || kind == 5 && which == 0);
-                    s.fail_open(broken.tag);
-                    let failed: BTreeSet<u64> = answers(&mut s).iter().map(|a| a.0).collect();
+                    session.fail_open(broken.tag);
+                    let failed: BTreeSet<u64> = answers(&mut session).iter().map(|a| a.0).collect();
                     open.extend((kind == 5).then_some(9));
                     prop_assert_eq!(failed, open);
                     return Ok(());
@@ -115,13 +115,13 @@
                 (3, Some(Input::Abort(caller))) => prop_assert!(caller.tag == tag && open.remove(&tag)),
                 (3, None) => prop_assert!(!open.contains(&tag)),
                 (4, None) => {
-                    s.answer(tag, Answer::Failed);
+                    session.answer(tag, Answer::Failed);
                     expect.extend(open.remove(&tag).then(|| (tag, "fault".to_owned())));
                 }
                 (5, None) => expect.push((8, "no".to_owned())),
                 (_, heard) => prop_assert!(false, "{} of {}: {:?}", kind, tag, heard),
             }
-            prop_assert_eq!(answers(&mut s), expect);
+            prop_assert_eq!(answers(&mut session), expect);
         }
         Ok(())
     });
@@ -130,11 +130,11 @@
 /// Guards against a flood of what cannot be used: it is answered, but not heard faster than so.
 #[test]
 fn a_flood_is_heard_at_a_bounded_pace() {
-    let (mut s, mut input) = (session(Ledger::unlimited()), Buffer::default());
+    let (mut session, mut input) = (session(Ledger::unlimited()), Buffer::default());
     (0..1000).for_each(|_| assert!(input.push(&frame(&["DANCE", "7"]))));
     let mut heard = |now| {
-        while let Ok(Some(_)) = s.take(now, &mut input) {}
-        answers(&mut s).len()
+        while let Ok(Some(_)) = session.take(now, &mut input) {}
+        answers(&mut session).len()
     };
     let first = heard(1000.0);
     assert!((1..100).contains(&first), "{first}");
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -69,9 +69,11 @@
     pooled(LIMITS, |send, mut reported| async move {
         let stream = clogged(&send, &mut reported).await;
         send.send(cancel(1)).unwrap();
-        let Some(Report::Left { ticket, outcome, settles }) = reported.recv().await else { panic!() };
+        let Some(Report::Abandoned { ticket, outcome, propagation }) = reported.recv().await else {
+            panic!()
+        };
         assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
-        assert!(settles > 0.0, "the node has yet to hear of it");
+        assert!(propagation > 0.0, "the node has yet to hear of it");
         // The node hears that the connection has ended.
         tokio::time::timeout(Duration::from_secs(3), sent(stream)).await.expect("the connection ends");
     });
@@ -235,14 +237,16 @@
         write(1, &mut reported).await;
         let (mut first, _) = listener.accept().await.unwrap();
         send.send(cancel(1)).unwrap();
-        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else { panic!("a cancel") };
-        assert!(outcome == Outcome::Cancelled && (0.005..=0.02).contains(&settles), "{settles}");
+        let Some(Report::Abandoned { outcome, propagation, .. }) = reported.recv().await else {
+            panic!("a cancel")
+        };
+        assert!(outcome == Outcome::Cancelled && (0.005..=0.02).contains(&propagation), "{propagation}");
         write(2, &mut reported).await;
         tokio::io::AsyncWriteExt::write_all(&mut first, b"an answer of no use\r\n").await.unwrap();
-        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else {
+        let Some(Report::Abandoned { outcome, propagation, .. }) = reported.recv().await else {
             panic!("closed here")
         };
-        assert!(outcome == Outcome::Reset && settles > 0.0);
+        assert!(outcome == Outcome::Reset && propagation > 0.0);
         write(3, &mut reported).await;
         let (second, _) = listener.accept().await.unwrap();
         second.set_zero_linger().unwrap();
