--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -206,7 +206,7 @@
 
 impl Order {
     /// May its first byte go out now? Asked last, by whoever writes it.
-    pub fn goes(&self, now: f64) -> bool {
+    pub fn may_be_sent(&self, now: f64) -> bool {
         now < self.due.min(self.begin_by) && !self.called_off.get() && !self.ask.gone.get()
     }
 }
@@ -253,13 +253,13 @@
     /// It was answered, and there is no memory for the answer. That says nothing of the node.
     NoMemory(Ticket),
     /// It was given up on the wire, and its node may not have read that yet: it is out for a little longer.
-    Left {
+    Abandoned {
         /// Which.
         ticket: Ticket,
         /// `Cancelled`, or `Reset` with its connection.
         outcome: Outcome,
-        /// So long (seconds).
-        settles: f64,
+        /// Its node has surely read that after so long (seconds).
+        propagation: f64,
     },
 }
 
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -1,10 +1,15 @@
 //! Tests of `pool.rs`.
 
+use super::limits::REQUESTS_PER_PRICED_CONNECTION;
 use super::*;
 use crate::broker::ClientRequest;
+use crate::clock;
 use crate::interface::{FillOptions, Node, RequestId};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 const LIMITS: Limits =
     Limits { connect_within: 5.0, idle: 5.0, streams: 100, connections: 64, handshake: 0.08 };
@@ -64,9 +69,11 @@
     pooled(LIMITS, |send, mut reported| async move {
         let stream = clogged(&send, &mut reported).await;
         send.send(cancel(1)).unwrap();
-        let Some(Report::Left { ticket, outcome, settles }) = reported.recv().await else { panic!() };
+        let Some(Report::Abandoned { ticket, outcome, propagation }) = reported.recv().await else {
+            panic!()
+        };
         assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
-        assert!(settles > 0.0, "the node has yet to hear of it");
+        assert!(propagation > 0.0, "the node has yet to hear of it");
         // The node hears that the connection has ended.
         tokio::time::timeout(Duration::from_secs(3), sent(stream)).await.expect("the connection ends");
     });
@@ -111,8 +118,12 @@
 #[test]
 fn requests_share_a_connection_where_one_has_a_price() {
     assert_eq!(opened(0.0, 12), 12, "a spoilt answer takes nothing with it");
-    assert_eq!(opened(0.08, CROWD[1] as u32), 1);
-    assert_eq!(opened(0.08, CROWD[1] as u32 + 1), 2, "nor is one connection the bottleneck");
+    assert_eq!(opened(0.08, REQUESTS_PER_PRICED_CONNECTION as u32), 1);
+    assert_eq!(
+        opened(0.08, REQUESTS_PER_PRICED_CONNECTION as u32 + 1),
+        2,
+        "nor is one connection the bottleneck"
+    );
 }
 
 /// A node that has a whole request and reads nothing more: behind it lies a body that its socket does not take, so that
@@ -226,14 +237,16 @@
         write(1, &mut reported).await;
         let (mut first, _) = listener.accept().await.unwrap();
         send.send(cancel(1)).unwrap();
-        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else { panic!("a cancel") };
-        assert!(outcome == Outcome::Cancelled && (0.005..=0.02).contains(&settles), "{settles}");
+        let Some(Report::Abandoned { outcome, propagation, .. }) = reported.recv().await else {
+            panic!("a cancel")
+        };
+        assert!(outcome == Outcome::Cancelled && (0.005..=0.02).contains(&propagation), "{propagation}");
         write(2, &mut reported).await;
         tokio::io::AsyncWriteExt::write_all(&mut first, b"an answer of no use\r\n").await.unwrap();
-        let Some(Report::Left { outcome, settles, .. }) = reported.recv().await else {
+        let Some(Report::Abandoned { outcome, propagation, .. }) = reported.recv().await else {
             panic!("closed here")
         };
-        assert!(outcome == Outcome::Reset && settles > 0.0);
+        assert!(outcome == Outcome::Reset && propagation > 0.0);
         write(3, &mut reported).await;
         let (second, _) = listener.accept().await.unwrap();
         second.set_zero_linger().unwrap();
