Let the soak of starts and ends draw clients that read small answers slowly

Answers of 20 to 4,096 bytes pile up at a front behind the closed window of a client whose system keeps 2 KB unread, while that client asks on a little at a time. The soak's clients had either small answers, read at once, or large ones, so that no run had a few hundred to a few thousand bytes unsent on a connection that had nothing else open.

A quarter of the runs has them. What each is asked follows from what it can read, so that nothing piles up without end.

--- a/crates/lab/src/soak/lifecycle.rs
+++ b/crates/lab/src/soak/lifecycle.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::error::Error;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 /// Fronts of a run. Each is cycled in turn, so that the others can take who finds none there.
@@ -34,6 +35,22 @@
 /// The same bursts, from systems that keep whole answers.
 const IN_BURSTS_FROM_WIDE: Pace = Pace { receive_buffer: None, ..IN_BURSTS };
 
+/// Small objects have so many bytes, and an answer with one so many more.
+const SMALL: RangeInclusive<usize> = 20..=4096;
+const ANSWER_TEXT: usize = 100;
+/// Clients that read small answers slowly have systems that keep so little of them unread (bytes). After each such pause
+/// (seconds) they read so much, or one answer: what has come to a client is read within a second, but what waits at its front
+/// takes longer.
+const TINY: usize = 2 * 1024;
+const SMALL_PAUSE: RangeInclusive<f64> = 0.3..=0.8;
+/// They ask for this part of what they can read, over so many connections at most: then one rests for a while between two
+/// requests, which is when a front may close it.
+const SMALL_ASKED: f64 = 0.6;
+const SMALL_CONNECTIONS: usize = 24;
+/// Requests a second of the clients of a front, at most, and the connections of those that read otherwise.
+const RATE: f64 = 40.0;
+const CONNECTIONS: usize = 6;
+
 /// Nodes that are slow have links so many times as thin.
 const SLOW: f64 = 20.0;
 
@@ -64,13 +81,6 @@
     sometimes(Kind::NodeSilent, Vec::new(), vec![0, 1]);
     sometimes(Kind::NodeSlow { times: SLOW }, Vec::new(), vec![2, 3]);
     sometimes(Kind::MemoryScarce, Vec::new(), Vec::new());
-    let pace = match random.random_range(0..6) {
-        0 => Some(IN_BURSTS),
-        1 => Some(IN_BURSTS_FROM_WIDE),
-        2 => Some(SLOWLY),
-        _ => None,
-    };
-    let object_bytes = pace.map_or(0, |_| SLOWLY_READ);
     Plan {
         seconds: until + 1.5,
         judged_from: 1.0,
@@ -78,21 +88,46 @@
         nodes: 6,
         memory_mb: 64,
         programs: vec![Program { name: "soaked".into(), path: Some(program.to_owned()), share: 1.0 }],
-        clients: Clients {
-            rate: 40.0,
-            holds: 0.1,
-            connections: 6,
-            objects: 500,
-            object_bytes,
-            pace,
-            ..Clients::default()
-        },
+        clients: clients(&mut random),
         faults,
         bounds: Bounds::default(),
         ..Plan::default()
     }
 }
 
+/// The clients of a run: how they read, and how large their objects are. Only what was drawn for clients that
+/// read at once is drawn on, so that the other seeds mean what they did.
+fn clients(random: &mut StdRng) -> Clients {
+    let at_once =
+        Clients { rate: RATE, holds: 0.1, connections: CONNECTIONS, objects: 500, ..Clients::default() };
+    let large = |pace| Clients { object_bytes: SLOWLY_READ, pace: Some(pace), ..at_once.clone() };
+    match random.random_range(0..6) {
+        0 => large(IN_BURSTS),
+        1 => large(IN_BURSTS_FROM_WIDE),
+        2 => large(SLOWLY),
+        _ if random.random_bool(0.5) => small_slowly(random, at_once),
+        _ => at_once,
+    }
+}
+
+/// Clients that ask for small objects, a little at a time, and read the answers slowly.
+fn small_slowly(random: &mut StdRng, at_once: Clients) -> Clients {
+    let object_bytes = random.random_range(SMALL);
+    let answer_bytes = object_bytes + ANSWER_TEXT;
+    let pause_s = random.random_range(SMALL_PAUSE);
+    let chunk = TINY.max(answer_bytes);
+    // Of one connection.
+    let rate = chunk as f64 / answer_bytes as f64 / pause_s * SMALL_ASKED;
+    let connections = ((RATE / rate) as usize).clamp(1, SMALL_CONNECTIONS);
+    Clients {
+        rate: rate * connections as f64,
+        connections,
+        object_bytes,
+        pace: Some(Pace { pause_s, chunk, receive_buffer: Some(TINY) }),
+        ..at_once
+    }
+}
+
 fn fault(kind: Kind, at: f64, until: f64, places: Vec<usize>) -> Fault {
     let fronts = Target { places, ..Target::default() };
     Fault { kind, at, until, fronts, nodes: Target::default() }
@@ -113,7 +148,8 @@
     let reading = plan.clients.pace.map(|pace| match pace {
         SLOWLY => "clients read slowly",
         IN_BURSTS => "clients read in bursts",
-        _ => "clients read in bursts from wide buffers",
+        IN_BURSTS_FROM_WIDE => "clients read in bursts from wide buffers",
+        _ => "clients read small answers slowly",
     });
     plan.faults.iter().filter_map(|fault| name(fault.kind)).chain(reading).collect()
 }
