Wait at a fleet's end for clients that read at a pace of their own

A request counted as lost where its client had not read the answer 5.5 s after the last was asked. No check is weaker: what has no answer is lost as before, when a paced client has read an answer was never judged, and clients without a pace wait as long as they did.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -71,6 +71,8 @@
 const THREADS: usize = 2;
 /// The longest deadline of a class, and what is granted beyond it (seconds).
 const LONGEST: f64 = 5.5;
+/// Clients that read at a pace of their own have read what was answered so much later at most (seconds).
+const READ_BEHIND: f64 = 5.0;
 /// A plan with a rollout is played so long after that is over, and no longer (seconds).
 const AFTER: f64 = 2.0;
 /// Fronts that serve answer operators within so long (seconds).
@@ -275,7 +277,7 @@
     clients.stop();
     let after: f64 = fronts.iter().map(|f| f.processor_s()).sum();
     // What is out is answered within the longest deadline, or is lost.
-    let by = tier.unix() + LONGEST;
+    let by = tier.unix() + LONGEST + plan.clients.pace.map_or(0.0, |_| READ_BEHIND);
     while tier.unix() < by && book.open().asked.iter().any(|a| a.end.is_none()) {
         sleep(Duration::from_millis(20)).await;
     }
