--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -241,11 +241,15 @@
     pub reader: BufReader<TcpStream>,
 }
 
+/// A command's frame.
+pub fn frame(words: &[&str]) -> String {
+    let words_framed: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*{}\r\n{words_framed}", words.len())
+}
+
 impl Client {
     pub fn send(&mut self, words: &[&str]) {
-        let mut out = format!("*{}\r\n", words.len());
-        words.iter().for_each(|w| out += &format!("${}\r\n{w}\r\n", w.len()));
-        self.stream.write_all(out.as_bytes()).unwrap();
+        self.stream.write_all(frame(words).as_bytes()).unwrap();
     }
 
     pub fn ask(&mut self, tag: &str, call: u64, more: &str) {
@@ -305,10 +309,15 @@
     client
 }
 
-/// A request of a class that the reserve is for, so that scarce memory refuses none of it.
-pub fn hold(client: &mut Client, tag: u64) {
+/// The frame of a request of a class that the reserve is for, so that scarce memory refuses none of it.
+pub fn hold_frame(tag: u64) -> String {
     let fields = format!("call={tag:016x},ttl=3000,row={OBJECT},slice=0,set=17,heap=10.5,dedupe=k{tag}");
-    client.send(&["REQ", &tag.to_string(), "holds", &fields, ""]);
+    frame(&["REQ", &tag.to_string(), "holds", &fields, ""])
+}
+
+/// Sends such a request.
+pub fn hold(client: &mut Client, tag: u64) {
+    client.stream.write_all(hold_frame(tag).as_bytes()).unwrap();
 }
 
 /// Has the front closed it?
