--- a/tests/closing_crossings.rs
+++ b/tests/closing_crossings.rs
@@ -195,6 +195,28 @@
     (Node::start(name, members, |config| config["limits"]["sockets"] = json!(SOCKETS)), served)
 }
 
+/// Guards against a newcomer that gets the place of a client whose request is on its way in two segments.
+#[test]
+fn a_crowd_waits_for_half_a_request() {
+    in_time(|round| {
+        let (node, served) = few_places(&format!("closing-half-crowd-{round}"));
+        let began = Instant::now();
+        let (mut client, second_half) = half_a_request(&node);
+        let (mut idle, mut crowd) = (idle_client(&node), Vec::new());
+        eventually("one that has become idle later is closed", || {
+            crowd.push(idle_client(&node));
+            is_closed(&mut idle)
+        });
+        if began.elapsed() > WHOLE {
+            return None;
+        }
+        client.stream.write_all(&second_half).unwrap();
+        answers(served, b"first");
+        assert_eq!(client.answer()[3], "first");
+        Some(())
+    });
+}
+
 /// What no client says.
 const UNREADABLE: &[u8] = b"unreadable\r\n";
 
@@ -349,3 +371,27 @@
     });
     assert_eq!(answered.count(), PLACES);
 }
+
+/// Guards against an idle client that gives way to a newcomer though another, which lingers only, has no use for its place.
+#[test]
+fn one_that_lingers_takes_no_idle_clients_place() {
+    in_time(|round| {
+        let (node, served) = few_places(&format!("closing-lingers-{round}"));
+        let began = Instant::now();
+        let mut idle = idle_client(&node);
+        let active = active_clients(&node, &served, PLACES - 2);
+        let mut lingering = node.connect();
+        lingering.stream.write_all(UNREADABLE).unwrap();
+        assert!(lingering.closed(), "it is ended, and its side is still open");
+        let newcomer = is_served(&node, &served, 100);
+        node.logged("no array");
+        let idle_closed = is_closed(&mut idle);
+        drop(active);
+        if began.elapsed() > OPEN_FOR {
+            return None;
+        }
+        assert!(newcomer.is_some());
+        assert!(!idle_closed, "an idle client has given way");
+        Some(())
+    });
+}
