Let a lingering close wait while its client takes the last answers

Cause: one bound of 0.5 s for writing the last answers and for waiting until the client closes. What was unsent by then was given up, and what had come meanwhile lay unread, so that the socket's end was a reset.

The last answers are written, and the write side is shut, once the system has sent them, for up to 5 s where the connection may linger; only then the 0.5 s begin.

--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -1,6 +1,6 @@
 //! How a client connection closes: one last look for input, a lingering close, and seeing that the other side has closed.
 
-use super::{ClientSocket, ConnectionSlot, Output};
+use super::{ClientSocket, ConnectionSlot, Output, SendState};
 use crate::clock;
 use nix::errno::Errno;
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
@@ -15,7 +15,10 @@
 /// A client that is not read from is looked at so often (seconds). What its departure leaves to be sent is not to be sent
 /// on 0.1 s later.
 pub const PEER_CHECK_INTERVAL: f64 = 0.05;
-/// A lingering close writes the last answers for so long (seconds).
+/// Before its write side is shut, a connection that may linger waits so long for its client to take the last answers
+/// (seconds). What is taken later than this is late.
+const FLUSH_WINDOW: f64 = 5.0;
+/// After its write side was shut, a lingering connection waits so long for its client to close (seconds).
 const LINGER_WINDOW: f64 = 0.5;
 /// It discards so many bytes of what still comes (bytes).
 const LINGER_DISCARD: usize = 64 * 1024;
@@ -34,7 +37,8 @@
 /// Does something come on a connection that is about to close? Guards a request that lies in the system's buffer and of
 /// which this busy thread has not been told: it was taken, and is owed an answer.
 pub async fn readable_within_window(stream: &TcpStream) -> bool {
-    timeout_at(clock::instant(clock::now() + FINAL_READ_WINDOW), stream.readable()).await.is_ok()
+    let until = clock::instant(clock::now() + FINAL_READ_WINDOW);
+    timeout_at(until, stream.readable()).await.is_ok()
 }
 
 /// Asks the system itself whether a socket is ready for this: [`io::ErrorKind::WouldBlock`] if it is not. Has the system
@@ -51,22 +55,31 @@
     }
 }
 
-/// A lingering close: writes the last answers, shuts the write side, and discards what still comes until the client has
-/// closed too. Closing with bytes unread would reset the connection, and the client might lose what it was sent last.
+/// A lingering close: writes the last answers, shuts the write side once they are sent, and discards what still comes until
+/// the client has closed too. Closing with bytes unread would reset the connection, and the client might lose what it was
+/// sent last.
 pub async fn linger(socket: &ClientSocket, slot: &ConnectionSlot, last: &mut Output) {
     slot.begin_close();
     let permit = slot.linger();
-    let discard = if permit.is_some() { LINGER_DISCARD } else { 0 };
-    let by = clock::instant(clock::now() + LINGER_WINDOW);
-    let closing = async {
-        while !last.is_empty() {
-            socket.writable().await?;
-            last.write_to(socket)?;
-        }
-        shut_and_discard(socket, discard).await
+    let (flush_window, discard) = match &permit {
+        Some(_) => (FLUSH_WINDOW, LINGER_DISCARD),
+        None => (LINGER_WINDOW, 0),
     };
     // Whether the client got them or not, the connection is closed now.
-    let _ = timeout_at(by, closing).await;
+    let _ = timeout_at(clock::instant(clock::now() + flush_window), flush(socket, last)).await;
+    let by = clock::instant(clock::now() + LINGER_WINDOW);
+    let _ = timeout_at(by, shut_and_discard(socket, discard)).await;
+}
+
+/// Writes the last answers, and waits until the system has sent them.
+async fn flush(socket: &ClientSocket, last: &mut Output) -> io::Result<()> {
+    loop {
+        last.write_to(socket)?;
+        if last.is_empty() && socket.all_sent() {
+            return Ok(());
+        }
+        socket.writable().await?;
+    }
 }
 
 /// Shuts the write side, and discards up to so many bytes of what still comes until the other side has closed too.
