Have a crowd close clients in the middle of a message last

Callers: a newcomer had the place of a client that was half through a request, though others were idle; what it sent of the rest was lost.

Cause: the order of closing knew who had spoken and for how long each was idle, and not that part of a message had come.

Change: of those that have spoken, one in the middle of a message is asked last. That a crowd closes such a one where there is no other is as before (connections::tests).

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -114,9 +114,12 @@
         }
     }
 
-    /// Asks the first idle connection to close, so that another gets its place; is there one?
+    /// Asks the first idle connection to close, so that another gets its place; is there one? One that has spoken and is in
+    /// the middle of a message comes last: the others lose nothing.
     pub(super) fn close_most_idle(&self) -> bool {
-        self.close_first(CloseReason::Place, |_| true)
+        let between_messages = |entry: &Entry| !entry.spoken.get() || !entry.mid_message.get();
+        self.close_first(CloseReason::Place, between_messages)
+            || self.close_first(CloseReason::Place, |_| true)
     }
 
     /// The same for its memory, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a
