--- a/src/net/send_queue/tests.rs
+++ b/src/net/send_queue/tests.rs
@@ -1,7 +1,10 @@
 //! Tests of `send_queue.rs`.
 
 use super::{ASKED_BEYOND, SendQueue};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use socket2::SockRef;
 use std::io::Read;
+use std::os::fd::AsFd;
 use tokio::net::{TcpListener, TcpStream};
 
 /// A connection's two ends, of which the second reads nothing by itself, and has little room.
@@ -58,3 +61,34 @@
     assert!(queue.is_known_unsent(&stream));
     drop(peer);
 }
+
+/// Short answers cost the system that receives them more room than their bytes, so that it may have none for one that its window
+/// let in: that was sent, was dropped, and is sent again once its program reads. An end behind it is not seen.
+#[tokio::test]
+async fn what_was_sent_and_dropped_by_the_peer_is_not_taken_for_sent() {
+    let mut hidden_ends = Vec::new();
+    for seed in 0..200 {
+        let (stream, peer) = pair().await;
+        stream.set_nodelay(true).unwrap();
+        let (queue, mut sizes) = (SendQueue::default(), fastrand::Rng::with_seed(seed));
+        let (mut written, mut come) = (0, 0);
+        // The loopback device delivers, or the system drops, before a write returns.
+        while come == written {
+            queue.before_write(&stream);
+            let n = stream.try_write(&vec![b'x'; sizes.usize(1..100)]).unwrap();
+            queue.wrote(n);
+            written += n;
+            come = peer.peek(&mut [0; 64 * 1024]).unwrap();
+        }
+        if !queue.is_empty(&stream) {
+            continue;
+        }
+        // What a closer does next, and what the peer can see of it.
+        SockRef::from(&stream).shutdown(std::net::Shutdown::Write).unwrap();
+        let mut polled = [PollFd::new(peer.as_fd(), PollFlags::from_bits_retain(nix::libc::POLLRDHUP))];
+        if poll(&mut polled, PollTimeout::from(500u16)).unwrap() == 0 {
+            hidden_ends.push((seed, come, written));
+        }
+    }
+    assert!(hidden_ends.is_empty(), "the end is not seen (seed, bytes come, written): {hidden_ends:?}");
+}
