--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -157,3 +157,64 @@
     assert!(table.close_most_idle());
     assert_eq!(asked(&slots), [true, true]);
 }
+
+/// A crowd of newcomers, each of whose first requests comes just as it is asked to close for the next: what is open beside the
+/// places is bounded, or the front has more descriptors than it may.
+#[test]
+fn places_that_are_owed_do_not_add_up() {
+    const MOST: usize = 8;
+    const LINGERING: usize = 1;
+    let table = ConnectionTable::new(LINGERING);
+    let mut slots = Vec::new();
+    for came in 0..100 {
+        // As the acceptor does.
+        if table.places_taken() >= MOST && !table.close_most_idle() {
+            continue;
+        }
+        let asked = slots.iter().filter(|slot: &&ConnectionSlot| slot.closes_at().is_some());
+        asked.for_each(ConnectionSlot::mark_active);
+        slots.push(ConnectionSlot::new(table.clone(), sent(), f64::from(came)));
+    }
+    assert!(table.open() <= MOST + LINGERING, "{} are open, of {MOST} and {LINGERING}", table.open());
+}
+
+/// Scarce memory has asked one to close, whose place is free in a moment: a newcomer may have it.
+#[test]
+fn the_place_of_one_that_closes_for_its_memory_is_for_a_newcomer() {
+    let (table, slots) = table(&[(true, 1.0)]);
+    assert!(table.close_idle_since_grace(1.0 + IDLE_GRACE));
+    assert_eq!(asked(&slots), [true]);
+    assert!(table.close_most_idle(), "the newcomer is turned away, and then nobody is connected");
+}
+
+/// One that owes its place waits for its client to read; the end of the front does not wait for that.
+#[tokio::test]
+async fn the_end_of_the_front_wakes_one_that_is_asked_to_close_later() {
+    let (table, slots) = table(&[(true, 1.0)]);
+    assert!(table.close_most_idle());
+    slots[0].mark_active();
+    slots[0].mark_idle(2.0, true, false);
+    assert_eq!(slots[0].closes_at(), Some(2.0 + IDLE_GRACE));
+    slots[0].changed().await;
+    table.close_all_immediately();
+    assert_eq!(slots[0].closes_at(), Some(2.0));
+    let told = tokio::time::timeout(std::time::Duration::ZERO, slots[0].changed()).await;
+    assert!(told.is_ok(), "its task sleeps until the time it had before");
+}
+
+/// The newcomer got a place that became free by itself: nobody owes it one any more.
+#[test]
+fn a_place_that_became_free_is_not_owed_any_more() {
+    const MOST: usize = 2;
+    let (table, mut slots) = table(&[(true, 1.0), (true, 1.5)]);
+    slots[1].mark_active();
+    assert!(table.places_taken() >= MOST && table.close_most_idle());
+    slots[0].mark_active();
+    let _newcomer = ConnectionSlot::new(table.clone(), sent(), 2.0);
+    _newcomer.mark_active();
+    // The client of the other one leaves.
+    drop(slots.pop());
+    assert_eq!(table.places_taken(), MOST);
+    slots[0].mark_idle(3.0, true, false);
+    assert_eq!(slots[0].closes_at(), None, "it closes, and a place stays empty");
+}
