--- /dev/null
+++ b/tests/closing_places.rs
@@ -0,0 +1,82 @@
+//! Who has a place at a front, and who gives his up: a crowd that asks as it comes, and a client that only floods.
+
+mod stand_ins;
+use serde_json::json;
+use stand_ins::*;
+use std::io::{Read, Write};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a site gives a front (descriptors).
+const SOCKETS: usize = 64;
+/// More than these, and no more than wait at a listener.
+const CROWD: u64 = 200;
+
+/// Many connect while the front is busy elsewhere, and each asks at once: the front finds all connections and all requests
+/// there, and keeps to its descriptors.
+#[test]
+fn a_crowd_that_asks_as_it_comes_gets_no_more_descriptors_than_there_are() {
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let node =
+        Node::start("places-crowd", members, |config| config["limits"]["sockets"] = json!(SOCKETS));
+    // It has its connection to the cache, and all that it opens by itself.
+    let mut first = node.connect();
+    hold(&mut first, 1);
+    next(&served).hit(b"first");
+    first.answer();
+    node.signal("-STOP");
+    let mut crowd: Vec<Client> = (0..CROWD)
+        .map(|number| {
+            let mut client = node.connect();
+            hold(&mut client, 2 + number);
+            client
+        })
+        .collect();
+    node.signal("-CONT");
+    let (mut most, mut held) = (0, Vec::new());
+    eventually("each has been taken or turned away", || {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count();
+        most = most.max(open);
+        held.extend(served.try_iter());
+        let over = crowd.iter_mut().filter(|client| {
+            client.stream.set_nonblocking(true).unwrap();
+            !client.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+        });
+        over.count() + held.len() >= CROWD as usize
+    });
+    assert!(most <= SOCKETS, "{most} descriptors of {SOCKETS}; {} requests at the cache", held.len());
+}
+
+/// A client that sends nothing usable, without a pause, is asked to close for a newcomer: it is closed, and costs no more than
+/// what it sends.
+#[test]
+fn one_that_only_floods_gives_its_place() {
+    let (cache, _served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let node = Node::start("places-flood", members, |config| config["limits"]["sockets"] = json!(8));
+    let flooder = node.connect().stream;
+    let (mut writes, mut reads) = (flooder.try_clone().unwrap(), flooder);
+    let flooding = thread::spawn(move || {
+        let frame = b"*5\r\n$3\r\nREQ\r\n$1\r\n1\r\n$2\r\nno\r\n$1\r\n-\r\n$0\r\n\r\n".repeat(100);
+        while writes.write_all(&frame).is_ok() {}
+    });
+    let reading = thread::spawn(move || while reads.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+    let busy = || {
+        let stat = std::fs::read_to_string(format!("/proc/{}/schedstat", node.child.id())).unwrap();
+        stat.split(' ').next().unwrap().parse::<f64>().unwrap() / 1e9
+    };
+    let (began, before) = (Instant::now(), busy());
+    let mut crowd = Vec::new();
+    // Longer than a connection has that says nothing.
+    while began.elapsed() < Duration::from_secs(4) && !flooding.is_finished() {
+        crowd.push(node.connect());
+        thread::sleep(Duration::from_millis(20));
+    }
+    let share = (busy() - before) / began.elapsed().as_secs_f64();
+    let stays = !flooding.is_finished();
+    drop(node);
+    flooding.join().unwrap();
+    reading.join().unwrap();
+    assert!(!stays, "{} came, and it has its place still; the front took {share:.2} of a core", crowd.len());
+}
