--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -218,3 +218,29 @@
     slots[0].mark_idle(3.0, true, false);
     assert_eq!(slots[0].closes_at(), None, "it closes, and a place stays empty");
 }
+
+/// Short answers lay unsent, which nobody asked about, and were sent just now: their client has its time from now on.
+#[tokio::test]
+async fn the_time_to_read_begins_as_the_last_answer_is_sent() {
+    use crate::net::ClientSocket;
+    use std::io::{IoSlice, Read};
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut peer = onyxyoke_stand_ins::scripted::narrow(listener.local_addr().unwrap());
+    let socket = Rc::new(ClientSocket::new(listener.accept().await.unwrap().0));
+    let table = ConnectionTable::new(1);
+    let now = crate::clock::now();
+    let slot = ConnectionSlot::new(table.clone(), socket.clone(), now - 10.0);
+    slot.mark_active();
+    // More than the peer has room for, in short answers.
+    let answers = 40;
+    (0..answers)
+        .for_each(|_| assert_eq!(socket.try_write_vectored(&[IoSlice::new(&[b'x'; 900])]).unwrap(), 900));
+    let come = peer.peek(&mut [0; 64 * 1024]).unwrap();
+    assert!(come < answers * 900, "the harness: the peer had room for all");
+    // As its task marks it, a while ago.
+    slot.mark_idle(now - 2.0 * IDLE_GRACE, true, false);
+    // Its client comes round, and is sent the rest only now.
+    peer.read_exact(&mut vec![0; answers * 900]).unwrap();
+    table.close_idle_since_grace(crate::clock::now());
+    assert_eq!(slot.closes_at(), None, "it is closed in the moment in which its last answers come");
+}
--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -80,3 +80,39 @@
     reading.join().unwrap();
     assert!(!stays, "{} came, and it has its place still; the front took {share:.2} of a core", crowd.len());
 }
+
+/// Half of a request's head comes on the longest idle connection of the second front, and then a crowd for which connections
+/// close: that one is in the middle of something, and others are not.
+#[test]
+fn a_crowd_closes_idle_connections_of_the_second_front_before_one_in_the_middle_of_a_head() {
+    let signer = talks();
+    let (front, _served) = stage("places-half", &[&signer], |text| {
+        assert!(text.contains("sockets = 1024"));
+        text.replace("sockets = 1024", "sockets = 64")
+    });
+    let spoken = || {
+        let mut stream = front.send(&get("/talks/unsigned"));
+        assert_eq!(status(read_message(&mut stream)).0, 401);
+        stream
+    };
+    let (mut half, mut idle) = (spoken(), spoken());
+    let request = get("/talks/unsigned");
+    let (first, rest) = request.split_at(request.len() / 2);
+    half.write_all(first.as_bytes()).unwrap();
+    // The front's one thread reads that before what comes later.
+    drop(spoken());
+    let mut crowd = Vec::new();
+    let closed = |stream: &mut std::net::TcpStream| {
+        stream.set_nonblocking(true).unwrap();
+        let closed = stream.peek(&mut [0]).is_ok_and(|n| n == 0);
+        stream.set_nonblocking(false).unwrap();
+        closed
+    };
+    eventually("one of the two is closed", || {
+        crowd.push(spoken());
+        closed(&mut half) || closed(&mut idle)
+    });
+    assert!(!closed(&mut half), "the one in the middle of a head is closed, and the idle one is not");
+    half.write_all(rest.as_bytes()).unwrap();
+    assert_eq!(status(read_message(&mut half)).0, 401);
+}
