--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -18,8 +18,7 @@
 fn a_crowd_that_asks_as_it_comes_gets_no_more_descriptors_than_there_are() {
     let (cache, served) = cache_node();
     let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
-    let node =
-        Node::start("places-crowd", members, |config| config["limits"]["sockets"] = json!(SOCKETS));
+    let node = Node::start("places-crowd", members, |config| config["limits"]["sockets"] = json!(SOCKETS));
     // It has its connection to the cache, and all that it opens by itself.
     let mut first = node.connect();
     hold(&mut first, 1);
@@ -116,3 +115,34 @@
     half.write_all(rest.as_bytes()).unwrap();
     assert_eq!(status(read_message(&mut half)).0, 401);
 }
+
+/// There is no memory for a newcomer, and all who are connected were answered just now: they are left the time to read, as scarce
+/// memory by itself leaves it to them, and the newcomer is turned away or waits.
+#[test]
+fn a_newcomer_without_memory_closes_none_that_were_just_answered() {
+    let (cache, _served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    // A machine that is so late that the time is over says nothing.
+    for round in 0..5 {
+        let node = Node::start(&format!("places-memory-{round}"), members.clone(), |_| ());
+        let mut all: Vec<Client> = (0..40).map(|_| node.connect()).collect();
+        node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+        node.logged("settings are in force");
+        node.logged("are in no account");
+        let began = Instant::now();
+        for client in &mut all {
+            client.send(&["HEALTH", "8", ""]);
+            client.answer();
+        }
+        let mut newcomer = node.connect();
+        let _ = newcomer.stream.write_all(b"*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n");
+        // Until it is answered or turned away.
+        let _ = newcomer.stream.peek(&mut [0]);
+        let closed = all.iter_mut().filter_map(|client| is_closed(client).then_some(())).count();
+        if began.elapsed() < Duration::from_secs(1) {
+            assert_eq!(closed, 0, "of {} that were answered within the last second", all.len());
+            return;
+        }
+    }
+    panic!("five rounds were late");
+}
