--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -283,3 +283,31 @@
         assert!(reported.try_recv().is_err(), "nothing was on the one that ended");
     });
 }
+
+/// Guards against the same where the node's system has no room and this one takes everything: what is given up here is not
+/// heard of there while its cancel lies behind a closed window.
+#[test]
+fn an_attempt_whose_cancel_is_taken_and_not_sent_ends_with_its_connection() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(8 * 1024).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(8).unwrap();
+        send.send(at(listener.local_addr().unwrap())).unwrap();
+        // The node has the first one whole; the second one's body fills its window, and this system has the rest.
+        for (request, body) in [(1, 0), (2, 48_000)] {
+            send.send(Command::Send(order(request, body))).unwrap();
+            assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+        }
+        let (stream, _) = listener.accept().await.unwrap();
+        send.send(cancel(1)).unwrap();
+        let Some(Report::Left { ticket, outcome, .. }) = reported.recv().await else { panic!() };
+        assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
+        // It has ended there if its cancel is there, or the connection has ended.
+        let mut here = vec![0; 256 * 1024];
+        let come = stream.peek(&mut here).await.unwrap_or(0);
+        let told = here[..come].windows(6).any(|word| word == b"cancel");
+        let ended = tokio::time::timeout(Duration::from_secs(3), sent(stream));
+        assert!(told || ended.await.is_ok(), "another attempt may go while the node works on this one");
+    });
+}
