--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -136,7 +136,8 @@
         }
         let mut newcomer = node.connect();
         let _ = newcomer.stream.write_all(b"*3\r\n$6\r\nHEALTH\r\n$1\r\n8\r\n$0\r\n\r\n");
-        // Until it is answered or turned away.
+        // Until it is answered or turned away; it may be left waiting too.
+        newcomer.stream.set_read_timeout(Some(Duration::from_millis(700))).unwrap();
         let _ = newcomer.stream.peek(&mut [0]);
         let closed = all.iter_mut().filter_map(|client| is_closed(client).then_some(())).count();
         if began.elapsed() < Duration::from_secs(1) {
