Count a second-front client as active once part of a head has come

Callers: half of a request's head came on the longest idle connection of the second front, a crowd came, and that connection was closed while others were idle. Clients that were answered 401 or 503 counted as never having spoken and were closed first, with no time to read.

Cause: what was read between two requests did not mark the connection as active, so that its place in the order was the old one; and only an admitted request counted as spoken.

Its memory goes back before it lingers, as on the first front.

--- a/src/signed/connection.rs
+++ b/src/signed/connection.rs
@@ -32,11 +32,13 @@
     slot: ConnectionSlot,
     number: u64,
     tag: u64,
+    /// A whole head has come from the client.
+    spoken: bool,
     reply: UnboundedSender<(u64, Answer)>,
     answers: UnboundedReceiver<(u64, Answer)>,
     input: Buffer,
     output: Output,
-    _grant: Grant,
+    grant: Grant,
 }
 
 impl Connection {
@@ -52,13 +54,27 @@
         let input = Buffer::new(INPUT, front.memory.empty(AccountOwner::of(Purpose::Signed)));
         let unread = AccountOwner { precious: true, ..AccountOwner::of(Purpose::Unread) };
         let output = Output::new(front.memory.empty(unread));
-        Connection { front, socket, slot, number, tag: 0, reply, answers, input, output, _grant: grant }
+        Connection {
+            front,
+            socket,
+            slot,
+            number,
+            tag: 0,
+            spoken: false,
+            reply,
+            answers,
+            input,
+            output,
+            grant,
+        }
     }
 
     pub(super) async fn serve(mut self) -> io::Result<()> {
         self.socket.set_nodelay(true)?;
         let ended = self.requests().await;
         if ended.is_ok() {
+            // Its place in memory is somebody else's from now on; what is still unsent keeps its own.
+            self.grant.shrink(usize::MAX);
             linger(&self.socket, &self.slot, &mut self.output).await;
         }
         match ended {
@@ -167,6 +183,7 @@
             match http::request(self.input.bytes(), BODY) {
                 Ok(Some((request, used))) => {
                     self.input.consume(used);
+                    self.spoken = true;
                     self.slot.mark_active();
                     return Ok(Some(Ok(request)));
                 }
@@ -202,7 +219,7 @@
             was_unsent = unsent;
             match unsent {
                 true => self.slot.mark_active(),
-                false => self.slot.mark_idle(now, self.tag > 0, half_a_head),
+                false => self.slot.mark_idle(now, self.spoken, half_a_head),
             }
             // Half a head is waited for, where there is no other in need of the place.
             let waits = half_a_head && self.slot.is_closing_all();
@@ -211,6 +228,7 @@
                 biased;
                 ready = self.socket.readable() => {
                     ready?;
+                    self.slot.mark_active();
                     return self.read();
                 }
                 ready = self.socket.writable(), if unsent => ready?,
