Close a client that only floods when its time is over, and do not spin

Callers: a client that sent nothing usable without a pause kept its place for ever, beyond the 2 s of one that says nothing whole, and the front's thread looked at it about once a millisecond.

Cause: while it was not read from, its unread bytes counted as a sign that it may not be closed yet, and its time stayed in the past.

Change: one that never said anything usable and is not read from is not listened to before its close. What one that has spoken sent ahead is read once it is read from again, and its close waits until then.

--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -275,12 +275,15 @@
             timers.whole_by = timers.whole_by.map(|_| now + WHOLE);
         }
         // Guards the share of clients' connections against those that never say anything whole.
-        let silent = (!self.session.spoken && !untaken).then_some(timers.speak_by);
+        let silent = (!self.session.spoken && nothing_owed && !untaken).then_some(timers.speak_by);
         let stalled = writes.then_some(stalled_by);
         let idle_at = idle.then_some(timers.idle_at);
         // Half a request is waited for, where there is no other in need of the place.
         let waits = half_a_frame && self.slot.is_closing_all();
         let closes_at = self.slot.closes_at().filter(|_| !waits);
+        // What one that has spoken has sent ahead is read before it closes.
+        let heard_by = throttled_until.filter(|_| self.session.spoken).unwrap_or(now);
+        let closes_at = closes_at.map(|at| at.max(heard_by));
         let all = [silent, timers.whole_by, stalled, timers.taken_by, idle_at, closes_at];
         let until = all.into_iter().flatten().reduce(f64::min);
         Wait { now, writes, untaken, idle, held_back, throttled_until, stalled_by, until }
@@ -346,7 +349,9 @@
             // Its client cannot see an end: it is waited for, as known to be unsent from now on.
             return Ok(None);
         }
-        Ok((!readable_within_window(&self.socket).await).then_some(End::ByFront))
+        // One that never said anything usable, and is not read from since it sent too much, is not listened to.
+        let ignored = !self.session.spoken && wait.reads_paused();
+        Ok((ignored || !readable_within_window(&self.socket).await).then_some(End::ByFront))
     }
 
     /// Takes the whole frames off the buffer; was there one?
