Bound what a crowd gets beside its places, and let newcomers wait for memory

Callers: (1) 200 clients that connected while the front was busy and asked at once were all taken: 230 descriptors of 64.

Cause: (1) whoever was asked to close and had a request just then owed its place without bound, though its newcomer was there already. (2) Acceptor::grant closed idle connections at once, four every 4 ms, without the second that scarce memory leaves them, and marked each as owing a place that nobody had.

Change: (1) those that are asked or owe are counted, at most an eighth of the places; the acceptor waits for those that are asked, and turns a newcomer away if they stay. A place that becomes free by itself is owed no more, and one that closes for its memory is a newcomer's. The end of a front wakes those that owe. (2) A newcomer without memory waits in a task of its own, while those close that never spoke or were left a second; after a second one at a time does, as before.

The test of a crowd and half a message is one step longer: the newcomer first has the place of one that closes already.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -50,6 +50,7 @@
 
 /// Accepts clients until the program ends, or the front takes no more.
 pub async fn accept(listener: TcpListener, front: Rc<Front>, state: Rc<ListenerState>) {
-    let serve = |socket, slot, grant| ClientConnection::new(front.clone(), socket, slot, grant).serve();
-    super::accept(listener, state, front.connections, front.memory.clone(), serve).await;
+    let (connections, memory) = (front.connections, front.memory.clone());
+    let serve = move |socket, slot, grant| ClientConnection::new(front.clone(), socket, slot, grant).serve();
+    super::accept(listener, state, connections, memory, serve).await;
 }
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -10,7 +10,7 @@
 /// An idle connection is left to its client for so long (seconds). Nothing tells a front what of its answers the client's
 /// program has read, and what that sends before it has seen the end behind them is lost; on a new connection, the first
 /// request may be on its way.
-const IDLE_GRACE: f64 = 1.0;
+pub(super) const IDLE_GRACE: f64 = 1.0;
 
 /// The order in which idle connections are closed: those that never sent a usable command first, then those that have been
 /// idle for longest.
@@ -45,7 +45,9 @@
     Active,
     /// Nothing is, as far as is known without asking the system: it may be chosen to close.
     Idle(IdleKey),
-    /// It is idle and closes at this time, if nothing is read on it before (Unix seconds).
+    /// It is idle and asked to close now, if nothing comes on it before.
+    Asked,
+    /// It is idle and owes its place, which it gives at this time, if nothing is read on it before (Unix seconds).
     ClosesAt(f64),
     /// It is being closed.
     Closing,
@@ -56,18 +58,25 @@
 pub(super) struct ConnectionTable {
     next_number: Cell<u64>,
     idle: RefCell<BTreeMap<IdleKey, Rc<Entry>>>,
+    /// Those that are asked to close.
+    asked: RefCell<Vec<Rc<Entry>>>,
+    /// Those whose place was given to a new client and that something was read on just then: the first to owe it first.
+    owing: RefCell<Vec<Rc<Entry>>>,
     close_all: Cell<CloseAll>,
     lingering: Cell<usize>,
-    lingering_most: usize,
+    extra_most: usize,
     open: Cell<usize>,
     closing: Cell<usize>,
     closed: Notify,
+    /// A place was given, or one that was asked for it stays.
+    places_changed: Notify,
 }
 
 impl ConnectionTable {
-    /// An empty table; so many connections may linger at once.
-    pub(super) fn new(lingering_most: usize) -> Rc<Self> {
-        Rc::new(ConnectionTable { lingering_most, ..ConnectionTable::default() })
+    /// An empty table. Beside those that have a place, so many connections may linger, and so many may be about to give
+    /// theirs to new clients that are there already.
+    pub(super) fn new(extra_most: usize) -> Rc<Self> {
+        Rc::new(ConnectionTable { extra_most, ..ConnectionTable::default() })
     }
 
     /// How many connections are open.
@@ -109,20 +118,40 @@
 
     fn set_close_all(&self, close_all: CloseAll) {
         self.close_all.set(close_all);
-        for entry in self.idle.borrow().values() {
-            entry.changed.notify_one();
+        self.idle.borrow().values().for_each(|entry| entry.changed.notify_one());
+        self.owing.borrow().iter().for_each(|entry| entry.changed.notify_one());
+    }
+
+    /// Makes a place for a new client: an idle connection is asked to close, and the new client is beside it for that moment.
+    /// Where many are beside already, waits until they closed; `false` if none is idle, or they stay.
+    pub(super) async fn make_place(&self) -> bool {
+        while self.asked.borrow().len() + self.owing.borrow().len() >= self.extra_most {
+            if self.asked.borrow().is_empty() {
+                return false;
+            }
+            self.places_changed.notified().await;
         }
+        self.close_most_idle()
     }
 
     /// Asks the first idle connection to close, so that another gets its place; is there one? One that has spoken and is in
-    /// the middle of a message comes last: the others lose nothing.
+    /// the middle of a message comes last: the others lose nothing. Nobody is asked while many owe their place.
     pub(super) fn close_most_idle(&self) -> bool {
         let between_messages = |entry: &Entry| !entry.spoken.get() || !entry.mid_message.get();
-        self.close_first(CloseReason::Place, between_messages)
-            || self.close_first(CloseReason::Place, |_| true)
+        self.owing.borrow().len() < self.extra_most
+            && (self.take_place_given_for_memory()
+                || self.close_first(CloseReason::Place, between_messages)
+                || self.close_first(CloseReason::Place, |_| true))
     }
 
-    /// The same for its memory, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a
+    /// Gives a new client the place of one that is asked to close for its memory; is there one?
+    fn take_place_given_for_memory(&self) -> bool {
+        let asked = self.asked.borrow();
+        let given = asked.iter().find(|entry| !entry.owes_place.replace(true));
+        given.is_some()
+    }
+
+    /// Asks the first idle connection to close for its memory, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a
     /// message.
     pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
         let since = now - IDLE_GRACE;
@@ -131,12 +160,23 @@
         })
     }
 
+    /// The same for a new client, to which also those give way that never said anything usable.
+    pub(super) fn close_idle_for_newcomer(&self, now: f64) -> bool {
+        self.close_first(CloseReason::Memory, |entry| !entry.spoken.get()) || self.close_idle_since_grace(now)
+    }
+
+    /// The same without that time, for a new client that waited for it.
+    pub(super) fn close_idle_for_memory(&self) -> bool {
+        self.close_first(CloseReason::Memory, |entry| !entry.mid_message.get())
+            || self.close_first(CloseReason::Memory, |_| true)
+    }
+
     /// Asks the first idle connection that may close to do so, and passes over those whose answers are not all sent: what is
     /// idle is a candidate, and only the system knows at this moment whether its client can see an end.
     fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> bool {
         while let Some(entry) = self.take_first(&may_close) {
             if entry.socket.all_sent() {
-                entry.ask_to_close(reason);
+                self.ask_to_close(entry, reason);
                 return true;
             }
             entry.state.set(State::Active);
@@ -151,6 +191,31 @@
         idle.remove(&key)
     }
 
+    fn ask_to_close(&self, entry: Rc<Entry>, reason: CloseReason) {
+        entry.owes_place.set(reason == CloseReason::Place);
+        entry.state.set(State::Asked);
+        entry.changed.notify_one();
+        self.asked.borrow_mut().push(entry);
+    }
+
+    /// A connection has closed for reasons of its own: the first that owes its place keeps it.
+    fn forgive_first_owing(&self) {
+        let first = self.owing.borrow().first().cloned();
+        if let Some(entry) = first {
+            self.forgive(&entry);
+            if matches!(entry.state.get(), State::ClosesAt(_)) {
+                self.add_idle(&entry);
+                entry.changed.notify_one();
+            }
+        }
+    }
+
+    /// A connection owes its place no more.
+    fn forgive(&self, entry: &Rc<Entry>) {
+        entry.owes_place.set(false);
+        remove(&self.owing, entry);
+    }
+
     fn add_idle(&self, entry: &Rc<Entry>) {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -160,6 +225,13 @@
     }
 }
 
+/// Takes an entry off a list; was it there?
+fn remove(list: &RefCell<Vec<Rc<Entry>>>, entry: &Rc<Entry>) -> bool {
+    let mut list = list.borrow_mut();
+    let place = list.iter().position(|other| Rc::ptr_eq(other, entry));
+    place.map(|place| list.remove(place)).is_some()
+}
+
 /// What the table knows of a connection.
 struct Entry {
     socket: Rc<dyn SendState>,
@@ -177,12 +249,6 @@
 }
 
 impl Entry {
-    fn ask_to_close(&self, reason: CloseReason) {
-        self.owes_place.set(reason == CloseReason::Place);
-        self.state.set(State::ClosesAt(self.idle_since.get()));
-        self.changed.notify_one();
-    }
-
     /// Its client has read its last answer by then, if it was sent one (Unix seconds).
     fn read_by(&self) -> f64 {
         self.idle_since.get() + if self.spoken.get() { IDLE_GRACE } else { 0.0 }
@@ -236,17 +302,36 @@
         if !self.is_idle() {
             return;
         }
-        if let State::Idle(key) = self.entry.state.replace(State::Active) {
-            self.table.idle.borrow_mut().remove(&key);
-        } else if self.entry.owes_place.get() {
+        match self.entry.state.replace(State::Active) {
+            State::Idle(key) => {
+                self.table.idle.borrow_mut().remove(&key);
+            }
+            State::Asked => self.stay(),
+            State::ClosesAt(_) | State::Active | State::Closing => {}
+        }
+    }
+
+    /// The connection was asked to close, and does not. Where a new client has its place, another gives that, or it is owed.
+    fn stay(&self) {
+        remove(&self.table.asked, &self.entry);
+        if self.entry.owes_place.get() {
+            self.table.owing.borrow_mut().push(self.entry.clone());
             self.give_other_place();
         }
+        self.table.places_changed.notify_one();
     }
 
-    /// Has another idle connection close in place of this one, whose client is in the middle of something; is there one?
-    /// Clients that never said anything usable close all the same.
+    /// Has another idle connection give its place for this one, which owes it and whose client is in the middle of something;
+    /// is there one? Clients that never said anything usable close all the same.
     fn give_other_place(&self) -> bool {
-        let given = self.entry.spoken.get() && self.table.close_most_idle();
+        let given = self.entry.spoken.get() && {
+            remove(&self.table.owing, &self.entry);
+            let given = self.table.close_most_idle();
+            if !given {
+                self.table.owing.borrow_mut().insert(0, self.entry.clone());
+            }
+            given
+        };
         if given {
             self.entry.owes_place.set(false);
         }
@@ -255,18 +340,27 @@
 
     /// The connection closes now: its place is free from now on.
     pub fn begin_close(&self) {
-        let before = self.entry.state.replace(State::Closing);
+        let entry = &self.entry;
+        let before = entry.state.replace(State::Closing);
+        if before == State::Closing {
+            return;
+        }
         if let State::Idle(key) = before {
             self.table.idle.borrow_mut().remove(&key);
         }
-        if before != State::Closing {
-            self.table.closing.set(self.table.closing.get() + 1);
+        let asked = remove(&self.table.asked, entry);
+        if entry.owes_place.get() {
+            self.table.forgive(entry);
+        } else if !asked {
+            self.table.forgive_first_owing();
         }
+        self.table.closing.set(self.table.closing.get() + 1);
+        self.table.places_changed.notify_one();
     }
 
     /// Is the connection idle, as far as is known?
     pub fn is_idle(&self) -> bool {
-        matches!(self.entry.state.get(), State::Idle(_) | State::ClosesAt(_))
+        matches!(self.entry.state.get(), State::Idle(_) | State::Asked | State::ClosesAt(_))
     }
 
     /// When the idle connection is to close, if it is asked to (Unix seconds).
@@ -274,6 +368,7 @@
         let asked = match self.entry.state.get() {
             State::Active | State::Closing => return None,
             State::Idle(_) => f64::INFINITY,
+            State::Asked => self.entry.idle_since.get(),
             State::ClosesAt(at) => at,
         };
         let all = match self.table.close_all.get() {
@@ -307,7 +402,7 @@
     /// the place of others; once all close, no others are to come.
     pub fn linger(&self) -> Option<LingerPermit> {
         let lingering = self.table.lingering.get();
-        (self.is_closing_all() || lingering < self.table.lingering_most).then(|| {
+        (self.is_closing_all() || lingering < self.table.extra_most).then(|| {
             self.table.lingering.set(lingering + 1);
             LingerPermit(self.table.clone())
         })
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -68,11 +68,11 @@
     assert!(table.close_idle_since_grace(1.0 + IDLE_GRACE));
     assert_eq!(asked(&slots), [false, true]);
     assert!(!slots[0].is_idle(), "it is known now, and its task waits for it to be sent");
-    assert!(!table.close_most_idle());
+    assert!(!table.close_idle_for_memory());
     sockets[0].0.set(true);
     slots[0].mark_idle(3.0, true, false);
     assert!(!table.close_idle_since_grace(2.9 + IDLE_GRACE), "its client has just been sent the rest");
-    assert!(table.close_most_idle());
+    assert!(table.close_idle_for_memory());
     assert_eq!(asked(&slots), [true, true]);
 }
 
@@ -155,6 +155,8 @@
     assert!(table.close_idle_since_grace(10.0) && !table.close_idle_since_grace(10.0));
     assert_eq!(asked(&slots), [false, true]);
     assert!(table.close_most_idle());
+    assert_eq!(asked(&slots), [false, true], "the newcomer has the place of the one that closes already");
+    assert!(table.close_most_idle() && !table.close_most_idle());
     assert_eq!(asked(&slots), [true, true]);
 }
 
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,7 +1,7 @@
 //! Listening for clients, beside another process of the same front too, and accepting them: a task for each connection.
 
 use super::closing::FINAL_READ_WINDOW;
-use super::connections::{ConnectionSlot, ConnectionTable};
+use super::connections::{ConnectionSlot, ConnectionTable, IDLE_GRACE};
 use super::{ClientSocket, INPUT, TEXT};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::turns::{TaskKind, measured};
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
 /// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
@@ -23,10 +24,12 @@
 const RELIEF_INTERVAL: f64 = 0.1;
 /// Connections that the system holds for a listener before they are accepted.
 const BACKLOG: u32 = 1024;
-/// One in so many connections may linger beside those that are served.
-const LINGERING_SHARE: usize = 8;
+/// One in so many connections may linger, and one in so many may be about to give its place, beside those that are served.
+const EXTRA_SHARE: usize = 8;
 /// So many idle connections are closed at a time, while there is no memory for a new one.
 const CLOSED_AT_ONCE: usize = 4;
+/// A new connection without memory asks for it again this often (seconds).
+const MEMORY_RETRY_INTERVAL: f64 = 0.05;
 /// The place that no listener has: any of them gets a connection, by its hash.
 const ANY_BY_HASH: u32 = u32::MAX;
 /// The place of the younger of two listeners.
@@ -151,12 +154,12 @@
     state: Rc<ListenerState>,
     most: usize,
     memory: Ledger,
-    serve: impl Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F,
+    serve: impl Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F + 'static,
 ) where
     F: Future<Output = io::Result<()>> + 'static,
 {
-    let table = ConnectionTable::new((most / LINGERING_SHARE).max(1));
-    let acceptor = Acceptor { table: table.clone(), most, memory: memory.clone(), serve };
+    let table = ConnectionTable::new((most / EXTRA_SHARE).max(1));
+    let acceptor = Acceptor { table: table.clone(), most, memory: memory.clone(), serve: Rc::new(serve) };
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
     let (mut listener, mut waited) = (Some(listener), Vec::new());
@@ -223,33 +226,32 @@
     table: Rc<ConnectionTable>,
     most: usize,
     memory: Ledger,
-    serve: S,
+    serve: Rc<S>,
 }
 
 impl<S, F> Acceptor<S>
 where
-    S: Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F,
+    S: Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F + 'static,
     F: Future<Output = io::Result<()>> + 'static,
 {
     /// Serves a connection, for which another may be closed, or turns it away.
     async fn take(&self, (stream, peer): Accepted) {
         if self.table.places_taken() >= self.most {
-            if !self.table.close_most_idle() {
+            if !self.table.make_place().await {
                 return log!("client {peer} is turned away: {} are connected", self.most);
             }
-            // The one that was asked to close does so now, before there is another.
+            // The one that was asked to close does so first.
             tokio::task::yield_now().await;
         }
-        let Some(grant) = self.grant().await else {
-            return log!("client {peer} is turned away: no memory for another connection");
-        };
-        self.memory.clients(1);
-        let memory = self.memory.clone();
         let socket = Rc::new(ClientSocket::new(stream));
         let slot = ConnectionSlot::new(self.table.clone(), socket.clone(), clock::now());
-        let served = (self.serve)(socket, slot, grant);
-        tokio::task::spawn_local(measured(TaskKind::Client, async move {
-            if let Err(e) = served.await
+        let (table, memory, serve) = (self.table.clone(), self.memory.clone(), self.serve.clone());
+        spawn_local(measured(TaskKind::Client, async move {
+            let Some(grant) = connection_memory(&table, &memory, &slot).await else {
+                return log!("client {peer} is turned away: no memory for another connection");
+            };
+            memory.clients(1);
+            if let Err(e) = serve(socket, slot, grant).await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             {
                 log!("client {peer}: {e}");
@@ -257,20 +259,31 @@
             memory.clients(-1);
         }));
     }
+}
 
-    /// Memory for a connection, for which idle ones are closed: after a cut of the limit they may hold far more than it
-    /// grants. `None` once none is idle.
-    async fn grant(&self) -> Option<Grant> {
-        loop {
-            let asked = self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT);
-            if let Ok(grant) = asked {
-                return Some(grant);
-            }
-            let closed = (0..CLOSED_AT_ONCE).take_while(|_| self.table.close_most_idle()).count();
-            if closed == 0 {
-                return None;
-            }
-            sleep_until(clock::instant(clock::now() + 2.0 * FINAL_READ_WINDOW)).await;
+/// Memory for a new connection, for which idle ones are closed: after a cut of the limit they may hold far more than it
+/// grants. Their clients have the time to read what they were just sent, for which this one waits; then one at a time closes
+/// without. `None` once none is idle.
+async fn connection_memory(table: &ConnectionTable, memory: &Ledger, slot: &ConnectionSlot) -> Option<Grant> {
+    let ask = || memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok();
+    if let Some(grant) = ask() {
+        return Some(grant);
+    }
+    // It has nothing that another could be given.
+    slot.mark_active();
+    let patient_until = clock::now() + IDLE_GRACE;
+    loop {
+        let now = clock::now();
+        let closed = (0..CLOSED_AT_ONCE).take_while(|_| table.close_idle_for_newcomer(now)).count();
+        let impatient = closed == 0 && now >= patient_until;
+        if impatient && !table.close_idle_for_memory() {
+            return None;
+        }
+        let pause = if closed > 0 || impatient { 2.0 * FINAL_READ_WINDOW } else { MEMORY_RETRY_INTERVAL };
+        sleep_until(clock::instant(clock::now() + pause)).await;
+        if let Some(grant) = ask() {
+            slot.mark_idle(clock::now(), false, false);
+            return Some(grant);
         }
     }
 }
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -314,7 +314,7 @@
         }
         let (stream, _) = listener.accept().await.unwrap();
         send.send(cancel(1)).unwrap();
-        let Some(Report::Left { ticket, outcome, .. }) = reported.recv().await else { panic!() };
+        let Some(Report::Abandoned { ticket, outcome, .. }) = reported.recv().await else { panic!() };
         assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
         // It has ended there if its cancel is there, or the connection has ended.
         let mut here = vec![0; 256 * 1024];
--- a/src/signed/mod.rs
+++ b/src/signed/mod.rs
@@ -101,8 +101,9 @@
 
 /// Accepts clients until the program ends, or the front takes no more.
 pub async fn accept(listener: TcpListener, front: Rc<Front>, state: Rc<ListenerState>) {
-    let serve = |socket, slot, grant| Connection::new(front.clone(), socket, slot, grant).serve();
-    crate::net::accept(listener, state, front.connections, front.memory.clone(), serve).await;
+    let (connections, memory) = (front.connections, front.memory.clone());
+    let serve = move |socket, slot, grant| Connection::new(front.clone(), socket, slot, grant).serve();
+    crate::net::accept(listener, state, connections, memory, serve).await;
 }
 
 /// A request as the core takes it, or the status that it is answered with at once.
