Judge the level of scarcity anew when a reload changes the limits

Callers saw 'full' right after everything was read and a cap was restored by a reload (caps_change_in_service, line 'restored'): a small request was refused though 1 MB of the shared remainder and more was free.

Cause: a level, once entered, is kept until a tenth more of the remainder is free, and it is looked at only by a look, a request or a buffer. `reserve_only` was entered under the cut cap, while answers lay unread; nothing looked at it between their being read and the reload, and under the restored limits, whose remainder is smaller, so little was free that it was kept, though there it would not have been entered.

The thresholds are shares of another remainder under other limits, so the level starts anew and is entered where it is due. Nothing more is granted than before: the sums of the accounts decide that, and are untouched. a_level_entered_under_former_limits_ends_with_them forces the order and failed without the mend (level() < ReserveOnly).

--- a/src/main.rs
+++ b/src/main.rs
@@ -126,7 +126,7 @@
             live.set(address);
         }
         if *self.memory.accounts().plan() != later.memory {
-            self.memory.accounts_mut().replan(later.memory);
+            self.memory.replan(later.memory);
         }
         let fixed = loaded.fixed(&later.loaded);
         match fixed.is_empty() {
--- a/src/memory/grant.rs
+++ b/src/memory/grant.rs
@@ -108,6 +108,13 @@
         (finding, self.accounts_mut().turn())
     }
 
+    /// Puts other limits in force ([`Accounts::replan`]), and judges anew how scarce memory is under them.
+    pub fn replan(&self, plan: Plan) {
+        self.accounts_mut().replan(plan);
+        self.0.pressure.borrow_mut().reset();
+        self.level();
+    }
+
     /// A client connected, or left.
     pub fn clients(&self, change: isize) {
         self.0.clients.set(self.0.clients.get().saturating_add_signed(change));
@@ -298,3 +305,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/memory/pressure.rs
+++ b/src/memory/pressure.rs
@@ -79,6 +79,12 @@
         self.level
     }
 
+    /// Forgets the level: other limits are in force. The thresholds are shares of another remainder now, and a level that
+    /// was entered under the former limits says nothing of it. To be followed by a look, which enters what is to be.
+    pub fn reset(&mut self) {
+        (self.level, self.crowded) = (Level::Calm, false);
+    }
+
     /// Looks at the accounts; the level that holds from now on.
     pub fn look(&mut self, accounts: &Accounts) -> Level {
         let (free, all) = accounts.remainder();
