Tell the director of answers held up for memory, which are not lost ones

Cause: an answer may wait 0.15 s here for memory (HELD_UP), and the director holds one for lost after 0.1 s and 1.5 times a miss's latency, or blames the origin after 0.3 s and twice the latency, once others were answered. It withdrew what this front itself held up, counted a failure of the origin, and refused half and more of the requests for what no cache is believed to hold.

The pool tells as soon as it holds an answer up, and the director waits for that as for a stream: the pool grants it, gives it up after 0.15 s, or ends the connection where it stops short. Deadlines and HELD_UP are untouched. an_answer_that_this_front_holds_up_is_no_lost_one failed without the mend (the attempt was cancelled), and so did an_answer_that_waits_for_memory_is_told_of.

--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -250,6 +250,8 @@
         /// What was served.
         content: Option<Content>,
     },
+    /// Its answer has begun to come, and waits here until there is memory for it: it is not lost.
+    HeldUp(Ticket),
     /// It was answered, and there is no memory for the answer. That says nothing of the node.
     NoMemory(Ticket),
     /// It was given up on the wire, and its node may not have read that yet: it is out for a little longer.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -289,6 +289,9 @@
             Report::Ended { ticket, outcome, note, source_wait, content } => {
                 self.ended(now, ticket, outcome, note, source_wait, content);
             }
+            Report::HeldUp(Ticket { request, attempt }) => {
+                self.feed(now, Event::Streaming { request, attempt });
+            }
             Report::NoMemory(ticket) => self.no_memory(now, ticket),
             Report::Left { ticket, outcome, settles } => self.left(now, ticket, outcome, settles),
         }
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -367,3 +367,58 @@
     assert_eq!(answer(&mut b, 3, ours()), None, "out");
     assert_eq!(answer(&mut b, 4, ours()), Some(Answer::OverBudget(1.0)));
 }
+
+/// A broker that knows one edge and the origin, of which the edge answers one request while another of its answers is
+/// held up, for longer than answers get lost in; what it orders then, and afterwards for objects of which it knows nothing.
+fn held_up(told: bool) -> (Vec<Effect>, usize) {
+    const LATER: u64 = 64;
+    const LEARNED_FROM: u64 = 64;
+    const BEGAN: f64 = 1010.0;
+    let mut broker = broker(Contracts::default());
+    let members = [0, NODES - 1].map(|id| member(id, NodeState::Ready)).to_vec();
+    broker.news(BEGAN, News::Roster { full: true, members }, true);
+    let ask = |broker: &mut Broker, now: f64, tag: u64| {
+        let (object, call) = (ObjectId(tag), tag.to_string().into());
+        let ask = ClientRequest { object, kb: 10.0, deadline: now + 60.0, call, ..ClientRequest::default() };
+        broker.ask(now, Caller { connection: 1, tag }, ask);
+        let sent = |e| if let Effect::Command(Command::Send(order)) = e { Some(order.ticket) } else { None };
+        broker.effects().find_map(sent)
+    };
+    let hit = |broker: &mut Broker, now: f64, ticket: Ticket| {
+        let (outcome, note, content) = (Outcome::Ok, Note::Hit, Some(Content::default()));
+        broker.report(now, Report::Ended { ticket, outcome, note, source_wait: 0.0, content });
+        broker.effects().for_each(drop);
+    };
+    for n in 0..LEARNED_FROM {
+        let now = BEGAN - 1.0 + n as f64 * 0.01;
+        let ticket = ask(&mut broker, now, 1000 + n).unwrap();
+        hit(&mut broker, now + 0.002, ticket);
+    }
+    let held = ask(&mut broker, BEGAN, 1).unwrap();
+    let other = ask(&mut broker, BEGAN + 0.001, 2).unwrap();
+    hit(&mut broker, BEGAN + 0.002, other);
+    if told {
+        broker.report(BEGAN + 0.003, Report::HeldUp(held));
+    }
+    (1..=100).for_each(|step| broker.tick(BEGAN + f64::from(step) * 0.01));
+    let meanwhile = broker.effects().collect();
+    broker.report(BEGAN + 1.0, Report::NoMemory(held));
+    broker.effects().for_each(drop);
+    let sent = (0..LATER).filter(|n| {
+        let now = BEGAN + 1.0 + *n as f64 * 0.001;
+        ask(&mut broker, now, 10 + n).map(|ticket| hit(&mut broker, now, ticket)).is_some()
+    });
+    (meanwhile, LATER as usize - sent.count())
+}
+
+/// Guards those who ask next: what this front holds up is not lost, is not withdrawn, and does not count as a failure of the
+/// origin, on whose account requests for what is not known to be held were refused.
+#[test]
+fn an_answer_that_this_front_holds_up_is_no_lost_one() {
+    let (meanwhile, refused) = held_up(true);
+    assert!(meanwhile.is_empty(), "{meanwhile:?}");
+    assert_eq!(refused, 0);
+    // Without the word of it the attempt is withdrawn: so it would be if it had got lost.
+    let (meanwhile, _) = held_up(false);
+    assert!(meanwhile.iter().any(|e| matches!(e, Effect::Command(Command::Cancel { .. }))), "{meanwhile:?}");
+}
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -24,7 +24,7 @@
     pub news: UnboundedReceiver<News>,
     /// From the operators' socket, whose callers have one call each at most, which bounds it.
     pub operators: UnboundedReceiver<Operator>,
-    /// From cache connections; each attempt has two reports at most, which bounds it.
+    /// From cache connections; each attempt has three reports at most, which bounds it.
     pub reports: UnboundedReceiver<Report>,
     /// From fronts.
     pub asks: Receiver<Input>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -332,7 +332,8 @@
     },
     /// A client's request came in.
     Request(Request),
-    /// A stream has begun; the attempt belongs to the client.
+    /// A stream has begun; the attempt belongs to the client. Also where the front holds up an answer that has begun to
+    /// come: it is as little lost, and whoever reads it sees to its end.
     Streaming {
         /// The request.
         request: RequestId,
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -348,6 +348,12 @@
         }
     }
 
+    /// Whose answer is at the head of the buffer, if anybody waits for it.
+    pub fn at_head(&self, buffer: &Buffer) -> Option<Ticket> {
+        let head = lines::head(buffer.bytes()).ok().flatten()?;
+        self.out.get(head.answer.id).map(|sent| sent.ticket)
+    }
+
     /// There was no memory for the answer at the head of the buffer, for too long: it is passed over, and its
     /// request hears that at once. What else is out here, and is still to come behind it, is not touched.
     pub fn give_up(&mut self, buffer: &mut Buffer, report: &mut impl FnMut(Report)) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -380,6 +380,8 @@
         let mut part: Option<(f64, f64)> = None;
         // When the answer that there is no memory for is given up.
         let mut give_up_at: Option<f64> = None;
+        // Whose answer was last told to be held up.
+        let mut told_held_up: Option<Ticket> = None;
         loop {
             while let Ok(job) = self.queue.try_recv() {
                 self.take(job);
@@ -445,6 +447,12 @@
                 let mut state = self.state.borrow_mut();
                 let mut progress = state.decode(now, &mut input, |r| self.report(r));
                 while progress == Ok(Progress::Held) {
+                    // Guards the node: what waits here is not to be taken for an answer that got lost.
+                    let held_up = state.at_head(&input).filter(|&ticket| told_held_up != Some(ticket));
+                    if let Some(ticket) = held_up {
+                        self.report(Report::HeldUp(ticket));
+                        told_held_up = Some(ticket);
+                    }
                     if now < *give_up_at.get_or_insert(now + HELD_UP) {
                         break;
                     }
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::broker::ClientRequest;
 use crate::interface::{FillOptions, Node, RequestId};
+use crate::memory::{AccountLimits, PURPOSES, Plan};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -46,12 +47,21 @@
 fn pooled<T, F: Future<Output = T>>(
     limits: Limits,
     test: impl FnOnce(UnboundedSender<Command>, UnboundedReceiver<Report>) -> F,
+) -> T {
+    pooled_within(limits, Ledger::unlimited(), test)
+}
+
+/// The same with these accounts.
+fn pooled_within<T, F: Future<Output = T>>(
+    limits: Limits,
+    memory: Ledger,
+    test: impl FnOnce(UnboundedSender<Command>, UnboundedReceiver<Report>) -> F,
 ) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async move {
         let (send, commands) = unbounded_channel();
         let (reports, reported) = unbounded_channel();
-        tokio::task::spawn_local(run(commands, reports, limits, Ledger::unlimited()));
+        tokio::task::spawn_local(run(commands, reports, limits, memory));
         let whole = tokio::time::timeout(Duration::from_secs(30), test(send, reported));
         whole.await.expect("what the test waits for comes")
     })
@@ -283,3 +293,25 @@
         assert!(reported.try_recv().is_err(), "nothing was on the one that ended");
     });
 }
+
+/// An answer that waits here for memory is told of once, as soon as its line is here and before it is given up, so that
+/// nobody takes it for lost.
+#[test]
+fn an_answer_that_waits_for_memory_is_told_of() {
+    let mut limits = [AccountLimits::default(); PURPOSES];
+    limits[Purpose::Unread as usize].cap = Some(10_000);
+    let memory = Ledger::new(Plan::new(32_000_000, &limits, 1.0).unwrap(), 0);
+    pooled_within(LIMITS, memory, |send, mut reported| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        send.send(at(listener.local_addr().unwrap())).unwrap();
+        send.send(Command::Send(order(1, 0))).unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+        let made = (clock::now() * 1000.0) as u64;
+        let line = format!("0000000000000001 HIT n=TCP_HIT,etag=e,made={made} 20000\r\n");
+        tokio::io::AsyncWriteExt::write_all(&mut stream, line.as_bytes()).await.unwrap();
+        let ticket = Ticket { request: RequestId(1), attempt: 0 };
+        assert_eq!(reported.recv().await, Some(Report::HeldUp(ticket)));
+        assert_eq!(reported.recv().await, Some(Report::NoMemory(ticket)));
+    });
+}
