Say who refuses: a counter for the director, level and sizes in the account's line

When 'full' came though memory was free, nothing told whether an account, the level of scarcity or the director had refused. The counters have refused_by_director; the line of an account that begins to refuse names the level and what was last seen of the process.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -41,6 +41,8 @@
     forbidden,
     /// Of the answers: given before the director heard of the request.
     turned_away,
+    /// Of the answers: refused by the director, which found no cache for the request, or none in time.
+    refused_by_director,
     /// Clients that stopped waiting.
     aborted,
     /// Requests whose answer came and could not be held.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -363,7 +363,10 @@
     fn carry_out(&mut self, now: f64, action: Action) {
         match action {
             Action::Fetch { .. } => self.send(now, action),
-            Action::Refuse { request, wait } => self.answer(now, request, Answer::Refused(wait)),
+            Action::Refuse { request, wait } => {
+                self.counters.refused_by_director += 1;
+                self.answer(now, request, Answer::Refused(wait));
+            }
             Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let ticket = Ticket { request, attempt };
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -43,7 +43,8 @@
 /// Looks for ever.
 pub async fn memory(ledger: Ledger) {
     loop {
-        let (finding, notices) = ledger.turn(sample(heap_pages, resident_memory));
+        let seen = sample(heap_pages, resident_memory);
+        let (finding, notices) = ledger.turn(seen);
         match finding {
             Finding::Usual => {}
             Finding::Grew(rest) => log!("memory: {rest} bytes are in no account, more than when last told"),
@@ -57,11 +58,15 @@
             match notice {
                 Notice::Refuses(s) => {
                     log!(
-                        "memory: '{}' refuses: {} bytes held, cap {}, {} shared left",
+                        "memory: '{}' refuses: {} bytes held, cap {}, {} shared left; level {}, of the process {} are in memory, {} of it the allocator's, {} live",
                         s.purpose.name(),
                         s.now,
                         s.cap,
-                        ledger.accounts().remainder().0
+                        ledger.accounts().remainder().0,
+                        ledger.level().name(),
+                        seen.resident,
+                        seen.heap,
+                        seen.active
                     );
                 }
                 Notice::Recovered(s) => {
