--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -289,6 +289,9 @@
             Report::Ended { ticket, outcome, note, source_wait, content } => {
                 self.ended(now, ticket, outcome, note, source_wait, content);
             }
+            Report::HeldUp(Ticket { request, attempt }) => {
+                self.feed(now, Event::Streaming { request, attempt });
+            }
             Report::NoMemory(ticket) => self.no_memory(now, ticket),
             Report::Abandoned { ticket, outcome, propagation } => {
                 self.abandoned(now, ticket, outcome, propagation)
@@ -364,7 +367,10 @@
     fn carry_out(&mut self, now: f64, action: Action) {
         match action {
             Action::Fetch { .. } => self.send(now, action),
-            Action::Refuse { request, wait } => self.answer(now, request, Answer::Refused(wait)),
+            Action::Refuse { request, wait } => {
+                self.counters.refused_by_director += 1;
+                self.answer(now, request, Answer::Refused(wait));
+            }
             Action::Fail { request } => self.answer(now, request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let ticket = Ticket { request, attempt };
--- a/src/net/exchange/receive.rs
+++ b/src/net/exchange/receive.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightRequest;
 use super::incoming::{Admission, AnswerLayout};
 use super::{Exchange, Progress};
-use crate::broker::{Content, Report};
+use crate::broker::{Content, Report, Ticket};
 use crate::interface::Outcome;
 use crate::memory::Grant;
 use crate::net::{Buffer, Unreadable, lines};
@@ -83,6 +83,12 @@
         Ok(ControlFlow::Continue(()))
     }
 
+    /// The attempt whose answer is at the head of the buffer, if anybody waits for it.
+    pub fn ticket_at_head(&self, buffer: &Buffer) -> Option<Ticket> {
+        let head = lines::head(buffer.bytes()).ok().flatten()?;
+        self.in_flight.get(head.answer.id).map(|request| request.ticket)
+    }
+
     /// There was no memory for the answer at the head of the buffer, for too long: it is discarded, and its
     /// request hears that at once. What else is in flight, and is still to come behind it, is not touched.
     pub fn discard_answer(&mut self, buffer: &mut Buffer, report: &mut impl FnMut(Report)) {
--- a/src/net/pool/connection/serve.rs
+++ b/src/net/pool/connection/serve.rs
@@ -2,6 +2,7 @@
 
 use super::answer_timers::AnswerTimers;
 use super::{Connection, ConnectionCommand, INPUT_BYTES};
+use crate::broker::Report;
 use crate::clock;
 use crate::memory::{AccountOwner, Purpose};
 use crate::net::Buffer;
@@ -155,7 +156,16 @@
         let mut exchange = self.exchange.borrow_mut();
         let mut send_report = |report| self.context.report(report);
         let mut progress = exchange.decode(now, input, send_report);
-        while progress == Ok(Progress::NeedsMemory) && timers.memory_wait_is_over(now) {
+        while progress == Ok(Progress::NeedsMemory) {
+            // Guards the node: what waits here is not to be taken for an answer that got lost.
+            if let Some(ticket) = exchange.ticket_at_head(input)
+                && !timers.needs_memory()
+            {
+                send_report(Report::HeldUp(ticket));
+            }
+            if !timers.memory_wait_is_over(now) {
+                break;
+            }
             exchange.discard_answer(input, &mut send_report);
             timers.end_memory_wait();
             progress = exchange.decode(now, input, send_report);
