Let newcomers without memory take turns, so that they close no more than one needs

Cause: newcomers waited for memory beside each other. Each of them closed idle connections for itself, so that those of a crowd closed everybody, also clients that were left to read.

Change: one newcomer at a time has connections closed, in the order in which they came.

--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -41,6 +41,11 @@
     timeout_at(until, stream.readable()).await.is_ok()
 }
 
+/// Has something come that was not read? Asks the system.
+pub(super) fn has_input(stream: &TcpStream) -> bool {
+    ready_now(stream, PollFlags::POLLIN).is_ok()
+}
+
 /// Asks the system itself whether a socket is ready for this: [`io::ErrorKind::WouldBlock`] if it is not. Has the system
 /// tell the runtime once it is.
 pub(super) fn ready_now(stream: &TcpStream, wanted: PollFlags) -> io::Result<()> {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,6 +1,6 @@
 //! Listening for clients, beside another process of the same front too, and accepting them: a task for each connection.
 
-use super::closing::FINAL_READ_WINDOW;
+use super::closing::{FINAL_READ_WINDOW, has_input};
 use super::connections::{ConnectionSlot, ConnectionTable, IDLE_GRACE};
 use super::{ClientSocket, INPUT, TEXT};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
@@ -159,7 +159,8 @@
     F: Future<Output = io::Result<()>> + 'static,
 {
     let table = ConnectionTable::new((most / EXTRA_SHARE).max(1));
-    let acceptor = Acceptor { table: table.clone(), most, memory: memory.clone(), serve: Rc::new(serve) };
+    let waiting = ConnectionMemory { memory: memory.clone(), table: table.clone(), turn: Semaphore::new(1) };
+    let acceptor = Acceptor { table: table.clone(), most, memory: Rc::new(waiting), serve: Rc::new(serve) };
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
     let (mut listener, mut waited) = (Some(listener), Vec::new());
@@ -225,7 +226,7 @@
 struct Acceptor<S> {
     table: Rc<ConnectionTable>,
     most: usize,
-    memory: Ledger,
+    memory: Rc<ConnectionMemory>,
     serve: Rc<S>,
 }
 
@@ -245,46 +246,70 @@
         }
         let socket = Rc::new(ClientSocket::new(stream));
         let slot = ConnectionSlot::new(self.table.clone(), socket.clone(), clock::now());
-        let (table, memory, serve) = (self.table.clone(), self.memory.clone(), self.serve.clone());
+        let (memory, serve) = (self.memory.clone(), self.serve.clone());
         spawn_local(measured(TaskKind::Client, async move {
-            let Some(grant) = connection_memory(&table, &memory, &slot).await else {
+            let Some(grant) = memory.grant(&socket, &slot).await else {
                 return log!("client {peer} is turned away: no memory for another connection");
             };
-            memory.clients(1);
+            memory.memory.clients(1);
             if let Err(e) = serve(socket, slot, grant).await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             {
                 log!("client {peer}: {e}");
             }
-            memory.clients(-1);
+            memory.memory.clients(-1);
         }));
     }
 }
 
-/// Memory for a new connection, for which idle ones are closed: after a cut of the limit they may hold far more than it
-/// grants. Their clients have the time to read what they were just sent, for which this one waits; then one at a time closes
-/// without. `None` once none is idle.
-async fn connection_memory(table: &ConnectionTable, memory: &Ledger, slot: &ConnectionSlot) -> Option<Grant> {
-    let ask = || memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok();
-    if let Some(grant) = ask() {
-        return Some(grant);
-    }
-    // It has nothing that another could be given.
-    slot.mark_active();
-    let patient_until = clock::now() + IDLE_GRACE;
-    loop {
-        let now = clock::now();
-        let closed = (0..CLOSED_AT_ONCE).take_while(|_| table.close_idle_for_newcomer(now)).count();
-        let impatient = closed == 0 && now >= patient_until;
-        if impatient && !table.close_idle_for_memory() {
-            return None;
-        }
-        let pause = if closed > 0 || impatient { 2.0 * FINAL_READ_WINDOW } else { MEMORY_RETRY_INTERVAL };
-        sleep_until(clock::instant(clock::now() + pause)).await;
-        if let Some(grant) = ask() {
-            slot.mark_idle(clock::now(), false, false);
+/// Memory for new connections, which wait for it one after the other: each has as many idle ones closed as it needs, and no
+/// more.
+struct ConnectionMemory {
+    memory: Ledger,
+    table: Rc<ConnectionTable>,
+    turn: Semaphore,
+}
+
+impl ConnectionMemory {
+    /// Memory for a new connection; `None` if there is none, and none can be had. After a cut of the limit idle connections may
+    /// hold far more than it grants. Those that never said anything usable give way at once. The others have the time to read
+    /// what they were just sent, for which the new one waits; then one gives way all the same, to a client that has asked for
+    /// something.
+    async fn grant(&self, socket: &ClientSocket, slot: &ConnectionSlot) -> Option<Grant> {
+        if let Some(grant) = self.ask() {
             return Some(grant);
         }
+        // It has nothing that another could be given.
+        slot.mark_active();
+        let patient_until = clock::now() + IDLE_GRACE;
+        let _turn = self.turn.acquire().await.ok()?;
+        loop {
+            if let Some(grant) = self.ask() {
+                slot.mark_idle(clock::now(), false, false);
+                return Some(grant);
+            }
+            let now = clock::now();
+            let pause = if self.close_some(now) {
+                2.0 * FINAL_READ_WINDOW
+            } else if now < patient_until {
+                MEMORY_RETRY_INTERVAL
+            } else if has_input(socket) && self.table.close_idle_for_memory() {
+                RELIEF_INTERVAL
+            } else {
+                return None;
+            };
+            sleep_until(clock::instant(now + pause)).await;
+        }
+    }
+
+    fn ask(&self) -> Option<Grant> {
+        self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok()
+    }
+
+    /// Closes some idle connections whose clients lose nothing; were there any?
+    fn close_some(&self, now: f64) -> bool {
+        let closed = (0..CLOSED_AT_ONCE).take_while(|_| self.table.close_idle_for_newcomer(now)).count();
+        closed > 0
     }
 }
 
