--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -95,28 +95,30 @@
     }
 }
 
-/// Plays it: all rules and bounds must hold. Where the stand-ins ran late there is no verdict, and it is played again, with
-/// no other fleet of this program beside it.
-pub fn hold(name: &str, changes: Value) -> Value {
-    let files = Files(std::env::temp_dir().join(format!("onyxyoke-plan-{name}-{}", std::process::id())));
-    std::fs::create_dir_all(&files.0).unwrap();
-    let (file, figures) = (files.0.join("plan.json"), files.0.join("figures.json"));
-    std::fs::write(&file, plan(changes).to_string()).unwrap();
-    let front = front(&files.0);
+/// Runs the lab's program: all must hold; what it said. Where the stand-ins ran late there is no verdict, and it is run again,
+/// with no other fleet of this program beside it.
+pub fn all_held(run: &mut Command) -> String {
     for play in 0..PLAYS {
         let _place = Place::take(play > 0);
-        let mut run = lab();
-        run.arg("fleet").arg(&file).arg("--front").arg(&front).arg("--json").arg(&figures);
         let out = run.output().unwrap();
         let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
         match out.status.code() {
-            Some(0) => {
-                let report: Value = serde_json::from_slice(&std::fs::read(&figures).unwrap()).unwrap();
-                return report["verdict"]["figures"].clone();
-            }
+            Some(0) => return said,
             Some(2) if said.contains("ran late") => eprintln!("{said}"),
             _ => panic!("{said}"),
         }
     }
     panic!("the stand-ins ran late {PLAYS} times, thrice of these alone: this machine is too busy");
 }
+
+/// Plays a plan: all rules and bounds must hold. Its figures.
+pub fn hold(name: &str, changes: Value) -> Value {
+    let files = Files(std::env::temp_dir().join(format!("onyxyoke-plan-{name}-{}", std::process::id())));
+    std::fs::create_dir_all(&files.0).unwrap();
+    let (file, figures) = (files.0.join("plan.json"), files.0.join("figures.json"));
+    std::fs::write(&file, plan(changes).to_string()).unwrap();
+    let front = front(&files.0);
+    all_held(lab().arg("fleet").arg(&file).arg("--front").arg(&front).arg("--json").arg(&figures));
+    let report: Value = serde_json::from_slice(&std::fs::read(&figures).unwrap()).unwrap();
+    report["verdict"]["figures"].clone()
+}
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -4,14 +4,13 @@
 
 mod common;
 
-use common::{Files, hold, lab};
+use common::{Files, all_held, hold, lab};
 use serde_json::{Value, json};
 
 #[test]
 fn a_newcomers_first_look_serves_and_exits_0() {
-    let out = lab().arg("fleet").output().unwrap();
-    let said = String::from_utf8_lossy(&out.stdout);
-    assert!(out.status.success() && said.contains("all held"), "{said}");
+    let said = all_held(lab().arg("fleet"));
+    assert!(said.contains("all held"), "{said}");
 }
 
 #[test]
