--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -151,8 +151,8 @@
         given.is_some()
     }
 
-    /// Asks the first idle connection to close for its memory, but only one that was left to its client for [`IDLE_GRACE`] and is not in the middle of a
-    /// message.
+    /// Asks the first idle connection to close for its memory, but only one that was left to its client for [`IDLE_GRACE`] and
+    /// is not in the middle of a message.
     pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
         let since = now - IDLE_GRACE;
         self.close_first(CloseReason::Memory, |entry| {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -159,7 +159,7 @@
     F: Future<Output = io::Result<()>> + 'static,
 {
     let table = ConnectionTable::new((most / EXTRA_SHARE).max(1));
-    let waiting = ConnectionMemory { memory: memory.clone(), table: table.clone(), turn: Semaphore::new(1) };
+    let waiting = ConnectionMemory { ledger: memory.clone(), table: table.clone(), turn: Semaphore::new(1) };
     let acceptor = Acceptor { table: table.clone(), most, memory: Rc::new(waiting), serve: Rc::new(serve) };
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
@@ -251,13 +251,13 @@
             let Some(grant) = memory.grant(&socket, &slot).await else {
                 return log!("client {peer} is turned away: no memory for another connection");
             };
-            memory.memory.clients(1);
+            memory.ledger.clients(1);
             if let Err(e) = serve(socket, slot, grant).await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             {
                 log!("client {peer}: {e}");
             }
-            memory.memory.clients(-1);
+            memory.ledger.clients(-1);
         }));
     }
 }
@@ -265,7 +265,7 @@
 /// Memory for new connections, which wait for it one after the other: each has as many idle ones closed as it needs, and no
 /// more.
 struct ConnectionMemory {
-    memory: Ledger,
+    ledger: Ledger,
     table: Rc<ConnectionTable>,
     turn: Semaphore,
 }
@@ -303,7 +303,7 @@
     }
 
     fn ask(&self) -> Option<Grant> {
-        self.memory.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok()
+        self.ledger.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok()
     }
 
     /// Closes some idle connections whose clients lose nothing; were there any?
