Have the test of a newcomer without memory connect its clients before the limit is cut

Cause: nothing said that the front had taken all 40 before the limit was cut. Those that it took later had never spoken and had no memory, so that others that never spoke gave way to them, which is meant.

--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -125,7 +125,8 @@
     // A machine that is so late that the time is over says nothing.
     for round in 0..5 {
         let node = Node::start(&format!("places-memory-{round}"), members.clone(), |_| ());
-        let mut all: Vec<Client> = (0..40).map(|_| node.connect()).collect();
+        // Each was taken before the limit is cut, and has spoken.
+        let mut all: Vec<Client> = (0..40).map(|_| idle_client(&node)).collect();
         node.reload(|config| config["limits"]["memory_mb"] = json!(4));
         node.logged("settings are in force");
         node.logged("are in no account");
