Have a debt of a place go back to the connection that passed it on, if it is not paid

Cause: a connection that owes its place and is busy has another idle one asked for it. That may be the very newcomer that got the place, whose first request is not read yet. Its request comes, it stays and keeps the debt; the first connection owes nothing, is idle for a moment, and gives its place a second time, up to the bound of an eighth of the places.

Waiting 0.3 to 1.2 s before the newcomers come (attempts given up and repeated) changes nothing, which rules that out.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -4,7 +4,7 @@
 use super::SendState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use tokio::sync::Notify;
 
 /// An idle connection is left to its client for so long (seconds). Nothing tells a front what of its answers the client's
@@ -137,52 +137,60 @@
     /// Asks the first idle connection to close, so that another gets its place; is there one? One that has spoken and is in
     /// the middle of a message comes last: the others lose nothing. Nobody is asked while many owe their place.
     pub(super) fn close_most_idle(&self) -> bool {
+        self.ask_for_place().is_some()
+    }
+
+    /// The same; which is it?
+    fn ask_for_place(&self) -> Option<Rc<Entry>> {
+        if self.owing.borrow().len() >= self.extra_most {
+            return None;
+        }
         let between_messages = |entry: &Entry| !entry.spoken.get() || !entry.mid_message.get();
-        self.owing.borrow().len() < self.extra_most
-            && (self.take_place_given_for_memory()
-                || self.close_first(CloseReason::Place, between_messages)
-                || self.close_first(CloseReason::Place, |_| true))
+        self.take_place_given_for_memory()
+            .or_else(|| self.close_first(CloseReason::Place, between_messages))
+            .or_else(|| self.close_first(CloseReason::Place, |_| true))
     }
 
-    /// Gives a new client the place of one that is asked to close for its memory; is there one?
-    fn take_place_given_for_memory(&self) -> bool {
+    /// Gives a new client the place of one that is asked to close for its memory, if there is one.
+    fn take_place_given_for_memory(&self) -> Option<Rc<Entry>> {
         let asked = self.asked.borrow();
-        let given = asked.iter().find(|entry| !entry.owes_place.replace(true));
-        given.is_some()
+        asked.iter().find(|entry| !entry.owes_place.replace(true)).cloned()
     }
 
     /// Asks the first idle connection to close for its memory, but only one that was left to its client for [`IDLE_GRACE`] and
     /// is not in the middle of a message.
     pub(super) fn close_idle_since_grace(&self, now: f64) -> bool {
         let since = now - IDLE_GRACE;
-        self.close_first(CloseReason::Memory, |entry| {
-            entry.idle_since.get() <= since && !entry.mid_message.get()
-        })
+        let may_close = |entry: &Entry| entry.idle_since.get() <= since && !entry.mid_message.get();
+        self.close_first(CloseReason::Memory, may_close).is_some()
     }
 
     /// The same for a new client, to which also those give way that never said anything usable.
     pub(super) fn close_idle_for_newcomer(&self, now: f64) -> bool {
-        self.close_first(CloseReason::Memory, |entry| !entry.spoken.get()) || self.close_idle_since_grace(now)
+        let unspoken = |entry: &Entry| !entry.spoken.get();
+        self.close_first(CloseReason::Memory, unspoken).is_some() || self.close_idle_since_grace(now)
     }
 
     /// The same without that time, for a new client that waited for it.
     pub(super) fn close_idle_for_memory(&self) -> bool {
-        self.close_first(CloseReason::Memory, |entry| !entry.mid_message.get())
-            || self.close_first(CloseReason::Memory, |_| true)
+        let between_messages = |entry: &Entry| !entry.mid_message.get();
+        self.close_first(CloseReason::Memory, between_messages)
+            .or_else(|| self.close_first(CloseReason::Memory, |_| true))
+            .is_some()
     }
 
     /// Asks the first idle connection that may close to do so, and passes over those whose answers are not all sent: what is
     /// idle is a candidate, and only the system knows at this moment whether its client can see an end.
-    fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> bool {
+    fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> Option<Rc<Entry>> {
         while let Some(entry) = self.take_first(&may_close) {
             if entry.socket.all_sent() {
-                self.ask_to_close(entry, reason);
-                return true;
+                self.ask_to_close(&entry, reason);
+                return Some(entry);
             }
             entry.state.set(State::Active);
             entry.changed.notify_one();
         }
-        false
+        None
     }
 
     fn take_first(&self, may_close: impl Fn(&Entry) -> bool) -> Option<Rc<Entry>> {
@@ -191,11 +199,57 @@
         idle.remove(&key)
     }
 
-    fn ask_to_close(&self, entry: Rc<Entry>, reason: CloseReason) {
+    fn ask_to_close(&self, entry: &Rc<Entry>, reason: CloseReason) {
         entry.owes_place.set(reason == CloseReason::Place);
         entry.state.set(State::Asked);
         entry.changed.notify_one();
-        self.asked.borrow_mut().push(entry);
+        self.asked.borrow_mut().push(entry.clone());
+    }
+
+    /// Has another idle connection give its place for this one, which owes it and whose client is in the middle of something;
+    /// is there one? Clients that never said anything usable close all the same.
+    fn pass_debt(&self, debtor: &Rc<Entry>) -> bool {
+        if !debtor.spoken.get() {
+            return false;
+        }
+        remove(&self.owing, debtor);
+        let Some(other) = self.ask_for_place() else {
+            self.owing.borrow_mut().insert(0, debtor.clone());
+            return false;
+        };
+        debtor.owes_place.set(false);
+        other.debtor.replace(Rc::downgrade(debtor));
+        true
+    }
+
+    /// The place that another was to give for this connection is not given: it owes it again, unless its own is given already.
+    fn take_debt_back(&self, debtor: &Rc<Entry>) -> bool {
+        let state = debtor.state.get();
+        if state == State::Closing || debtor.owes_place.replace(true) {
+            return false;
+        }
+        if state == State::Asked {
+            return true;
+        }
+        if let State::Idle(key) = state {
+            self.idle.borrow_mut().remove(&key);
+        }
+        self.owing.borrow_mut().insert(0, debtor.clone());
+        let passed = self.pass_debt(debtor);
+        if let State::Idle(key) = state {
+            self.keep_or_close_later(debtor, key, passed);
+        }
+        true
+    }
+
+    /// An idle connection stays where another gives its place, or closes once its client had the time to read.
+    fn keep_or_close_later(&self, entry: &Rc<Entry>, key: IdleKey, stays: bool) {
+        if stays {
+            self.idle.borrow_mut().insert(key, entry.clone());
+            return;
+        }
+        entry.state.set(State::ClosesAt(entry.read_by()));
+        entry.changed.notify_one();
     }
 
     /// A connection has closed for reasons of its own: the first that owes its place keeps it.
@@ -244,6 +298,8 @@
     mid_message: Cell<bool>,
     /// A new client has its place, and it did not close yet.
     owes_place: Cell<bool>,
+    /// The connection that owed the place before, and has it given by this one.
+    debtor: RefCell<Weak<Entry>>,
     /// Its state, or when it is to close, may have changed.
     changed: Notify,
 }
@@ -272,6 +328,7 @@
             spoken: Cell::default(),
             mid_message: Cell::default(),
             owes_place: Cell::default(),
+            debtor: RefCell::default(),
             changed: Notify::default(),
         });
         let slot = ConnectionSlot { table, entry };
@@ -289,7 +346,7 @@
         }
         entry.spoken.set(spoken);
         entry.idle_since.set(now);
-        if entry.owes_place.get() && !self.give_other_place() {
+        if entry.owes_place.get() && !self.table.pass_debt(entry) {
             entry.state.set(State::ClosesAt(entry.read_by()));
         } else {
             self.table.add_idle(entry);
@@ -314,28 +371,21 @@
     /// The connection was asked to close, and does not. Where a new client has its place, another gives that, or it is owed.
     fn stay(&self) {
         remove(&self.table.asked, &self.entry);
-        if self.entry.owes_place.get() {
+        if self.entry.owes_place.get() && !self.return_debt() {
             self.table.owing.borrow_mut().push(self.entry.clone());
-            self.give_other_place();
+            self.table.pass_debt(&self.entry);
         }
         self.table.places_changed.notify_one();
     }
 
-    /// Has another idle connection give its place for this one, which owes it and whose client is in the middle of something;
-    /// is there one? Clients that never said anything usable close all the same.
-    fn give_other_place(&self) -> bool {
-        let given = self.entry.spoken.get() && {
-            remove(&self.table.owing, &self.entry);
-            let given = self.table.close_most_idle();
-            if !given {
-                self.table.owing.borrow_mut().insert(0, self.entry.clone());
-            }
-            given
-        };
-        if given {
+    /// Gives the debt back to the connection that passed it on, if that can have it.
+    fn return_debt(&self) -> bool {
+        let debtor = self.entry.debtor.take().upgrade();
+        let returned = debtor.is_some_and(|debtor| self.table.take_debt_back(&debtor));
+        if returned {
             self.entry.owes_place.set(false);
         }
-        given
+        returned
     }
 
     /// The connection closes now: its place is free from now on.
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -246,3 +246,39 @@
     table.close_idle_since_grace(crate::clock::now());
     assert_eq!(slot.closes_at(), None, "it is closed in the moment in which its last answers come");
 }
+
+/// Guards against a debt that passes to a newcomer whose first request comes just then: the one that had it would give its place
+/// a second time.
+#[test]
+fn one_that_passed_its_debt_to_a_newcomer_has_it_back_once_that_has_spoken() {
+    let table = ConnectionTable::new(3);
+    let talkative = ConnectionSlot::new(table.clone(), sent(), 1.0);
+    talkative.mark_active();
+    talkative.mark_idle(1.0, true, false);
+    assert!(table.close_most_idle());
+    let newcomer = ConnectionSlot::new(table.clone(), sent(), 2.0);
+    talkative.mark_active();
+    assert_eq!(newcomer.closes_at(), Some(2.0), "it has said nothing, and is to give the place back");
+    newcomer.mark_active();
+    talkative.mark_idle(2.0, true, false);
+    assert!(!table.close_most_idle(), "its place is given away already");
+    newcomer.mark_idle(2.5, true, false);
+    assert_eq!((talkative.closes_at(), newcomer.closes_at()), (Some(2.0 + IDLE_GRACE), None));
+}
+
+/// The same where the one that passed it on is idle again by then: it is not asked for its own place.
+#[test]
+fn one_that_is_idle_as_its_debt_comes_back_closes_once_its_client_had_the_time_to_read() {
+    let table = ConnectionTable::new(3);
+    let first = ConnectionSlot::new(table.clone(), sent(), 1.0);
+    first.mark_active();
+    first.mark_idle(1.0, true, false);
+    assert!(table.close_most_idle());
+    let newcomer = ConnectionSlot::new(table.clone(), sent(), 2.0);
+    first.mark_active();
+    first.mark_idle(2.0, true, false);
+    assert_eq!(first.closes_at(), None, "the newcomer is to give the place back");
+    newcomer.mark_active();
+    assert_eq!(first.closes_at(), Some(2.0 + IDLE_GRACE));
+    assert!(!table.close_most_idle(), "its place is given away already");
+}
