Do the file work of the cordons on a thread of its own

Cause: the operators' task wrote, renamed and read the file of the cordons on the thread that serves everybody.

StateWorker owns the store and does its work on a blocking thread, in order. A call waits 0.25 s at most for what the file says, so that a cordon is in force in time whatever the disk does; its reply waits until it is kept, as before.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use onyxyoke::memory::{AccountOwner, Ledger, Purpose};
 use onyxyoke::net::{ListenerState, Live, admin, clients, coordinator, pool};
 use onyxyoke::signed::keys::{KeyFile, Keys};
-use onyxyoke::state::{StateStore, Succession};
+use onyxyoke::state::{StateStore, StateWorker, Succession};
 use onyxyoke::turns::{self, TaskKind, measured};
 use onyxyoke::{clock, log, signed, watch, xds};
 use std::cell::{Cell, RefCell};
@@ -304,8 +304,7 @@
             ready: ready.clone(),
             figures: fronts.figures.clone(),
             operators: operators_in.clone(),
-            store: Rc::new(kept.store),
-            kept: Cell::new(0),
+            store: StateWorker::start(kept.store),
             settings: settings.clone(),
             build: Cell::new(None),
         };
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -6,7 +6,7 @@
 use crate::interface::NodeId;
 use crate::membership::{OperatorOverride, node_id};
 use crate::spread::HOMES;
-use crate::state::StateStore;
+use crate::state::StateWorker;
 use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use std::cell::Cell;
@@ -36,6 +36,9 @@
 const PIECE: usize = 65_536;
 /// The file of the cordons is looked at this often, for what the other process of the front was told (seconds).
 const LOOK: f64 = 0.25;
+/// A call waits so long at most for what the file says: a cordon is to be in force 1 s after its call, whatever the disk does
+/// (seconds).
+const LOOK_PATIENCE: f64 = 0.25;
 
 /// What an operator asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,9 +92,7 @@
     /// To the broker.
     pub operators: UnboundedSender<Operator>,
     /// The file of the cordons.
-    pub store: Rc<StateStore>,
-    /// The number of the last call whose cordons were kept.
-    pub kept: Cell<u64>,
+    pub store: StateWorker,
     /// The digest of the settings in force.
     pub settings: Rc<Cell<u64>>,
     /// That of the program's file, once somebody has asked.
@@ -115,7 +116,7 @@
 
 impl AdminContext {
     /// The whole reply to a line.
-    pub async fn reply(&self, line: &[u8]) -> String {
+    pub async fn reply(self: &Rc<Self>, line: &[u8]) -> String {
         let call = match parse(line) {
             Ok(call) => call,
             Err(why) => return format!("fail {why}\n"),
@@ -139,7 +140,8 @@
             Call::Uncordon(node) => OperatorOverride::Uncordon(node),
         };
         // What the other process of the front was told counts first, so that this one does not write back less.
-        self.look();
+        let look = spawn_local(self.clone().look());
+        let _ = timeout_at(clock::instant(clock::now() + LOOK_PATIENCE), look).await;
         let (reply, answer) = oneshot::channel();
         // A call that the core can no longer take is dropped with its reply, which then says so.
         let _ = self.operators.send(Operator::Call { hand, reply });
@@ -148,7 +150,7 @@
             Ok(Err(why)) => return format!("fail {why}\n"),
             // The core has ended, and this process sends nothing more: the call is for the one that follows it.
             Err(_) => {
-                return match self.store.amend(hand, clock::now()) {
+                return match self.store.amend(hand, clock::now()).await {
                     Ok(()) => format!(
                         "ok kept for the process that follows: {}\n",
                         line.trim_ascii().escape_ascii()
@@ -157,12 +159,9 @@
                 };
             }
         };
-        if number > self.kept.get() {
-            if let Err(e) = self.store.keep(&kept) {
-                log!("cordons: cannot be kept: {e}");
-                return format!("fail {said} in this process, but not kept for the next: {e}\n");
-            }
-            self.kept.set(number);
+        if let Err(e) = self.store.keep(number, kept).await {
+            log!("cordons: cannot be kept: {e}");
+            return format!("fail {said} in this process, but not kept for the next: {e}\n");
         }
         format!("ok {said}\n")
     }
@@ -182,27 +181,27 @@
     }
 
     /// Hands the broker what the file says, if another process changed it.
-    fn look(&self) {
-        if let Some(kept) = self.store.look() {
+    async fn look(self: Rc<Self>) {
+        if let Some(kept) = self.store.look().await {
             let _ = self.operators.send(Operator::Kept(kept));
         }
     }
+
+    /// Looks at the file of the cordons again and again until the program ends.
+    async fn watch_file(self: Rc<Self>) {
+        loop {
+            sleep_until(clock::instant(clock::now() + LOOK)).await;
+            self.clone().look().await;
+        }
+    }
 }
 
 /// Serves operators until the program ends.
 pub async fn serve(listener: TcpListener, context: Rc<AdminContext>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
-    let mut look_at = clock::now() + LOOK;
+    spawn_local(measured(TaskKind::Operators, context.clone().watch_file()));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = sleep_until(clock::instant(look_at)) => {
-                look_at = clock::now() + LOOK;
-                context.look();
-                continue;
-            }
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
                 if callers.len() >= CALLERS
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,6 +2,7 @@
 //! of one front share during a replacement. The file's form is `membership::Kept`'s; here it is read and written.
 
 mod succession;
+mod worker;
 
 use crate::log;
 use crate::membership::{Kept, OperatorOverride};
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 pub use succession::Succession;
+pub use worker::StateWorker;
 
 /// The file of the cordons, with its text as this process last wrote or read it.
 pub struct StateStore {
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -1,10 +1,13 @@
 //! The operators' socket of the platform's front, as a process against the stand-ins.
 
 mod stand_ins;
-use serde_json::json;
+use serde_json::{Value, json};
 use stand_ins::*;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// A front with one cache node that answers operators; where it does.
@@ -403,3 +406,76 @@
     drop((old, new));
     std::fs::remove_dir_all(&tmp).unwrap();
 }
+
+/// A pipe in the place of this file: whoever opens it waits until the other side does.
+fn make_pipe(path: &Path) {
+    assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
+}
+
+/// The file of the front's cordons, which lies beside its note.
+fn cordons_file(tmp: &Path) -> PathBuf {
+    let mut files = std::fs::read_dir(tmp).unwrap().map(|entry| entry.unwrap().path());
+    let note = files.find(|path| path.extension().is_some_and(|extension| extension == "live"));
+    note.expect("the front's note").with_extension("cordons")
+}
+
+/// A front whose `$TMPDIR` is the test's own; its cache node, where operators call, and the file of its cordons.
+fn front_with_folder(name: &str) -> (Node, Receiver<Served>, SocketAddr, PathBuf) {
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-{name}-tmp-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, served) = cache_node();
+    let nodes = [(EDGE, "standard"), (OTHER, "standard"), (ORIGIN, "origin")];
+    let members = nodes.iter().map(|(id, kind)| member(*id, kind, cache)).collect();
+    let admin_on = |config: &mut Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let node = Node::start_in(name, members, admin_on, Some(&tmp));
+    let admin = admin_of(&node);
+    assert_eq!(call(admin, "health"), "ok yes\n");
+    (node, served, admin, cordons_file(&tmp))
+}
+
+/// A client and an operator are answered.
+fn is_responsive(node: &Node, served: &Receiver<Served>, admin: SocketAddr) {
+    assert_eq!(call(admin, "health"), "ok yes\n");
+    let mut client = node.connect();
+    client.ask("1", 1, "");
+    next(served).hit(b"12345");
+    assert_eq!(client.answer()[1], "ok");
+}
+
+/// The cordon that was asked for comes into force.
+fn is_cordoned(admin: SocketAddr) {
+    eventually("the cordon is in force", || figure(&call(admin, "counters"), "front_hosts_down") == 1);
+}
+
+/// Guards against a disk that takes long to write the cordons and holds up everything else meanwhile.
+#[test]
+fn a_cordon_that_the_disk_is_slow_to_keep_holds_up_nobody() {
+    let (node, served, admin, cordons) = front_with_folder("operate-slow-write");
+    make_pipe(&cordons.with_extension(format!("new-{}", node.child.id())));
+    let mut cordon = TcpStream::connect(admin).unwrap();
+    cordon.write_all(b"cordon s-00000007\n").unwrap();
+    // It is in force, and the file is not written as long as nobody reads from the pipe.
+    is_cordoned(admin);
+    is_responsive(&node, &served, admin);
+    cordon.set_nonblocking(true).unwrap();
+    let unanswered = cordon.read(&mut [0]).unwrap_err().kind();
+    assert_eq!(unanswered, ErrorKind::WouldBlock, "the call is answered before it is kept");
+    drop(node);
+    std::fs::remove_dir_all(cordons.parent().unwrap()).unwrap();
+}
+
+/// Guards against a disk that takes long to read the cordons and holds up everything else meanwhile.
+#[test]
+fn a_disk_that_is_slow_to_read_the_cordons_holds_up_nobody() {
+    let (node, served, admin, cordons) = front_with_folder("operate-slow-read");
+    make_pipe(&cordons);
+    // Opens once the front has, which reads from now on until this ends.
+    let writer = std::fs::File::options().write(true).open(&cordons).unwrap();
+    is_responsive(&node, &served, admin);
+    // A cordon comes into force all the same, though it cannot be kept yet.
+    let mut cordon = TcpStream::connect(admin).unwrap();
+    cordon.write_all(b"cordon s-00000007\n").unwrap();
+    is_cordoned(admin);
+    drop((writer, node));
+    std::fs::remove_dir_all(cordons.parent().unwrap()).unwrap();
+}
