Read no answer of the operators' socket that was cut off

The rollout tool took any end of a stream, and the bound of 1 MiB, for the end of an answer. A process that ended or closed midway was read as if it had said all.

Cause: `call` in crates/rollout/src/host.rs did not look for the end mark. Every answer has one (src/net/admin.rs): the end of its only line, or a last line `eof` for `counters` and `slow`, unless they are refused, in one line.

Now crates/rollout/src/operators.rs asks, and an answer without its end mark is a typed error that says so; the process counts as silent for this once. The mark is the last that a front writes, so that nothing shorter ends with it.

The same fault elsewhere: the load tool took `ok` of a cut answer for a yes, and the rollout tool read an address from a log line that was still being written (both with a test that fails on the old code); tests/operate.rs and tests/crossings.rs now refuse cut answers too.

--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -286,14 +286,7 @@
     /// Calls it as an operator does; was the answer a yes?
     pub async fn call(&self, line: &str) -> bool {
         let Some(address) = self.operators.get() else { return false };
-        let call = async {
-            let mut stream = TcpStream::connect(address).await?;
-            stream.write_all(format!("{line}\n").as_bytes()).await?;
-            let mut reply = String::new();
-            BufReader::new(stream).read_line(&mut reply).await?;
-            std::io::Result::Ok(reply)
-        };
-        matches!(timeout(CALL, call).await, Ok(Ok(reply)) if reply.starts_with("ok"))
+        accepts(address, line).await
     }
 
     /// Sends it a signal.
@@ -387,3 +380,19 @@
     Ok(json!({"index": 1, "updates": [{"index": 1, "endpoints":
         {"revision": 1, "complete": true, "members": members}}]}))
 }
+
+/// Calls the front that answers operators there; was the answer a whole yes?
+async fn accepts(operators: SocketAddr, line: &str) -> bool {
+    let call = async {
+        let mut stream = TcpStream::connect(operators).await?;
+        stream.write_all(format!("{line}\n").as_bytes()).await?;
+        let mut reply = String::new();
+        BufReader::new(stream).read_line(&mut reply).await?;
+        std::io::Result::Ok(reply)
+    };
+    let whole_yes = |reply: &str| reply.starts_with("ok") && reply.ends_with('\n');
+    matches!(timeout(CALL, call).await, Ok(Ok(reply)) if whole_yes(&reply))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rollout/src/host.rs
+++ b/crates/rollout/src/host.rs
@@ -1,6 +1,7 @@
 //! The processes of fronts on this host: started, found again, asked, told to end. A process carries its rollout, front
 //! and number in its environment, so that a tool that was killed at any instruction finds it again.
 
+use crate::operators::Query;
 use anyhow::{Context, Result, bail};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -10,15 +11,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
-/// An operator waits so long for an answer.
-const CALL: Duration = Duration::from_secs(1);
-/// The longest answer (bytes).
-const ANSWER: u64 = 1 << 20;
 /// The variable that names a process: rollout, front and number, with blanks between, and what it is to run.
 const RUN: &str = "ONYXYOKE_RUN";
 
@@ -71,6 +64,13 @@
     stat(pid)?.get(19)?.parse().ok()
 }
 
+/// Where a process answers operators, as its log tells. A line without its end is still being written.
+fn operators_address(log: &str) -> Option<SocketAddr> {
+    let mut lines = log.split_inclusive('\n').filter_map(|line| line.strip_suffix('\n'));
+    let line = lines.find(|line| line.contains(" answers operators on "))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 impl Process {
     /// A process that runs already.
     pub fn adopt(
@@ -104,8 +104,7 @@
     pub fn find(&mut self) {
         let (None, Some(log)) = (self.operators, &self.log) else { return };
         let Ok(text) = std::fs::read_to_string(log) else { return };
-        let line = text.lines().find(|l| l.contains(" answers operators on "));
-        self.operators = line.and_then(|l| l.rsplit(' ').next()?.parse().ok());
+        self.operators = operators_address(&text);
     }
 
     /// Memory (KB), descriptors and processor time (seconds), as the system tells.
@@ -196,21 +195,9 @@
     found
 }
 
-/// One call: the whole answer.
-async fn call(operators: SocketAddr, word: &str) -> Result<String> {
-    let answer = timeout(CALL, async {
-        let mut stream = TcpStream::connect(operators).await?;
-        stream.write_all(format!("{word}\n").as_bytes()).await?;
-        let mut answer = String::new();
-        stream.take(ANSWER).read_to_string(&mut answer).await?;
-        std::io::Result::Ok(answer)
-    });
-    Ok(answer.await.context("no answer in time")??)
-}
-
 /// Asks a process what it runs.
 pub async fn version(operators: SocketAddr) -> Result<Version> {
-    let answer = call(operators, "version").await?;
+    let answer = Query::Version.ask(operators).await?;
     let words: BTreeMap<&str, &str> =
         answer.split_whitespace().filter_map(|word| word.split_once('=')).collect();
     let hex = |key: &str| words.get(key).and_then(|v| u64::from_str_radix(v, 16).ok());
@@ -230,6 +217,54 @@
     pub version: Option<Version>,
 }
 
+/// What a process answers that takes clients.
+struct Answers {
+    version: Version,
+    /// The answers to `counters` and `slow`.
+    figures: String,
+}
+
+impl Answers {
+    /// The value of a class's series.
+    fn figure(&self, name: &str, class: &str) -> Option<u64> {
+        let series = format!("{name}{{tier=\"{class}\"}} ");
+        let value = self.figures.lines().find_map(|line| line.strip_prefix(&series))?;
+        value.trim().parse().ok()
+    }
+
+    fn counts(&self, class: &str) -> Option<Counts> {
+        Some(Counts {
+            served: self.figure("front_success", class)?,
+            busy: self.figure("front_busy", class)?,
+            failed: self.figure("front_failure", class)?,
+            calls: self.figure("front_backend_calls", class)?,
+            slow: self.figure("front_slow", class)?,
+        })
+    }
+
+    /// The health of a process that was started to run `side`, where old and new have these stamps.
+    fn health(&self, side: Release, stamps: [Stamp; 2]) -> Health {
+        let says = |side: Release| self.version.stamp == stamps[usize::from(side == Release::New)];
+        let other = if side == Release::New { Release::Old } else { Release::New };
+        match () {
+            () if says(side) => Health::Yes(side),
+            () if says(other) => Health::Yes(other),
+            () => Health::Other,
+        }
+    }
+}
+
+/// Asks a process for everything, and returns nothing if it takes no clients.
+async fn answers(operators: SocketAddr) -> Result<Option<Answers>> {
+    if !Query::Health.ask(operators).await?.starts_with("ok") {
+        return Ok(None);
+    }
+    let version = version(operators).await?;
+    let counters = Query::Counters.ask(operators).await?;
+    let slow = Query::Slow.ask(operators).await?;
+    Ok(Some(Answers { version, figures: counters + &slow }))
+}
+
 /// Asks a process for everything. `stamps` are what old and new should say, `side` what it was started to run.
 pub async fn ask(
     operators: Option<SocketAddr>,
@@ -239,40 +274,22 @@
     classes: Vec<String>,
     uses: (u64, u64, f64),
 ) -> Heard {
-    let silent = Heard { health: Health::Silent, reading: None, version: None };
+    let heard = |health| Heard { health, reading: None, version: None };
     // It has not begun to listen yet.
-    let Some(operators) = operators else { return Heard { health: Health::No, ..silent } };
-    let Ok(health) = call(operators, "health").await else { return silent };
-    if !health.starts_with("ok") {
-        return Heard { health: Health::No, ..silent };
-    }
-    let Ok(version) = version(operators).await else { return silent };
-    let Ok(counters) = call(operators, "counters").await else { return silent };
-    let Ok(slow) = call(operators, "slow").await else { return silent };
-    let figures_text = counters + &slow;
-    let says = |side: Release| version.stamp == stamps[usize::from(side == Release::New)];
-    let other = if side == Release::New { Release::Old } else { Release::New };
-    let health = match () {
-        () if says(side) => Health::Yes(side),
-        () if says(other) => Health::Yes(other),
-        () => Health::Other,
-    };
-    let figures = |name: &str, class: &str| {
-        let series = format!("{name}{{tier=\"{class}\"}} ");
-        let line = figures_text.lines().find_map(|l| l.strip_prefix(&series));
-        line.and_then(|v| v.trim().parse().ok())
-    };
-    let counts = |class: &String| {
-        Some(Counts {
-            served: figures("front_success", class)?,
-            busy: figures("front_busy", class)?,
-            failed: figures("front_failure", class)?,
-            calls: figures("front_backend_calls", class)?,
-            slow: figures("front_slow", class)?,
-        })
+    let Some(operators) = operators else { return heard(Health::No) };
+    let answers = match answers(operators).await {
+        Ok(Some(answers)) => answers,
+        Ok(None) => return heard(Health::No),
+        Err(error) => {
+            tracing::debug!("process {run} at {operators}: {error:#}");
+            return heard(Health::Silent);
+        }
     };
-    let classes: Option<Vec<Counts>> = classes.iter().map(counts).collect();
+    let classes: Option<Vec<Counts>> = classes.iter().map(|class| answers.counts(class)).collect();
     let (memory_kb, descriptors, processor_s) = uses;
     let reading = classes.map(|classes| Reading { run, classes, memory_kb, descriptors, processor_s });
-    Heard { health, reading, version: Some(version) }
+    Heard { health: answers.health(side, stamps), reading, version: Some(answers.version) }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rollout/src/main.rs
+++ b/crates/rollout/src/main.rs
@@ -6,6 +6,7 @@
 mod file;
 mod host;
 mod journal;
+mod operators;
 mod report;
 
 use anyhow::{Context, Result};
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -270,7 +270,9 @@
         let mut stream = TcpStream::connect(admin).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.write_all(format!("{line}\n").as_bytes()).unwrap();
-        String::from_utf8(rest(&mut stream).unwrap()).unwrap()
+        let reply = String::from_utf8(rest(&mut stream).unwrap()).unwrap();
+        assert!(reply.ends_with('\n'), "'{line}' has an answer that was cut off: {reply:?}");
+        reply
     };
     let (mut first, admin) = start("crossing-first");
     let (second, other) = start("crossing-second");
@@ -477,7 +479,8 @@
         let mut stream = TcpStream::connect(admin).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.write_all(b"health\n").unwrap();
-        assert!(rest(&mut stream).unwrap().starts_with(b"fail no"), "it has no cache yet");
+        let reply = rest(&mut stream).unwrap();
+        assert!(reply.starts_with(b"fail no") && reply.ends_with(b"\n"), "it has no cache yet: {reply:?}");
         assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
     }
     node.logged("no connection in");
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -28,11 +28,13 @@
     stream.write_all(format!("{line}\n").as_bytes()).unwrap();
     let mut reply = String::new();
     stream.read_to_string(&mut reply).unwrap();
+    assert!(reply.ends_with('\n'), "'{line}' has an answer that was cut off: {reply:?}");
     reply
 }
 
 /// The value of one series in a reply to `counters`.
 fn figure(reply: &str, series: &str) -> u64 {
+    assert!(reply.starts_with("ok\n") && reply.ends_with("\neof\n"), "cut off: {reply:?}");
     let line = reply.lines().find(|l| l.split(' ').next() == Some(series));
     line.unwrap_or_else(|| panic!("no {series} in {reply}")).rsplit(' ').next().unwrap().parse().unwrap()
 }
