Fail an emulated fill whose source is a sibling that is gone

An attempt that was to be filled from a cache that is gone was filled as if that cache were a parent, copies and the origin behind it included. So a front never heard that its source had failed.

Cause: `look_up` took only caches that are up for siblings, and gave every other source to `Upstream::fetch`, which made a parent of any id.

By the wire document (`detail`, `fill-source`): 7 is a source that was not reached, 8 one that lacks the object, a node that was once listed stays known, and a source that is no parent, origin or cache of the location is the front's fault. A gone sibling now ends the attempt so after the way there and back, and a source that was never listed ends the run.

Evidence: three of the seven new tests failed before, (Ok, FilledFromOrigin) in place of (Error, SourceFailed) in two of them. No bound was changed.

--- a/crates/lab/src/emulate/mod.rs
+++ b/crates/lab/src/emulate/mod.rs
@@ -53,8 +53,7 @@
 
 /// Plays every case with every seed and prints the table.
 pub fn run(options: &Options) -> Result<bool, Box<dyn Error>> {
-    let operator: serde_json::Value = toml::from_str(crate::OPERATOR)?;
-    let settings: Settings = onyxyoke::config::settings(operator["settings"].to_string().as_bytes())?;
+    let settings = operator_settings()?;
     println!(
         "{} fronts, {} nodes, {} requests/s a front, seeds {:?}; work per unit of link, mean 1",
         options.fronts,
@@ -69,6 +68,12 @@
     Ok(true)
 }
 
+/// The settings of the operator's example.
+fn operator_settings() -> Result<Settings, Box<dyn Error>> {
+    let operator: serde_json::Value = toml::from_str(crate::OPERATOR)?;
+    Ok(onyxyoke::config::settings(operator["settings"].to_string().as_bytes())?)
+}
+
 /// Plays a case with every seed at once.
 fn play_seeds(options: &Options, case: &Case, settings: &Settings) -> Vec<Row> {
     std::thread::scope(|scope| {
--- a/crates/lab/src/emulate/world/attempts.rs
+++ b/crates/lab/src/emulate/world/attempts.rs
@@ -30,6 +30,8 @@
     Found { note: Note, source_wait: f64, fills: bool },
     /// Nothing, which it says after so many seconds.
     Missed { note: Note, after: f64 },
+    /// Nothing, since the source is not reached, which it says after so many seconds.
+    SourceFailed { after: f64 },
 }
 
 impl Lookup {
@@ -65,6 +67,10 @@
             Lookup::Missed { note, after } => {
                 self.end_attempt_after(after, Transfer { note, ..transfer }, Outcome::Miss);
             }
+            Lookup::SourceFailed { after } => {
+                let transfer = Transfer { note: Note::SourceFailed, ..transfer };
+                self.end_attempt_after(after, transfer, Outcome::Error);
+            }
         }
     }
 
@@ -75,14 +81,17 @@
         if order.source == order.node {
             return Lookup::Missed { note: Note::None, after: ROUND_TRIP };
         }
-        match self.caches.iter().position(|sibling| sibling.id == order.source && sibling.up) {
+        match self.caches.iter().position(|sibling| sibling.id == order.source) {
             Some(sibling) => self.fill_from_sibling(sibling, request),
             None => self.fill_from_upstream(request, order),
         }
     }
 
-    /// What a sibling gives takes of its link too.
+    /// What a sibling gives takes of its link too. One that is gone refuses the connection.
     fn fill_from_sibling(&mut self, sibling: CacheIndex, request: &OpenRequest) -> Lookup {
+        if !self.caches[sibling].up {
+            return Lookup::SourceFailed { after: SIBLING_WAIT };
+        }
         if !self.caches[sibling].copies.contains(request.object) {
             return Lookup::Missed { note: Note::SourceLacks, after: SIBLING_WAIT };
         }
@@ -183,3 +192,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/emulate/world/upstream.rs
+++ b/crates/lab/src/emulate/world/upstream.rs
@@ -28,6 +28,10 @@
     NotHeld,
 }
 
+fn is_parent(id: NodeId) -> bool {
+    (FIRST_PARENT..FIRST_PARENT + PARENTS).contains(&id.0)
+}
+
 /// The parents' copies. The origin has every object.
 #[derive(Default)]
 pub struct Upstream {
@@ -48,7 +52,9 @@
     }
 
     /// A cache asks `source` for an object; unless `held_only` is set, a parent fetches what it lacks.
+    /// Any other source is a fault of the front that named it, since it was on none of its lists.
     pub fn fetch(&mut self, source: NodeId, object: u64, held_only: bool) -> UpstreamAnswer {
+        assert!(source == ORIGIN || is_parent(source), "a listed source, not {source:?}");
         let copies = self.copies.entry(source).or_default();
         if source != ORIGIN && copies.contains(object) {
             return UpstreamAnswer::FromParent;
