Split the world of the random event sequences by step and by action

Each step and each action has a function of its own now, and what an attempt must obey stands in four: nodes, effects, age limits, and the rest. `Try`, `ran` and `next` are `Attempt`, `may_have_run` and `last_request`.

Every check is as it was.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -33,110 +33,192 @@
     ]
 }
 
-struct Try {
+/// How an attempt may end, and what its note tells.
+const ENDINGS: [(Outcome, Note); 19] = [
+    (Outcome::Ok, Note::Hit),
+    (Outcome::Ok, Note::Filled),
+    (Outcome::Ok, Note::FilledFromOrigin),
+    (Outcome::Ok, Note::Joined),
+    (Outcome::Ok, Note::Old),
+    (Outcome::Ok, Note::None),
+    (Outcome::Error, Note::SourceFailed),
+    (Outcome::Error, Note::OriginFailed),
+    (Outcome::Error, Note::None),
+    (Outcome::Full, Note::SourceRefused),
+    (Outcome::Full, Note::NoFillPlace),
+    (Outcome::Full, Note::None),
+    (Outcome::TimedOut, Note::None),
+    (Outcome::ConnectFailed, Note::None),
+    (Outcome::Reset, Note::None),
+    (Outcome::Cancelled, Note::None),
+    (Outcome::Moot, Note::None),
+    (Outcome::Miss, Note::None),
+    (Outcome::Miss, Note::SourceLacks),
+];
+
+const LIST_KINDS: [ListKind; 4] = [ListKind::Delta, ListKind::Full, ListKind::Cached, ListKind::Failed];
+
+/// An attempt of a request.
+struct Attempt {
     node: u64,
-    at: f64,
-    ran: bool,
+    sent_at: f64,
+    may_have_run: bool,
     out: bool,
 }
 
-struct Asked {
+/// A request, and what has become of it so far.
+struct AskedRequest {
     request: Request,
-    tries: Vec<Try>,
+    attempts: Vec<Attempt>,
     answered: bool,
 }
 
+/// What a director sends an attempt with.
+#[derive(Clone, Copy)]
+struct FetchOrder {
+    request: RequestId,
+    node: NodeId,
+    source: NodeId,
+    age: f64,
+    within: f64,
+}
+
 /// The world as the rules see it, around one director that may be restarted.
 struct World {
     settings: Settings,
     director: Director,
     now: f64,
-    next: u32,
-    asked: BTreeMap<u32, Asked>,
+    last_request: u32,
+    asked: BTreeMap<u32, AskedRequest>,
     alarms: Vec<u64>,
     nodes: BTreeMap<u64, Node>,
+    /// When objects (true) and groups (false) were purged last, by number.
     purged: BTreeMap<(bool, u64), f64>,
     log: Vec<Action>,
 }
 
+/// The rules, checked on each action.
 impl World {
-    fn event(&mut self, event: Event) {
-        let mut actions = Vec::new();
-        self.director.handle(self.now, event, &mut actions);
-        for action in &actions {
-            self.check(action);
-        }
-        self.log.extend(actions);
-    }
-
     fn check(&mut self, action: &Action) {
         match *action {
             Action::Fetch { request, node, source, age, within, .. } => {
-                let asked = self.asked.get_mut(&request.0).expect("only requests that were asked");
-                assert!(!asked.answered, "nothing is sent after the final answer");
-                assert!(self.now < asked.request.expires, "nor after the deadline");
-                for who in [node, source] {
-                    assert_eq!(self.nodes[&who.0].state, NodeState::Ready, "drains are kept");
-                }
-                assert_eq!(self.nodes[&node.0].zone, self.settings.own_zone, "caches of the own zone only");
-                let class = &self.settings.classes[usize::from(asked.request.class.0)];
-                if !self.settings.duplicate {
-                    assert!(asked.tries.iter().all(|t| !t.out), "one attempt at a time");
-                }
-                for t in asked.tries.iter().filter(|t| t.ran) {
-                    match class.effect {
-                        Effect::Safe => {}
-                        Effect::Unsafe => panic!("no effect twice"),
-                        Effect::Keyed(_) => {
-                            assert_eq!(self.nodes[&t.node].cell, self.nodes[&node.0].cell);
-                            assert!(self.now < t.at + class.key_ttl);
-                        }
-                    }
-                }
-                let facts = [(true, asked.request.object.0), (false, u64::from(asked.request.group.0))];
-                for at in facts.iter().filter_map(|f| self.purged.get(f)) {
-                    let since = self.now - at;
-                    let fine = age > 0.0 && age <= since.max(0.001) || since >= self.settings.purge_settles;
-                    assert!(fine, "an age limit of {age} {since} s after a purge");
-                }
-                assert!(age.is_finite() && age >= 0.0 && within >= 0.0);
-                assert!(asked.tries.len() < usize::from(self.settings.most_tries));
-                asked.tries.push(Try { node: node.0, at: self.now, ran: true, out: true });
-            }
-            Action::Refuse { request, wait } => {
-                let asked = self.asked.get_mut(&request.0).expect("only requests that were asked");
-                let class = &self.settings.classes[usize::from(asked.request.class.0)];
-                if !matches!(class.effect, Effect::Safe | Effect::Keyed(Scope::All)) {
-                    assert!(asked.tries.iter().all(|t| !t.ran), "a refusal promises that nothing ran");
-                }
-                assert!(!asked.answered && (0.0..=self.settings.max_wait).contains(&wait));
-                asked.answered = true;
-            }
-            Action::Fail { request } => {
-                let asked = self.asked.get_mut(&request.0).expect("only requests that were asked");
-                assert!(!asked.answered, "one final answer");
-                asked.answered = true;
-            }
-            Action::Cancel { request, attempt } => {
-                assert!(usize::from(attempt) < self.asked[&request.0].tries.len() && self.settings.cancel);
-            }
-            Action::Alarm { token, after } => {
-                assert!(after > 0.0 && after.is_finite());
-                self.alarms.push(token);
+                self.check_fetch(FetchOrder { request, node, source, age, within });
             }
+            Action::Refuse { request, wait } => self.check_refusal(request, wait),
+            Action::Fail { request } => self.check_failure(request),
+            Action::Cancel { request, attempt } => self.check_cancel(request, attempt),
+            Action::Alarm { token, after } => self.check_alarm(token, after),
             Action::Probe { .. } => assert!(self.settings.probes),
             Action::Tell { .. } => assert!(self.settings.messages),
             Action::Watch { .. } | Action::ReadList => {}
         }
     }
 
+    fn asked(&self, request: RequestId) -> &AskedRequest {
+        self.asked.get(&request.0).expect("only requests that were asked")
+    }
+
+    fn asked_mut(&mut self, request: RequestId) -> &mut AskedRequest {
+        self.asked.get_mut(&request.0).expect("only requests that were asked")
+    }
+
+    fn class(&self, asked: &AskedRequest) -> &Class {
+        &self.settings.classes[usize::from(asked.request.class.0)]
+    }
+
+    fn check_fetch(&mut self, order: FetchOrder) {
+        let asked = self.asked(order.request);
+        assert!(!asked.answered, "nothing is sent after the final answer");
+        assert!(self.now < asked.request.expires, "nor after the deadline");
+        self.check_nodes(order);
+        if !self.settings.duplicate {
+            assert!(asked.attempts.iter().all(|attempt| !attempt.out), "one attempt at a time");
+        }
+        self.check_effects(asked, order.node);
+        self.check_age_limit(asked, order.age);
+        assert!(order.age.is_finite() && order.age >= 0.0 && order.within >= 0.0);
+        assert!(asked.attempts.len() < usize::from(self.settings.most_tries));
+        let attempt = Attempt { node: order.node.0, sent_at: self.now, may_have_run: true, out: true };
+        self.asked_mut(order.request).attempts.push(attempt);
+    }
+
+    fn check_nodes(&self, order: FetchOrder) {
+        for who in [order.node, order.source] {
+            assert_eq!(self.nodes[&who.0].state, NodeState::Ready, "drains are kept");
+        }
+        let zone = self.nodes[&order.node.0].zone;
+        assert_eq!(zone, self.settings.own_zone, "caches of the own zone only");
+    }
+
+    /// What may have run already runs again only where that has no second effect.
+    fn check_effects(&self, asked: &AskedRequest, node: NodeId) {
+        let class = self.class(asked);
+        for attempt in asked.attempts.iter().filter(|attempt| attempt.may_have_run) {
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Unsafe => panic!("no effect twice"),
+                Effect::Keyed(_) => {
+                    assert_eq!(self.nodes[&attempt.node].cell, self.nodes[&node.0].cell);
+                    assert!(self.now < attempt.sent_at + class.key_ttl);
+                }
+            }
+        }
+    }
+
+    /// No copy from before a purge of the object or of its group is let through.
+    fn check_age_limit(&self, asked: &AskedRequest, age: f64) {
+        let facts = [(true, asked.request.object.0), (false, u64::from(asked.request.group.0))];
+        for at in facts.iter().filter_map(|fact| self.purged.get(fact)) {
+            let since = self.now - at;
+            let fine = age > 0.0 && age <= since.max(0.001) || since >= self.settings.purge_settles;
+            assert!(fine, "an age limit of {age} {since} s after a purge");
+        }
+    }
+
+    fn check_refusal(&mut self, request: RequestId, wait: f64) {
+        let asked = self.asked(request);
+        if !matches!(self.class(asked).effect, Effect::Safe | Effect::Keyed(Scope::All)) {
+            let nothing_ran = asked.attempts.iter().all(|attempt| !attempt.may_have_run);
+            assert!(nothing_ran, "a refusal promises that nothing ran");
+        }
+        assert!(!asked.answered && (0.0..=self.settings.max_wait).contains(&wait));
+        self.asked_mut(request).answered = true;
+    }
+
+    fn check_failure(&mut self, request: RequestId) {
+        let asked = self.asked_mut(request);
+        assert!(!asked.answered, "one final answer");
+        asked.answered = true;
+    }
+
+    fn check_cancel(&self, request: RequestId, attempt: u16) {
+        assert!(usize::from(attempt) < self.asked[&request.0].attempts.len() && self.settings.cancel);
+    }
+
+    fn check_alarm(&mut self, token: u64, after: f64) {
+        assert!(after > 0.0 && after.is_finite());
+        self.alarms.push(token);
+    }
+}
+
+/// What happens.
+impl World {
+    fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.director.handle(self.now, event, &mut actions);
+        for action in &actions {
+            self.check(action);
+        }
+        self.log.extend(actions);
+    }
+
     fn end(&mut self, id: u32, number: usize, outcome: Outcome, note: Note) {
         let now = self.now;
         let asked = self.asked.get_mut(&id).expect("known");
-        let t = &mut asked.tries[number];
-        t.out = false;
-        t.ran = !outcome.never_ran();
-        let (node, took) = (NodeId(t.node), now - t.at);
+        let attempt = &mut asked.attempts[number];
+        attempt.out = false;
+        attempt.may_have_run = !outcome.never_ran();
+        let (node, took) = (NodeId(attempt.node), now - attempt.sent_at);
         asked.answered |= outcome == Outcome::Ok;
         let done = asked.answered;
         let load = vec![0.5, 2.0];
@@ -155,10 +237,11 @@
 
     /// The attempts that are out, by request and number.
     fn outstanding(&self) -> Vec<(u32, usize)> {
-        self.asked
-            .iter()
-            .flat_map(|(id, a)| (0..a.tries.len()).filter(|&i| a.tries[i].out).map(|i| (*id, i)))
-            .collect()
+        let out = |(id, asked): (&u32, &AskedRequest)| -> Vec<(u32, usize)> {
+            let numbers = (0..asked.attempts.len()).filter(|&number| asked.attempts[number].out);
+            numbers.map(|number| (*id, number)).collect()
+        };
+        self.asked.iter().flat_map(out).collect()
     }
 
     /// Every deadline that has passed brings a time-out, as hosts do.
@@ -173,111 +256,119 @@
     fn step(&mut self, step: &Step) {
         match *step {
             Step::Pass(ms) => self.now += f64::from(ms) / 1000.0,
-            Step::Ask { object, left, kb } => {
-                self.next += 1;
-                let request = Request {
-                    id: RequestId(self.next),
-                    object: ObjectId(u64::from(object) + 1),
-                    group: GroupId(u32::from(object) % 3),
-                    class: ClassId(u16::from(object) % 3),
-                    expires: self.now + f64::from(left) / 1000.0,
-                    kb: f64::from(kb),
-                    ..Request::default()
-                };
-                self.asked.insert(self.next, Asked { request, tries: Vec::new(), answered: false });
-                self.event(Event::Request(request));
-            }
+            Step::Ask { object, left, kb } => self.ask(object, left, kb),
             Step::End { which, how } => {
-                let out = self.outstanding();
-                let Some(&(id, number)) = out.get(usize::from(which) % out.len().max(1)) else { return };
-                let outcomes = [
-                    (Outcome::Ok, Note::Hit),
-                    (Outcome::Ok, Note::Filled),
-                    (Outcome::Ok, Note::FilledFromOrigin),
-                    (Outcome::Ok, Note::Joined),
-                    (Outcome::Ok, Note::Old),
-                    (Outcome::Ok, Note::None),
-                    (Outcome::Error, Note::SourceFailed),
-                    (Outcome::Error, Note::OriginFailed),
-                    (Outcome::Error, Note::None),
-                    (Outcome::Full, Note::SourceRefused),
-                    (Outcome::Full, Note::NoFillPlace),
-                    (Outcome::Full, Note::None),
-                    (Outcome::TimedOut, Note::None),
-                    (Outcome::ConnectFailed, Note::None),
-                    (Outcome::Reset, Note::None),
-                    (Outcome::Cancelled, Note::None),
-                    (Outcome::Moot, Note::None),
-                    (Outcome::Miss, Note::None),
-                    (Outcome::Miss, Note::SourceLacks),
-                ];
-                let (outcome, note) = outcomes[usize::from(how) % outcomes.len()];
-                self.end(id, number, outcome, note);
-            }
-            Step::Fire { which } => {
-                let token = match self.alarms.len() {
-                    0 => u64::from(which),
-                    n => self.alarms.swap_remove(usize::from(which) % n),
-                };
-                self.event(Event::Alarm { token });
-            }
-            Step::List { kind, bits } => {
-                let kind =
-                    [ListKind::Delta, ListKind::Full, ListKind::Cached, ListKind::Failed][usize::from(kind)];
-                let mut news = Vec::new();
-                for (i, node) in self.nodes.values_mut().enumerate() {
-                    let bit = |b: usize| bits >> ((i * 2 + b) % 16) & 1 == 1;
-                    if kind == ListKind::Failed || bit(0) && i % 3 == usize::from(bits) % 3 {
-                        continue;
-                    }
-                    node.state = if bit(1) { NodeState::Ready } else { NodeState::Draining };
-                    if bits % 5 == 0 {
-                        node.ready_at = self.now;
-                    }
-                    news.push(*node);
-                }
-                if matches!(kind, ListKind::Full | ListKind::Cached) {
-                    let absent = |id: &u64| !news.iter().any(|n| n.id.0 == *id);
-                    let gone: Vec<u64> = self.nodes.keys().copied().filter(absent).collect();
-                    gone.iter().for_each(|g| self.nodes.get_mut(g).expect("known").state = NodeState::Gone);
+                if !self.end_one(which, how) {
+                    return;
                 }
-                self.event(Event::List { kind, nodes: news.into() });
-            }
-            Step::Purge { object, whole, age } => {
-                let age = f64::from(age) / 10.0;
-                let group = GroupId(u32::from(object) % 3);
-                let named = u64::from(object) + 1;
-                let fact = if whole { (false, u64::from(group.0)) } else { (true, named) };
-                let at = self.purged.entry(fact).or_insert(f64::MIN);
-                *at = at.max(self.now - age);
-                let object = (!whole).then_some(ObjectId(named));
-                self.event(Event::Purged { object, group, age });
             }
-            Step::Message(ref content) => {
-                self.event(Event::Message { from: PeerId(1), content: content.clone() });
-                self.event(Event::Probed {
-                    node: NodeId(999),
-                    outcome: Outcome::Reset,
-                    took: 0.1,
-                    load: vec![],
-                });
+            Step::Fire { which } => self.fire(which),
+            Step::List { kind, bits } => self.list(LIST_KINDS[usize::from(kind)], bits),
+            Step::Purge { object, whole, age } => self.purge(object, whole, age),
+            Step::Message(ref content) => self.message(content),
+            Step::Restart(seed) => self.restart(seed),
+        }
+        self.deadlines();
+    }
+
+    fn ask(&mut self, object: u8, left: u16, kb: u16) {
+        self.last_request += 1;
+        let request = Request {
+            id: RequestId(self.last_request),
+            object: ObjectId(u64::from(object) + 1),
+            group: GroupId(u32::from(object) % 3),
+            class: ClassId(u16::from(object) % 3),
+            expires: self.now + f64::from(left) / 1000.0,
+            kb: f64::from(kb),
+            ..Request::default()
+        };
+        let asked = AskedRequest { request, attempts: Vec::new(), answered: false };
+        self.asked.insert(self.last_request, asked);
+        self.event(Event::Request(request));
+    }
+
+    /// Ends one of the attempts that are out; false if there is none.
+    fn end_one(&mut self, which: u8, how: u8) -> bool {
+        let out = self.outstanding();
+        let Some(&(id, number)) = out.get(usize::from(which) % out.len().max(1)) else { return false };
+        let (outcome, note) = ENDINGS[usize::from(how) % ENDINGS.len()];
+        self.end(id, number, outcome, note);
+        true
+    }
+
+    /// One of the alarms that are set goes off or, if none is, one that nobody set.
+    fn fire(&mut self, which: u8) {
+        let token = match self.alarms.len() {
+            0 => u64::from(which),
+            n => self.alarms.swap_remove(usize::from(which) % n),
+        };
+        self.event(Event::Alarm { token });
+    }
+
+    fn list(&mut self, kind: ListKind, bits: u16) {
+        let news = if kind == ListKind::Failed { Vec::new() } else { self.change_nodes(bits) };
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.remove_absent(&news);
+        }
+        self.event(Event::List { kind, nodes: news.into() });
+    }
+
+    /// Changes the nodes that the bits choose, and returns them.
+    fn change_nodes(&mut self, bits: u16) -> Vec<Node> {
+        let mut changed = Vec::new();
+        for (i, node) in self.nodes.values_mut().enumerate() {
+            let bit = |b: usize| bits >> ((i * 2 + b) % 16) & 1 == 1;
+            if bit(0) && i % 3 == usize::from(bits) % 3 {
+                continue;
             }
-            Step::Restart(seed) => {
-                // What a killed director held is the client's to repeat; its purges of late are told again.
-                self.director = Director::new(seed, self.settings.clone());
-                self.asked.clear();
-                self.alarms.clear();
-                let nodes: Vec<Node> =
-                    self.nodes.values().copied().filter(|n| n.state != NodeState::Gone).collect();
-                self.event(Event::List { kind: ListKind::Cached, nodes: nodes.into() });
-                for (fact, at) in self.purged.clone() {
-                    let object = fact.0.then_some(ObjectId(fact.1));
-                    let group = GroupId(if fact.0 { ((fact.1 - 1) % 3) as u32 } else { fact.1 as u32 });
-                    self.event(Event::Purged { object, group, age: self.now - at });
-                }
+            node.state = if bit(1) { NodeState::Ready } else { NodeState::Draining };
+            if bits.is_multiple_of(5) {
+                node.ready_at = self.now;
             }
+            changed.push(*node);
+        }
+        changed
+    }
+
+    /// What a whole list lacks is gone.
+    fn remove_absent(&mut self, listed: &[Node]) {
+        let absent = |node: &&mut Node| !listed.iter().any(|other| other.id == node.id);
+        for node in self.nodes.values_mut().filter(absent) {
+            node.state = NodeState::Gone;
+        }
+    }
+
+    fn purge(&mut self, object: u8, whole: bool, age: u8) {
+        let age = f64::from(age) / 10.0;
+        let group = GroupId(u32::from(object) % 3);
+        let named = u64::from(object) + 1;
+        let fact = if whole { (false, u64::from(group.0)) } else { (true, named) };
+        let at = self.purged.entry(fact).or_insert(f64::MIN);
+        *at = at.max(self.now - age);
+        let object = (!whole).then_some(ObjectId(named));
+        self.event(Event::Purged { object, group, age });
+    }
+
+    /// A peer says something, and a probe that nobody sent fails.
+    fn message(&mut self, content: &[u8]) {
+        self.event(Event::Message { from: PeerId(1), content: content.to_vec() });
+        let (node, outcome) = (NodeId(999), Outcome::Reset);
+        self.event(Event::Probed { node, outcome, took: 0.1, load: vec![] });
+    }
+
+    /// What a killed director held is the client's to repeat; its purges of late are told again.
+    fn restart(&mut self, seed: u64) {
+        self.director = Director::new(seed, self.settings.clone());
+        self.asked.clear();
+        self.alarms.clear();
+        let listed = self.nodes.values().copied().filter(|node| node.state != NodeState::Gone);
+        let nodes: Vec<Node> = listed.collect();
+        self.event(Event::List { kind: ListKind::Cached, nodes: nodes.into() });
+        for (fact, at) in self.purged.clone() {
+            let object = fact.0.then_some(ObjectId(fact.1));
+            let group = GroupId(if fact.0 { ((fact.1 - 1) % 3) as u32 } else { fact.1 as u32 });
+            self.event(Event::Purged { object, group, age: self.now - at });
         }
-        self.deadlines();
     }
 }
 
@@ -314,7 +405,7 @@
         director: Director::new(3, settings.clone()),
         settings,
         now: 50.0,
-        next: 0,
+        last_request: 0,
         asked: BTreeMap::new(),
         alarms: Vec::new(),
         nodes: nodes.iter().map(|n| (n.id.0, *n)).collect(),
