Give each rule of a fleet's verdict a function of its own

They stand in verdict/rules.rs now, a function each; every rule, bound and example text is as it was.

--- a/crates/lab/src/fleet/verdict.rs
+++ b/crates/lab/src/fleet/verdict.rs
@@ -1,5 +1,7 @@
 //! What a record comes to: how even, how idle, how many at once, what was served, and the rules. A pure function.
 
+mod rules;
+
 use super::plan::{Bounds, SignalSeries};
 use super::record::{Asked, Attempt, End, Seen, WINDOW};
 use hdrhistogram::Histogram;
@@ -144,7 +146,7 @@
     back(seen, terms, f);
     f.rig_late_ms = seen.late.value_at_quantile(0.99) as f64 / 1000.0;
     verdict.none = seen.late.value_at_quantile(0.99) > RIG_LATE;
-    rules(seen, terms, &mut verdict);
+    rules::check(seen, terms, &mut verdict);
     cycles(seen, terms, &mut verdict);
     let bounds = &terms.bounds;
     let f = verdict.figures.clone();
@@ -340,109 +342,6 @@
     }
 }
 
-fn rules(seen: &Seen, terms: &VerdictCriteria, verdict: &mut Verdict) {
-    let since = |at: f64| at - seen.began;
-    for a in &seen.asked {
-        let what = |why: &str| format!("{why}, asked of front {} at {:.2} s", a.front, since(a.at));
-        if a.again > 0 {
-            verdict.broken("one final answer", what("answered twice"));
-        }
-        if a.spoilt {
-            verdict.broken("whole and unchanged", what("bytes of another object"));
-        }
-        let by = answer_by(a, terms);
-        match a.end {
-            _ if a.excused => {}
-            Some((at, End::Served | End::Refused | End::Failed)) if at > by => {
-                verdict.broken("one final answer", what(&format!("{:.0} ms late", (at - by) * 1000.0)));
-            }
-            Some((_, End::Lost)) | None => verdict.broken("one final answer", what("lost")),
-            _ => {}
-        }
-        for purged in seen.purged.iter().filter(|p| **p + terms.purge_slack < a.at) {
-            // The millisecond in which a copy was made may be cut.
-            if a.made.is_some_and(|made| made + 0.002 < *purged) {
-                verdict.broken("no copy from before a purge", what("an old copy"));
-            }
-        }
-    }
-    for _ in 0..seen.unheard {
-        verdict.broken("operators are answered within 1 s", "a cordon without a yes".into());
-    }
-    let mut keys: HashMap<u64, Vec<&Attempt>> = HashMap::new();
-    for a in &seen.attempts {
-        a.came.key.into_iter().for_each(|k| keys.entry(k).or_default().push(a));
-    }
-    for (key, attempts) in keys {
-        let ended = |a: &Attempt| a.ended.unwrap_or(f64::MAX);
-        let two = attempts
-            .windows(2)
-            .any(|w| w[1].came.at + SOCKETS < ended(w[0]) && w[0].came.front == w[1].came.front);
-        if two {
-            verdict.broken("never two attempts out", format!("key {key:016x}"));
-        }
-    }
-    // Each front goes by what it was told itself, and when: two may have different lists.
-    type States = Vec<(f64, u8)>;
-    let mut told: HashMap<(usize, Option<usize>), States> = HashMap::new();
-    for t in &seen.told {
-        told.entry((t.node, t.front)).or_default().push((t.at, t.state));
-    }
-    told.values_mut().for_each(|t| t.sort_by(|a, b| a.0.total_cmp(&b.0)));
-    for a in &seen.attempts {
-        for front in [None, Some(a.came.front)] {
-            let Some(told) = told.get(&(a.came.node, front)) else { continue };
-            let past = told.partition_point(|t| t.0 <= a.came.at);
-            let since_ready = told[..past].iter().rposition(|t| t.1 == 0).map_or(0, |i| i + 1);
-            let first = told[since_ready..past].first();
-            if first.is_some_and(|t| a.came.at >= t.0 + terms.drain_grace + SOCKETS) {
-                let example =
-                    format!("front {} to node {} at {:.2} s", a.came.front, a.came.node, since(a.came.at));
-                verdict.broken("nothing new to a draining node", example);
-            }
-        }
-    }
-    let mut ready = seen.ready.clone();
-    ready.sort_by(f64::total_cmp);
-    verdict.figures.ready_s = ready.get((ready.len() * 9).div_ceil(10).saturating_sub(1)).copied();
-    if let Some(late) = verdict.figures.ready_s.filter(|&s| s > READY.0) {
-        verdict.broken("nine in ten restarted fronts are ready within 10 s", format!("after {late:.1} s"));
-    }
-    for late in ready.iter().filter(|&&s| s > READY.1) {
-        verdict.broken("a front is ready within 30 s", format!("after {late:.1} s"));
-    }
-    let works = seen.attempts.iter().filter(|a| seen.nodes[a.came.node].cache).map(|a| a.came.work);
-    let mean = works.clone().sum::<f64>() / works.count().max(1) as f64;
-    for &(node, started) in &seen.cold {
-        let cold = terms.cold;
-        let part = |at: f64| (cold.from + (1.0 - cold.from) * (at - started) / cold.time).min(1.0);
-        let until = started + cold.time;
-        let came: Vec<(f64, f64)> = seen
-            .attempts
-            .iter()
-            .filter(|a| a.came.node == node && (started..until).contains(&a.came.at))
-            .map(|a| (a.came.at, a.came.work))
-            .collect();
-        let mut fallen = false;
-        for (i, &(at, _)) in came.iter().enumerate() {
-            let sent: f64 = came[..=i].iter().rev().take_while(|c| c.0 > at - cold.window).map(|c| c.1).sum();
-            let borne = cold.multiple * part(at) * seen.nodes[node].link * cold.window / mean;
-            let over = sent / mean - borne;
-            let excess = &mut verdict.figures.cold_excess;
-            *excess = Some(excess.unwrap_or(f64::MIN).max(over / borne.sqrt()));
-            if !fallen && over > CHANCE.0 * borne.sqrt() + CHANCE.1 {
-                fallen = true;
-                let example = format!(
-                    "node {node} got {:.1} calls of mean work for {borne:.1} at {:.2} s",
-                    sent / mean,
-                    since(at)
-                );
-                verdict.broken("no cold node pushed over", example);
-            }
-        }
-    }
-}
-
 impl fmt::Display for Verdict {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let f = &self.figures;
