Split the check of a fleet's plan by its parts

`Plan::check` had 96 lines, in a file of 469. fleet/plan/check.rs checks sizes, programs, clients, rollouts, faults and targets apart; the test of the plan moved to a file of its own as it was.

--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -1,5 +1,7 @@
 //! What a fleet is made of, what is asked of it, what fails when, and what must hold: one file, checked as a whole.
 
+mod check;
+
 use crate::paced::Pace;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -319,103 +321,6 @@
         Ok(plan)
     }
 
-    fn check(&self) -> Result<(), String> {
-        let must = |held: bool, what: &str| if held { Ok(()) } else { Err(what.to_owned()) };
-        must((16..=4096).contains(&self.memory_mb), "'memory_mb' is from 16 to 4096")?;
-        let share = |s: f64| (0.0..=1.0).contains(&s);
-        must((1..=20).contains(&self.locations), "'locations' is not from 1 to 20")?;
-        must((self.locations..=400).contains(&self.fronts), "'fronts' is not from one a location to 400")?;
-        must((self.locations..=200).contains(&self.nodes), "'nodes' is not from one a location to 200")?;
-        must((1..=20).contains(&self.parents), "'parents' is not from 1 to 20")?;
-        must(
-            self.seconds.is_finite() && (1.0..=3600.0).contains(&self.seconds),
-            "'seconds' is not from 1 to 3600",
-        )?;
-        must((0.0..self.seconds).contains(&self.judged_from), "'judged_from' does not lie before 'seconds'")?;
-        must(
-            !self.links.is_empty() && self.links.iter().all(|l| (0.1..=1000.0).contains(l)),
-            "'links' is not a list of numbers from 0.1 to 1000",
-        )?;
-        must(
-            !self.programs.is_empty() && self.programs.iter().all(|p| p.share > 0.0 && p.share <= 1.0),
-            "'programs' names none, or one whose 'share' is not above 0 and at most 1",
-        )?;
-        let shares: f64 = self.programs.iter().map(|p| p.share).sum();
-        must((shares - 1.0).abs() < 0.01, "'programs': the shares do not sum to 1")?;
-        let c = &self.clients;
-        must((0.01..=200.0).contains(&c.rate), "'clients.rate' is not from 0.01 to 200")?;
-        must(
-            self.fronts as f64 * c.rate <= 5_000.0,
-            "'clients.rate' times 'fronts' is over 5000 a second, which the stand-ins do not keep up with",
-        )?;
-        must(
-            share(c.busy_share) && share(c.holds),
-            "'clients.busy_share' or 'clients.holds' is not from 0 to 1",
-        )?;
-        must((1..=64).contains(&c.connections), "'clients.connections' is not from 1 to 64")?;
-        must(c.object_bytes <= 240_000, "'clients.object_bytes' is over 240000")?;
-        let pace = |p: &Pace| (0.0..=4.0).contains(&p.pause_s) && (1..=1_000_000).contains(&p.chunk);
-        must(
-            c.pace.as_ref().is_none_or(pace),
-            "'clients.pace' pauses for over 4 s, or reads no bytes or over 1 MB",
-        )?;
-        must((1.0..=100.0).contains(&c.busy_times), "'clients.busy_times' is not from 1 to 100")?;
-        must((0.1..=3.0).contains(&c.zipf), "'clients.zipf' is not from 0.1 to 3")?;
-        must((10..=1_000_000).contains(&c.objects), "'clients.objects' is not from 10 to 1000000")?;
-        must((0.01..=2.0).contains(&c.load), "'clients.load' is not from 0.01 to 2")?;
-        if let Some(r) = &self.rollout {
-            must((0.0..self.seconds).contains(&r.at), "'rollout.at' does not lie in the plan")?;
-            let known = |w: &str, all: &[&str]| all.contains(&w);
-            let ends = ["done", "stopped", "aborted", "failed"];
-            must(r.end.as_deref().is_none_or(|e| known(e, &ends)), "'rollout.end' is none that there is")?;
-            let words = r.words.iter().all(|w| known(&w.1, &["pause", "resume", "abort"]));
-            must(words, "'rollout.words' has one that is not 'pause', 'resume' or 'abort'")?;
-            let fixed = |f: &Fault| {
-                matches!(f.kind, Kind::FrontReplaced | Kind::FrontRestarted | Kind::FrontCycled { .. })
-            };
-            must(
-                !self.faults.iter().any(fixed) && self.programs.len() == 1,
-                "'rollout' goes with one program and without fronts that the rig replaces or restarts",
-            )?;
-        }
-        for (i, fault) in self.faults.iter().enumerate() {
-            let at = |key: &str, what: &str| format!("'faults.{i}.{key}' {what}");
-            must(
-                (0.0..=self.seconds).contains(&fault.at) && fault.at <= fault.until,
-                &at("at", "does not lie in the plan and before 'until'"),
-            )?;
-            for (name, target, most) in
-                [("fronts", &fault.fronts, self.fronts), ("nodes", &fault.nodes, self.nodes)]
-            {
-                let place = target.places.iter().find(|p| **p >= most);
-                must(
-                    place.is_none(),
-                    &at(&format!("{name}.places"), &format!("names one of {most} or beyond")),
-                )?;
-                must(
-                    target.location.is_none_or(|l| l < self.locations),
-                    &at(&format!("{name}.location"), "is none of the locations"),
-                )?;
-                must(target.share.is_none_or(share), &at(&format!("{name}.share"), "is not from 0 to 1"))?;
-            }
-            let (name, held) = match fault.kind {
-                Kind::NodeSlow { times } | Kind::Burst { times } => {
-                    ("times", (0.01..=1000.0).contains(&times))
-                }
-                Kind::NodeFailing { share: s }
-                | Kind::NodeBreaking { share: s }
-                | Kind::Hot { share: s }
-                | Kind::PathHalfOpen { share: s } => ("share", share(s)),
-                Kind::FrontCycled { gap_s, .. } => ("gap_s", (0.0..=10.0).contains(&gap_s)),
-                Kind::Crowd { connections } => ("connections", (1..=5_000).contains(&connections)),
-                Kind::PathDelayed { seconds } => ("seconds", (0.0..=60.0).contains(&seconds)),
-                _ => ("", true),
-            };
-            must(held, &at(name, "is out of range"))?;
-        }
-        Ok(())
-    }
-
     /// The location of a front, or of a node.
     pub fn location(&self, place: usize) -> usize {
         place % self.locations
@@ -442,28 +347,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_error_names_its_key() {
-        let wrong = [
-            (r#"{"frots": 3}"#, "frots"),
-            (r#"{"clients": {"rate": "x"}}"#, "clients.rate"),
-            (r#"{"faults": [{"fault": {"node-slow": {}}, "at": 1, "until": 2}]}"#, "times"),
-            (r#"{"faults": [{"fault": "node-silent", "at": 3, "until": 2}]}"#, "faults.0.at"),
-            (
-                r#"{"faults": [{"fault": "node-silent", "at": 1, "until": 2, "nodes": {"places": [10]}}]}"#,
-                "nodes.places",
-            ),
-            (r#"{"programs": [{"name": "a", "share": 0.5}]}"#, "programs"),
-        ];
-        for (text, key) in wrong {
-            let e = Plan::read(text).expect_err(text);
-            assert!(e.contains(key), "{text}: {e}");
-        }
-        assert!(Plan::read("{}").is_ok());
-        let first = serde_json::to_string(&Plan::first_look()).unwrap();
-        assert!(Plan::read(&first).is_ok(), "{first}");
-    }
-}
+mod tests;
