Split the model of rollouts into traffic, play and world

`World::pass` had 85 lines and `play` 80, in a file of 469. What happens in a step of time stands in world/traffic.rs, and the playing of a rollout with its faults, commands and kills in world/play.rs, each in short functions; numbers without a name have one. The draws are made in the same order.

The tests of the model are unchanged and pass.

--- a/crates/lab/src/rollouts/world.rs
+++ b/crates/lab/src/rollouts/world.rs
@@ -1,13 +1,15 @@
 //! Fronts as a rollout sees them, modelled in virtual time: processes that start, answer, end and fail, with counters
 //! drawn at random. What decides is the code that ships, `onyxyoke::rollout::RolloutController`.
 
+mod play;
+mod traffic;
+
 use onyxyoke::rollout::{
-    Action, Built, Counts, Event, Found, Front, Health, OperatorCommand, Outcome, Plan, ProcessCommand,
-    Reading, Record, Release, RolloutController, Run,
+    Built, Counts, Event, Found, Front, Health, Plan, ProcessCommand, Reading, Release, Run,
 };
+pub use play::{Script, play};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Binomial, Distribution, Poisson};
 
 /// A step of time, and how long processes take to say yes and to end (seconds).
 pub const STEP: f64 = 0.25;
@@ -17,6 +19,8 @@
 const COLD: (f64, f64) = (20.0, 0.04);
 /// The share of served requests that is late on an ordinary day.
 const LATE: f64 = 0.05;
+/// Fronts are in so many locations, in turn.
+const LOCATIONS: usize = 3;
 /// Classes: requests a second of a mean front, and the share that is not served on an ordinary day.
 pub const CLASSES: [(&str, f64, f64); 2] = [("media", 7.75, 0.01), ("holds", 0.25, 0.01)];
 
@@ -123,7 +127,7 @@
         fronts: (0..fronts)
             .map(|i| Front {
                 name: format!("n{i}"),
-                location: format!("branch{}", i % 3),
+                location: format!("branch{}", i % LOCATIONS),
                 operators: ([127, 0, 0, 1], 1).into(),
                 settings: "settings".into(),
                 new_settings: None,
@@ -150,7 +154,7 @@
         let mut machines = Vec::new();
         for i in 0..fronts {
             let (rate, worse) = (random.random_range(0.5..1.5), random.random_range(0.6..1.4));
-            let mut machine = Machine { location: i % 3, rate, worse, next: 2, ..Machine::default() };
+            let mut machine = Machine { location: i % LOCATIONS, rate, worse, next: 2, ..Machine::default() };
             machine.processes.push(Process::new(1, Release::Old, -1e3));
             machine.processes[0].ready = true;
             machines.push(machine);
@@ -248,93 +252,6 @@
         }
     }
 
-    /// Time passes: requests come, processes get ready and end.
-    pub fn pass(&mut self, heard: &mut Vec<(usize, Event)>) {
-        self.now += STEP;
-        let now = self.now;
-        let here = |m: &&Machine, l: usize| m.location == l;
-        let news: Vec<f64> = (0..3)
-            .map(|l| {
-                let all = self.machines.iter().filter(|m| here(m, l)).count().max(1);
-                let new = |m: &&Machine| {
-                    m.processes.iter().any(|p| p.ready && p.told.is_none() && p.side == Release::New)
-                };
-                self.machines.iter().filter(|m| here(m, l)).filter(new).count() as f64 / all as f64
-            })
-            .collect();
-        for (front, machine) in self.machines.iter_mut().enumerate() {
-            for p in &mut machine.processes {
-                p.ready |=
-                    now - p.began >= START && !(p.silent && p.reading.classes.iter().all(|c| c.asked() == 0));
-            }
-            let ended = machine.processes.iter().filter(|p| now >= p.ends).map(|p| p.run);
-            heard.extend(ended.map(|run| (front, Event::Ended(run))));
-            machine.processes.retain(|p| now < p.ends);
-            let location = machine.location;
-            let serving: Vec<usize> =
-                (0..machine.processes.len()).filter(|&i| machine.processes[i].ready).collect();
-            for (class, (_, rate, base)) in CLASSES.into_iter().enumerate() {
-                let mean = rate * machine.rate * STEP;
-                let asked = Poisson::new(mean).map_or(0.0, |p| p.sample(&mut self.random)) as u64;
-                self.asked += asked;
-                let Some(&at) = serving.get(self.random.random_range(0..serving.len().max(1))) else {
-                    self.unreached += asked;
-                    continue;
-                };
-                let p = &mut machine.processes[at];
-                let age = now - p.began;
-                let cold = COLD.1 * (1.0 - age / COLD.0).max(0.0);
-                let trouble = match self.trouble {
-                    (share, None) => share,
-                    (share, Some(l)) if l == location => share,
-                    _ => 0.0,
-                };
-                let harm = match self.harm {
-                    Harm::Unserved { share, class: c, location: l, after }
-                        if p.side == Release::New
-                            && age >= after
-                            && c.is_none_or(|c| c == class)
-                            && l.is_none_or(|l| l == location) =>
-                    {
-                        share
-                    }
-                    Harm::Neighbours(share) => share * news[location],
-                    _ => 0.0,
-                };
-                let mut drawn = |share: f64, of: u64| {
-                    Binomial::new(of, share.clamp(0.0, 1.0)).map_or(0, |b| b.sample(&mut self.random))
-                };
-                let harmed = drawn(harm, asked);
-                self.harmed += harmed;
-                let failed = harmed + drawn(base * machine.worse + cold + trouble, asked - harmed);
-                let more = match self.harm {
-                    Harm::Retries(more) if p.side == Release::New => more,
-                    _ => 0.0,
-                };
-                let again = drawn(0.05 + cold + more, asked);
-                let c = &mut p.reading.classes[class];
-                c.served += asked - failed;
-                c.failed += failed / 2;
-                c.busy += failed - failed / 2;
-                let times = match self.harm {
-                    Harm::Slower(times) if p.side == Release::New => times,
-                    _ => 1.0,
-                };
-                c.slow += drawn(LATE.powf(1.0 / times), asked - failed);
-                c.calls += asked - (failed - failed / 2) + again;
-            }
-            for p in &mut machine.processes {
-                let age = now - p.began;
-                let leak = match self.harm {
-                    Harm::Leak(kb, after) if p.side == Release::New => kb * (age - after).max(0.0),
-                    _ => 0.0,
-                };
-                p.reading.memory_kb = 12_000 + (leak + 4_000.0 * (age / 60.0).clamp(0.0, 1.0)) as u64;
-                p.reading.processor_s += STEP * 0.02;
-            }
-        }
-    }
-
     /// What all processes say.
     fn ask(&self, heard: &mut Vec<(usize, Event)>, readings: &mut Vec<(usize, Reading)>) {
         for (front, machine) in self.machines.iter().enumerate() {
@@ -369,101 +286,3 @@
         }
     }
 }
-
-/// How a rollout went.
-#[derive(Debug, Clone)]
-pub struct RolloutResult {
-    pub end: Option<Outcome>,
-    /// The stage in which it ended.
-    pub stage: usize,
-    pub why: Option<String>,
-    pub seconds: f64,
-    /// A rule that was broken: a front with no process that serves though none ended by itself.
-    pub broken: Option<String>,
-    pub records: Vec<Record>,
-}
-
-/// What happens at which time: to a front, or to everything.
-pub type Script = Vec<(f64, usize, Fault)>;
-
-/// Plays a rollout to its end; it is killed at each of these counts of acts, and started again.
-pub fn play(
-    world: &mut World,
-    plan: &Plan,
-    script: &Script,
-    words: &[(f64, OperatorCommand)],
-    killed: &[usize],
-    mut trouble: impl FnMut(f64) -> (f64, Option<usize>),
-) -> RolloutResult {
-    let mut records: Vec<Record> = Vec::new();
-    let mut controller = RolloutController::new(world.now, plan.clone(), world.found(), &records);
-    let (mut script, mut words) = (script.clone(), words.to_vec());
-    let mut played =
-        RolloutResult { end: None, stage: 0, why: None, seconds: 0.0, broken: None, records: Vec::new() };
-    let mut acts = 0;
-    let mut spared: Vec<usize> = Vec::new();
-    let most = plan.spans.longest_s + 600.0;
-    while world.now < most {
-        let mut heard = Vec::new();
-        let mut restart = false;
-        script.retain(|&(at, front, fault)| {
-            if at <= world.now {
-                restart |= fault == Fault::ToolKilled;
-                if fault == Fault::Crashed {
-                    spared.push(front);
-                }
-                world.fault(front, fault);
-            }
-            at > world.now
-        });
-        world.trouble = trouble(world.now);
-        world.pass(&mut heard);
-        let mut readings = Vec::new();
-        world.ask(&mut heard, &mut readings);
-        let now = world.now;
-        heard.into_iter().for_each(|(front, event)| controller.hear(now, front, event));
-        readings.into_iter().for_each(|(front, reading)| controller.read(now, front, reading));
-        words.retain(|&(at, word)| {
-            if at <= now {
-                controller.say(now, word);
-            }
-            at > now
-        });
-        controller.step(now);
-        let mut after = Vec::new();
-        for act in controller.take() {
-            if killed.contains(&acts) {
-                restart = true;
-                acts += 1;
-                break;
-            }
-            acts += 1;
-            match act {
-                Action::Keep(record) => records.push(record),
-                Action::Tell(front, order) => world.tell(front, order, &mut after),
-            }
-        }
-        after.into_iter().for_each(|(front, event)| controller.hear(now, front, event));
-        if restart {
-            controller = RolloutController::new(now, plan.clone(), world.found(), &records);
-        }
-        let down = (0..plan.fronts.len()).find(|f| !spared.contains(f) && !world.serves(*f));
-        if let Some(front) = down {
-            played.broken.get_or_insert(format!("front {front} has no process that serves at {now}"));
-        }
-        if let Some(end) = controller.ended() {
-            played.end = Some(end);
-            break;
-        }
-    }
-    // What was told last, and processes that are still to end.
-    for act in controller.take() {
-        if let Action::Keep(record) = act {
-            records.push(record);
-        }
-    }
-    let report = controller.report(world.now);
-    (played.stage, played.why, played.seconds) = (report.stage, report.why, world.now);
-    played.records = records;
-    played
-}
