Close no connection whose client has no room to see an end

Clients whose system was full found the end of the stream behind answers that they had not read, and what they asked next was not answered: bytes that were sent and dropped by a full receiver counted as sent. So did a window that is closed to the byte, with everything acknowledged, behind which an end waits as any byte does.

SendQueue asks TCP_INFO now. Delivered is nothing unsent, nothing unacknowledged and an open window; in flight is unacknowledged behind an open window within the retransmission timeout. A client in flight is asked to give its place all the same, so that no newcomer is turned away; its task closes once the acknowledgement is here.

The stand-in socket of the tests of connections.rs answers the new question in place of all_sent, with the same two answers.

--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -1,17 +1,17 @@
 //! A client's socket, shared by the task that serves it and the table of connections, which asks it whether it may close.
 
-use super::send_queue::SendQueue;
+use super::send_queue::{Delivery, SendQueue};
 use std::io::{self, IoSlice};
 use std::ops::Deref;
 use tokio::net::TcpStream;
 
-/// Tells whether all that a client was answered has been sent.
+/// Tells whether a client has what it was answered.
 pub trait SendState {
-    /// Has the system sent all that was written? Asks it. A client that takes no more cannot see an end behind that.
-    fn all_sent(&self) -> bool;
+    /// What became of all that was written? Asks the system. A client without room cannot see an end behind that.
+    fn delivery(&self) -> Delivery;
 
-    /// Is something known to be unsent? Asks the system only where much was written or something was found unsent before.
-    /// While it is so, the socket is not writable, and becomes writable once all is sent.
+    /// Is something known to be unsent, or without room at the client? Asks the system only where much was written or that
+    /// was found before.
     fn is_known_unsent(&self) -> bool;
 }
 
@@ -35,11 +35,16 @@
         self.send_queue.wrote(written);
         Ok(written)
     }
+
+    /// Waits until what was found to be undelivered may have been delivered.
+    pub async fn delivery_changed(&self) -> io::Result<()> {
+        self.send_queue.changed(&self.stream).await
+    }
 }
 
 impl SendState for ClientSocket {
-    fn all_sent(&self) -> bool {
-        self.send_queue.is_empty(&self.stream)
+    fn delivery(&self) -> Delivery {
+        self.send_queue.delivery(&self.stream)
     }
 
     fn is_known_unsent(&self) -> bool {
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -7,8 +7,8 @@
 use crate::memory::{AccountOwner, Grant, Purpose};
 use crate::net::resp::FrameError;
 use crate::net::{
-    Buffer, ClientSocket, ConnectionSlot, INPUT, PEER_CHECK_INTERVAL, SendState, Unreadable, linger,
-    peer_has_closed, readable_within_window,
+    Buffer, ClientSocket, ConnectionSlot, DELIVERY_CHECK_INTERVAL, Delivery, INPUT, PEER_CHECK_INTERVAL,
+    SendState, Unreadable, linger, peer_has_closed, readable_within_window,
 };
 use std::io;
 use std::rc::Rc;
@@ -43,6 +43,8 @@
     /// The client is to have taken what the system holds for it: longer after an idle connection would be closed, since the
     /// client cannot see the end of this one.
     taken_by: Option<f64>,
+    /// It is not closed before, since the client is to acknowledge by then what it was sent just now.
+    acknowledged_by: f64,
 }
 
 impl Timers {
@@ -54,6 +56,7 @@
             speak_by: now + SPEAK,
             whole_by: None,
             taken_by: None,
+            acknowledged_by: now,
         }
     }
 
@@ -68,7 +71,7 @@
     now: f64,
     /// Answers are unsent.
     writes: bool,
-    /// Nothing is open and all is written, but the system is known not to have sent all of it.
+    /// Nothing is open and all is written, but the client's system is known to have no room for all of it.
     untaken: bool,
     /// Nothing is open, and nothing is known to be unsent.
     idle: bool,
@@ -88,7 +91,7 @@
     }
 
     fn interest(&self) -> Interest {
-        match (self.reads_paused(), self.writes || self.untaken) {
+        match (self.reads_paused(), self.writes) {
             (true, _) => Interest::WRITABLE,
             (false, true) => Interest::READABLE | Interest::WRITABLE,
             (false, false) => Interest::READABLE,
@@ -206,10 +209,14 @@
                     None
                 }
                 ready = socket.ready(wait.interest()),
-                    if wait.writes || wait.untaken || wait.throttled_until.is_none() =>
+                    if wait.writes || wait.throttled_until.is_none() =>
                 {
                     self.ready(ready?, &wait, &mut input, &mut timers).await?
                 }
+                changed = socket.delivery_changed(), if wait.untaken => {
+                    changed?;
+                    None
+                }
                 () = sleep_until(clock::instant(throttled_until)), if wait.throttled_until.is_some() => {
                     self.take_frames(&mut input).await?;
                     timers.whole_by = (!input.is_empty()).then_some(clock::now() + WHOLE);
@@ -223,7 +230,7 @@
                 }
                 () = self.slot.changed(), if wait.idle => None,
                 () = sleep_until(clock::instant(until)), if wait.until.is_some() => {
-                    self.time_out(&wait, &timers).await?
+                    self.time_out(&wait, &mut timers).await?
                 }
             };
             if let Some(end) = end {
@@ -275,15 +282,16 @@
             timers.whole_by = timers.whole_by.map(|_| now + WHOLE);
         }
         // Guards the share of clients' connections against those that never say anything whole.
-        let silent = (!self.session.spoken && nothing_owed && !untaken).then_some(timers.speak_by);
+        let silent = (!self.session.spoken && nothing_owed && !untaken)
+            .then_some(timers.speak_by.max(timers.acknowledged_by));
         let stalled = writes.then_some(stalled_by);
-        let idle_at = idle.then_some(timers.idle_at);
+        let idle_at = idle.then_some(timers.idle_at.max(timers.acknowledged_by));
         // Half a request is waited for, where there is no other in need of the place.
         let waits = half_a_frame && self.slot.is_closing_all();
         let closes_at = self.slot.closes_at().filter(|_| !waits);
         // What one that has spoken has sent ahead is read before it closes.
         let heard_by = throttled_until.filter(|_| self.session.spoken).unwrap_or(now);
-        let closes_at = closes_at.map(|at| at.max(heard_by));
+        let closes_at = closes_at.map(|at| at.max(heard_by).max(timers.acknowledged_by));
         let all = [silent, timers.whole_by, stalled, timers.taken_by, idle_at, closes_at];
         let until = all.into_iter().flatten().reduce(f64::min);
         Wait { now, writes, untaken, idle, held_back, throttled_until, stalled_by, until }
@@ -336,7 +344,7 @@
     }
 
     /// A timer is due: is the connection to end?
-    async fn time_out(&self, wait: &Wait, timers: &Timers) -> Result<Option<End>, Ended> {
+    async fn time_out(&self, wait: &Wait, timers: &mut Timers) -> Result<Option<End>, Ended> {
         let now = clock::now();
         if timers.whole_by.is_some_and(|by| now >= by) {
             return Err(FrameError { why: Unreadable("half a frame and no more"), tag: None }.into());
@@ -345,9 +353,14 @@
         if untaken || wait.writes && now >= wait.stalled_by {
             return Ok(Some(End::ByClient));
         }
-        if !self.socket.all_sent() {
+        match self.socket.delivery() {
+            Delivery::Delivered => {}
+            Delivery::InFlight => {
+                timers.acknowledged_by = now + DELIVERY_CHECK_INTERVAL.as_secs_f64();
+                return Ok(None);
+            }
             // Its client cannot see an end: it is waited for, as known to be unsent from now on.
-            return Ok(None);
+            Delivery::Unsent | Delivery::Undelivered => return Ok(None),
         }
         // One that never said anything usable, and is not read from since it sent too much, is not listened to.
         let ignored = !self.session.spoken && wait.reads_paused();
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -76,14 +76,17 @@
     let _ = timeout_at(by, shut_and_discard(socket, discard)).await;
 }
 
-/// Writes the last answers, and waits until the system has sent them.
+/// Writes the last answers, and waits until the system has sent them and the client's has room for an end behind them.
 async fn flush(socket: &ClientSocket, last: &mut Output) -> io::Result<()> {
     loop {
         last.write_to(socket)?;
-        if last.is_empty() && socket.all_sent() {
+        if !last.is_empty() {
+            socket.writable().await?;
+        } else if socket.delivery().is_blocked() {
+            socket.delivery_changed().await?;
+        } else {
             return Ok(());
         }
-        socket.writable().await?;
     }
 }
 
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -179,11 +179,12 @@
             .is_some()
     }
 
-    /// Asks the first idle connection that may close to do so, and passes over those whose answers are not all sent: what is
-    /// idle is a candidate, and only the system knows at this moment whether its client can see an end.
+    /// Asks the first idle connection that may close to do so, and passes over those whose clients have no room for their
+    /// answers: what is idle is a candidate, and only the system knows at this moment whether its client can see an end. One
+    /// that was answered just now and whose acknowledgement is not here yet is asked, and its task waits for that.
     fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> Option<Rc<Entry>> {
         while let Some(entry) = self.take_first(&may_close) {
-            if entry.socket.all_sent() {
+            if !entry.socket.delivery().is_blocked() {
                 self.ask_to_close(&entry, reason);
                 return Some(entry);
             }
@@ -439,11 +440,11 @@
         self.table.is_closing_all()
     }
 
-    /// Is something that was written known to be unsent? Once all connections close, the client's time to read its last
-    /// answer begins as that is sent, so that the system is asked.
+    /// Is something that was written known to be unsent, or without room at the client? Once all connections close, the
+    /// client's time to read its last answer begins as that is sent, so that the system is asked.
     pub fn is_unsent(&self) -> bool {
         match self.is_closing_all() {
-            true => !self.entry.socket.all_sent(),
+            true => self.entry.socket.delivery().is_blocked(),
             false => self.entry.socket.is_known_unsent(),
         }
     }
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `connections.rs`.
 
 use super::{ConnectionSlot, ConnectionTable, IDLE_GRACE, SendState};
+use crate::net::Delivery;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -8,8 +9,8 @@
 struct Socket(Cell<bool>);
 
 impl SendState for Socket {
-    fn all_sent(&self) -> bool {
-        self.0.get()
+    fn delivery(&self) -> Delivery {
+        if self.0.get() { Delivery::Delivered } else { Delivery::Unsent }
     }
 
     fn is_known_unsent(&self) -> bool {
--- a/src/net/send_queue/tests.rs
+++ b/src/net/send_queue/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `send_queue.rs`.
 
-use super::{ASKED_BEYOND, SendQueue};
+use super::{ASKED_BEYOND, Delivery, SendQueue};
+use crate::net::tcp_info::TcpInfo;
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::SockRef;
 use std::io::Read;
@@ -92,3 +93,74 @@
     }
     assert!(hidden_ends.is_empty(), "the end is not seen (seed, bytes come, written): {hidden_ends:?}");
 }
+
+/// A narrow socket is full after so many answers that fit its window.
+const FITTING_MOST: usize = 1_000;
+
+/// Writes what fits the peer's window, each time once all before is acknowledged, until that is closed: the peer's system has
+/// all of it, and no room for an end. How much is that (bytes)?
+async fn close_window(queue: &SendQueue, stream: &TcpStream) -> usize {
+    let mut written = 0;
+    for _ in 0..FITTING_MOST {
+        while queue.delivery(stream) == Delivery::InFlight {
+            queue.changed(stream).await.unwrap();
+        }
+        let window = TcpInfo::of(stream).unwrap().send_window();
+        if window == 0 {
+            return written;
+        }
+        queue.before_write(stream);
+        let n = stream.try_write(&vec![b'x'; window.min(4_000) as usize]).unwrap();
+        queue.wrote(n);
+        written += n;
+    }
+    panic!("the harness: the window does not close");
+}
+
+/// Everything has come, and the window is closed to the byte: an end would wait behind it, although nothing is unsent.
+#[tokio::test]
+async fn an_end_behind_a_closed_window_is_not_taken_for_visible() {
+    let (stream, mut peer) = pair().await;
+    stream.set_nodelay(true).unwrap();
+    let queue = SendQueue::default();
+    let written = close_window(&queue, &stream).await;
+    assert_eq!(peer.peek(&mut [0; 64 * 1024]).unwrap(), written, "the harness: something has not come");
+    assert_eq!(queue.delivery(&stream), Delivery::Undelivered);
+    assert!(queue.is_known_unsent(&stream));
+    // The peer reads, and its system says that it has room, which is no event here.
+    peer.read_exact(&mut vec![0; written]).unwrap();
+    while queue.is_known_unsent(&stream) {
+        queue.changed(&stream).await.unwrap();
+    }
+    assert_eq!(queue.delivery(&stream), Delivery::Delivered);
+}
+
+/// Guards against a wait for an event that does not come, and against one that is over at once and is begun again.
+#[tokio::test]
+async fn one_without_room_is_looked_at_again_after_a_while_though_its_socket_is_writable() {
+    let (stream, _peer) = pair().await;
+    stream.set_nodelay(true).unwrap();
+    let queue = SendQueue::default();
+    close_window(&queue, &stream).await;
+    assert!(!queue.is_empty(&stream));
+    stream.writable().await.unwrap();
+    let waited = std::time::Instant::now();
+    queue.changed(&stream).await.unwrap();
+    assert!(waited.elapsed() >= super::DELIVERY_CHECK_INTERVAL, "a busy loop");
+}
+
+/// A peer delays its acknowledgement: what it has is not taken for dropped, and is found delivered without its help.
+#[tokio::test]
+async fn a_delayed_acknowledgement_is_waited_for() {
+    let (stream, peer) = pair().await;
+    SockRef::from(&peer).set_tcp_quickack(false).unwrap();
+    let queue = SendQueue::default();
+    queue.before_write(&stream);
+    queue.wrote(stream.try_write(b"a short answer").unwrap());
+    // A machine that is late finds it delivered at once.
+    while queue.delivery(&stream) != Delivery::Delivered {
+        assert_eq!(queue.delivery(&stream), Delivery::InFlight);
+        assert!(queue.is_empty(&stream) && !queue.is_known_unsent(&stream));
+        queue.changed(&stream).await.unwrap();
+    }
+}
--- a/src/signed/connection.rs
+++ b/src/signed/connection.rs
@@ -5,8 +5,8 @@
 use crate::clock;
 use crate::memory::{AccountOwner, Grant, Purpose, Refused};
 use crate::net::{
-    Buffer, ClientSocket, ConnectionSlot, INPUT, Output, PEER_CHECK_INTERVAL, SendState, linger,
-    peer_has_closed, readable_within_window,
+    Buffer, ClientSocket, ConnectionSlot, DELIVERY_CHECK_INTERVAL, Delivery, INPUT, Output,
+    PEER_CHECK_INTERVAL, SendState, linger, peer_has_closed, readable_within_window,
 };
 use http::Unusable;
 use std::io;
@@ -208,6 +208,8 @@
     /// Reads once while nothing is owed; `false` at the end of the stream or of the time, or if the connection is to close.
     async fn fill_between_requests(&mut self, mut by: Instant) -> io::Result<bool> {
         let mut was_unsent = false;
+        // It is not closed before, since the client is to acknowledge by then what it was sent just now.
+        let mut acknowledged_by = Instant::now();
         let half_a_head = !self.input.is_empty();
         loop {
             let now = clock::now();
@@ -224,6 +226,7 @@
             // Half a head is waited for, where there is no other in need of the place.
             let waits = half_a_head && self.slot.is_closing_all();
             let closes_at = self.slot.closes_at().filter(|_| !waits);
+            let closing_at = clock::instant(closes_at.unwrap_or_default());
             tokio::select! {
                 biased;
                 ready = self.socket.readable() => {
@@ -231,24 +234,30 @@
                     self.slot.mark_active();
                     return self.read();
                 }
-                ready = self.socket.writable(), if unsent => ready?,
+                changed = self.socket.delivery_changed(), if unsent => changed?,
                 () = self.slot.changed(), if !unsent => {}
-                () = sleep_until(clock::instant(closes_at.unwrap_or_default())), if closes_at.is_some() => {
-                    // Its client could not see an end.
-                    if !self.socket.all_sent() {
-                        continue;
+                () = sleep_until(closing_at.max(acknowledged_by)), if closes_at.is_some() => {
+                    match self.socket.delivery() {
+                        // One that is asked to close just as its request comes serves that first.
+                        Delivery::Delivered if readable_within_window(&self.socket).await => {
+                            self.slot.mark_active();
+                            return self.read();
+                        }
+                        Delivery::Delivered => return Ok(false),
+                        Delivery::InFlight => acknowledged_by = Instant::now() + DELIVERY_CHECK_INTERVAL,
+                        // Its client could not see an end.
+                        Delivery::Unsent | Delivery::Undelivered => {}
                     }
-                    // One that is asked to close just as its request comes serves that first.
-                    if !readable_within_window(&self.socket).await {
-                        return Ok(false);
-                    }
-                    self.slot.mark_active();
-                    return self.read();
                 }
-                () = sleep_until(by) => {
-                    if unsent || half_a_head || self.socket.all_sent() {
+                () = sleep_until(by.max(acknowledged_by)) => {
+                    if unsent || half_a_head {
                         return Ok(false);
                     }
+                    match self.socket.delivery() {
+                        Delivery::Delivered => return Ok(false),
+                        Delivery::InFlight => acknowledged_by = Instant::now() + DELIVERY_CHECK_INTERVAL,
+                        Delivery::Unsent | Delivery::Undelivered => {}
+                    }
                 }
             }
         }
--- a/tests/closing_small.rs
+++ b/tests/closing_small.rs
@@ -1,8 +1,11 @@
 //! A front closes a connection whose client has taken nothing for a while and was sent small answers meanwhile. Its system
 //! has no room for the last of them, so that they lie unsent, and the end would lie behind them: what the client sends is to
-//! be answered, and what it was sent is to reach it whole. The order of events is forced; no time decides it.
+//! be answered, and what it was sent is to reach it whole. Or all is sent, and its window is closed, so that the end would
+//! wait behind that. The order of events is forced; no time decides it.
 
 mod stand_ins;
+use nix::libc;
+use nix::sys::socket::{getsockopt, sockopt::GetStruct};
 use serde_json::{Value, json};
 use stand_ins::*;
 use std::collections::BTreeMap;
@@ -19,6 +22,8 @@
 const SEEDS: [u64; 3] = [2, 8, 9];
 /// Answers that come after the client's system had no more room.
 const FURTHER: [u64; 3] = [0, 1, 2];
+/// How large an answer is that leaves room for another, where the window is to be closed by one (bytes).
+const EXACT_STEP: usize = 2_000;
 /// A narrow socket has no room for so many answers of such sizes.
 const ANSWERS_MOST: u64 = 500;
 /// More than a narrow socket holds (bytes).
@@ -120,6 +125,32 @@
     }
 }
 
+/// Linux's `struct tcp_info` up to the window that a socket has told its peer (6.2 and later).
+#[repr(C)]
+#[derive(Clone, Copy)]
+struct ReceiveInfo {
+    _before: [u64; 29],
+    rcv_wnd: u32,
+    _rehash: u32,
+}
+
+#[derive(Clone, Copy)]
+struct ReceiveInfoOption;
+
+nix::getsockopt_impl!(
+    ReceiveInfoOption,
+    libc::IPPROTO_TCP,
+    libc::TCP_INFO,
+    ReceiveInfo,
+    GetStruct<ReceiveInfo>
+);
+
+/// How much a client's system has told the front that it takes (bytes). Tells it now, if it is still to do so.
+fn told_window(stream: &TcpStream) -> usize {
+    socket2::SockRef::from(stream).set_tcp_quickack(true).unwrap();
+    getsockopt(stream, ReceiveInfoOption).unwrap().rcv_wnd as usize
+}
+
 /// What marks the end of an answer's body.
 fn end_mark(number: u64) -> Vec<u8> {
     format!("<end {number:03}>").into_bytes()
@@ -160,31 +191,70 @@
     sizes: Sizes,
     /// The bodies of its answers, by its requests' numbers.
     answers: BTreeMap<u64, Vec<u8>>,
-    /// The first answer for which its system had no room.
-    first_unsent: u64,
+    /// The first answer for which its system had no room, if there was one.
+    first_unsent: Option<u64>,
+}
+
+/// How the room of a slow client's system ends.
+#[derive(Debug, Clone, Copy)]
+enum Fill {
+    /// Behind answers of sizes by this seed, with so many further ones behind the first that does not come.
+    Beyond { seed: u64, further: u64 },
+    /// With the window that it has told: all answers are sent, and nothing more can be.
+    Exactly,
 }
 
 impl<S: Stage> Play<S> {
-    /// The slow client asks, each time once the front has written the answer before, until its system has no room for an
-    /// answer, and then so often again.
-    fn start(stage: S, served: Receiver<Served>, seed: u64, further: u64) -> Self {
+    fn start(stage: S, served: Receiver<Served>, fill: Fill) -> Self {
+        let seed = if let Fill::Beyond { seed, .. } = fill { seed } else { 0 };
         let sizes = Sizes(fastrand::Rng::with_seed(seed));
-        let mut play = Play { stage, served, sizes, answers: BTreeMap::new(), first_unsent: 0 };
-        play.first_unsent = (1..=ANSWERS_MOST)
-            .find(|&number| {
-                play.one_more();
-                !play.has_come(number)
-            })
-            .expect("a socket without room");
-        (0..further).for_each(|_| play.one_more());
+        let mut play = Play { stage, served, sizes, answers: BTreeMap::new(), first_unsent: None };
+        match fill {
+            Fill::Beyond { further, .. } => play.fill_beyond(further),
+            Fill::Exactly => play.fill_exactly(),
+        }
         play
     }
 
-    /// The slow client asks, and the front writes its answer.
-    fn one_more(&mut self) {
+    /// The slow client asks, each time once the front has written the answer before, until its system has no room for an
+    /// answer, and then so often again.
+    fn fill_beyond(&mut self, further: u64) {
+        self.first_unsent = (1..=ANSWERS_MOST).find(|&number| {
+            let size = self.sizes.next();
+            self.one_more(size);
+            !self.has_come(number)
+        });
+        assert!(self.first_unsent.is_some(), "the harness: the socket has room for all");
+        for _ in 0..further {
+            let size = self.sizes.next();
+            self.one_more(size);
+        }
+    }
+
+    /// The slow client asks for what its system has told it takes, until that takes nothing. Its last answer fills the window to
+    /// the byte, or is sent and dropped, since the window promised more than there was room for.
+    fn fill_exactly(&mut self) {
+        let (mut number, mut window, mut overhead) = (0, usize::MAX, None);
+        while window > 0 {
+            number += 1;
+            assert!(number < 10, "the harness: the window does not close");
+            let whole = if window < 2 * EXACT_STEP { window } else { EXACT_STEP };
+            // What an answer has beside its body, of which the first one tells. Of that, the body's size is in digits.
+            let digits = whole.ilog10() as usize + 1;
+            let size = overhead.map_or(EXACT_STEP, |overhead| whole - overhead - digits);
+            let size = size + digits - (size.ilog10() as usize + 1);
+            self.one_more(size);
+            let came = held(self.stage.slow()).len();
+            overhead.get_or_insert(came - size - (size.ilog10() as usize + 1));
+            window = told_window(self.stage.slow());
+        }
+    }
+
+    /// The slow client asks, and the front writes its answer, with so large a body.
+    fn one_more(&mut self, size: usize) {
         let number = self.answers.len() as u64 + 1;
         self.stage.ask(number);
-        let body = body(number, self.sizes.next());
+        let body = body(number, size);
         next(&self.served).hit(&body);
         self.answers.insert(number, body);
         let counted = format!(" served={number} ");
@@ -201,7 +271,8 @@
 
     /// The slow client asks once more, and only then reads: each of its answers, once and whole.
     fn all_answers_come(mut self) {
-        assert!(!self.has_come(self.first_unsent), "the harness: its system has made room by itself");
+        let has_room = self.first_unsent.is_some_and(|number| self.has_come(number));
+        assert!(!has_room, "the harness: its system has made room by itself");
         let last = self.answers.len() as u64 + 1;
         self.stage.ask(last);
         let last_body = body(last, self.sizes.next());
@@ -218,34 +289,40 @@
     }
 }
 
-/// Plays each seed with each number of further answers, all at once, and fails if one of them does.
-fn play_all(name: &str, play: impl Fn(&str, u64, u64) + Sync) {
-    let plays = SEEDS.iter().flat_map(|&seed| FURTHER.map(|further| (seed, further)));
+/// Plays each seed with each number of further answers, and a window that is closed by the last answer, all at once, and
+/// fails if one of them does.
+fn play_all(name: &str, play: impl Fn(&str, Fill) + Sync) {
+    let beyond = SEEDS.iter().flat_map(|&seed| FURTHER.map(|further| Fill::Beyond { seed, further }));
+    let fills: Vec<Fill> = beyond.chain([Fill::Exactly]).collect();
     let failed: Vec<String> = thread::scope(|scope| {
-        let started: Vec<_> = plays
-            .map(|(seed, further)| {
-                let name = format!("{name}-seed-{seed}-further-{further}");
+        let started: Vec<_> = fills
+            .iter()
+            .map(|&fill| {
+                let name = match fill {
+                    Fill::Beyond { seed, further } => format!("{name}-seed-{seed}-further-{further}"),
+                    Fill::Exactly => format!("{name}-exactly"),
+                };
                 let named = thread::Builder::new().name(name.clone());
                 let play = &play;
-                (name.clone(), named.spawn_scoped(scope, move || play(&name, seed, further)).unwrap())
+                (name.clone(), named.spawn_scoped(scope, move || play(&name, fill)).unwrap())
             })
             .collect();
         started.into_iter().filter_map(|(name, play)| play.join().is_err().then_some(name)).collect()
     });
-    assert!(failed.is_empty(), "{} plays of {}: {failed:?}", failed.len(), SEEDS.len() * FURTHER.len());
+    assert!(failed.is_empty(), "{} plays of {}: {failed:?}", failed.len(), fills.len());
 }
 
 /// Plays with the platform's front: what closes idle connections acts once the slow client's system has no room, and is to
 /// leave it alone.
 fn play_platform(name: &str, change: fn(&mut Value), act: impl Fn(&Node, &mut Client) + Sync) {
-    play_all(name, |name, seed, further| {
+    play_all(name, |name, fill| {
         let tmp = std::env::temp_dir().join(format!("onyxyoke-tmp-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&tmp).unwrap();
         let _removed = Removed(tmp.clone());
         let (cache, served) = cache_node();
         let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
         let node = Node::start_in(name, members, change, Some(&tmp));
-        let play = Play::start(Platform::new(&node), served, seed, further);
+        let play = Play::start(Platform::new(&node), served, fill);
         act(&node, &mut idle_client(&node));
         play.all_answers_come();
     });
@@ -328,10 +405,10 @@
 /// Guards against an end of the second front that cuts off a client with small answers unsent.
 #[test]
 fn the_end_closes_no_connection_of_the_second_front_over_small_answers() {
-    play_all("small-signed", |name, seed, further| {
+    play_all("small-signed", |name, fill| {
         let signer = talks();
         let (front, served) = stage(name, &[&signer], same);
-        let play = Play::start(Signed::new(&front, &signer), served, seed, further);
+        let play = Play::start(Signed::new(&front, &signer), served, fill);
         let mut idle = front.send(&get("/talks/unsigned"));
         assert_eq!(status(read_message(&mut idle)).0, 401);
         front.signal("-TERM");
