Count a client's time to read from when its answers were sent

A client whose last short answers lay unsent, and which reads, is sent them only then; scarce memory or a replacement closed its connection in that moment, although it is to have a second to read. A connection was idle since its last byte was written, and nobody asks about so few bytes.

TCP_INFO tells how long ago something was last sent. Whoever wants to close asks in that moment anyway: the connection is idle since then, if that is later. Scarce memory goes on to the next candidate in the same look, so that its relief waits for nobody else. The close of a place that is owed, of all connections, and by idle time count from there too, on both fronts.

--- a/src/net/client_socket.rs
+++ b/src/net/client_socket.rs
@@ -10,6 +10,9 @@
     /// What became of all that was written? Asks the system. A client without room cannot see an end behind that.
     fn delivery(&self) -> Delivery;
 
+    /// When the system last sent something, as the last question for it told (Unix seconds); `None` if it was not asked.
+    fn sent_at(&self) -> Option<f64>;
+
     /// Is something known to be unsent, or without room at the client? Asks the system only where much was written or that
     /// was found before.
     fn is_known_unsent(&self) -> bool;
@@ -47,6 +50,10 @@
         self.send_queue.delivery(&self.stream)
     }
 
+    fn sent_at(&self) -> Option<f64> {
+        self.send_queue.sent_at()
+    }
+
     fn is_known_unsent(&self) -> bool {
         self.send_queue.is_known_unsent(&self.stream)
     }
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -276,6 +276,9 @@
         if idle && was_untaken {
             timers.idle_at = now + IDLE;
         }
+        if idle {
+            timers.idle_at = timers.idle_at.max(self.slot.idle_since() + IDLE);
+        }
         let throttled_until = Some(self.session.reads_at(now)).filter(|&at| at > now);
         if held_back || throttled_until.is_some() {
             // What is not read here cannot become whole.
@@ -362,6 +365,10 @@
             // Its client cannot see an end: it is waited for, as known to be unsent from now on.
             Delivery::Unsent | Delivery::Undelivered => return Ok(None),
         }
+        // What it was sent only just now, it has as long to read as any other.
+        if self.slot.postpone_to_last_sent() {
+            return Ok(None);
+        }
         // One that never said anything usable, and is not read from since it sent too much, is not listened to.
         let ignored = !self.session.spoken && wait.reads_paused();
         Ok((ignored || !readable_within_window(&self.socket).await).then_some(End::ByFront))
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -181,14 +181,21 @@
 
     /// Asks the first idle connection that may close to do so, and passes over those whose clients have no room for their
     /// answers: what is idle is a candidate, and only the system knows at this moment whether its client can see an end. One
-    /// that was answered just now and whose acknowledgement is not here yet is asked, and its task waits for that.
+    /// that was answered just now and whose acknowledgement is not here yet is asked, and its task waits for that. One that was
+    /// sent something later than it became idle is idle since then.
     fn close_first(&self, reason: CloseReason, may_close: impl Fn(&Entry) -> bool) -> Option<Rc<Entry>> {
         while let Some(entry) = self.take_first(&may_close) {
-            if !entry.socket.delivery().is_blocked() {
+            if entry.socket.delivery().is_blocked() {
+                entry.state.set(State::Active);
+                entry.changed.notify_one();
+                continue;
+            }
+            entry.postpone_to_last_sent();
+            if may_close(&entry) {
                 self.ask_to_close(&entry, reason);
                 return Some(entry);
             }
-            entry.state.set(State::Active);
+            self.add_idle(&entry);
             entry.changed.notify_one();
         }
         None
@@ -306,6 +313,13 @@
 }
 
 impl Entry {
+    /// Its last answer may have been sent later than it became idle, to a client that had no room for it before: its client's
+    /// time to read begins then. Was it so?
+    fn postpone_to_last_sent(&self) -> bool {
+        let later = self.socket.sent_at().filter(|&at| at > self.idle_since.get());
+        later.inspect(|&at| self.idle_since.set(at)).is_some()
+    }
+
     /// Its client has read its last answer by then, if it was sent one (Unix seconds).
     fn read_by(&self) -> f64 {
         self.idle_since.get() + if self.spoken.get() { IDLE_GRACE } else { 0.0 }
@@ -430,7 +444,23 @@
         Some(asked.min(all)).filter(|at| at.is_finite())
     }
 
-    /// Waits until what the table holds of the connection may have changed: whether it is idle, or when it is to close.
+    /// The system told when it last sent something: if that was later than the connection became idle, it is idle since then,
+    /// and is to close later. Was it so?
+    pub fn postpone_to_last_sent(&self) -> bool {
+        let postponed = self.entry.postpone_to_last_sent();
+        if let State::ClosesAt(_) = self.entry.state.get() {
+            self.entry.state.set(State::ClosesAt(self.entry.read_by()));
+        }
+        postponed
+    }
+
+    /// Since when the connection is idle, if it is (Unix seconds).
+    pub fn idle_since(&self) -> f64 {
+        self.entry.idle_since.get()
+    }
+
+    /// Waits until what the table holds of the connection may have changed: whether it is idle and since when, or when it is to
+    /// close.
     pub async fn changed(&self) {
         self.entry.changed.notified().await;
     }
--- a/src/net/connections/tests.rs
+++ b/src/net/connections/tests.rs
@@ -13,11 +13,32 @@
         if self.0.get() { Delivery::Delivered } else { Delivery::Unsent }
     }
 
+    fn sent_at(&self) -> Option<f64> {
+        None
+    }
+
     fn is_known_unsent(&self) -> bool {
         !self.0.get()
     }
 }
 
+/// A socket whose last answer was sent at this time.
+struct SentAt(Cell<f64>);
+
+impl SendState for SentAt {
+    fn delivery(&self) -> Delivery {
+        Delivery::InFlight
+    }
+
+    fn sent_at(&self) -> Option<f64> {
+        Some(self.0.get())
+    }
+
+    fn is_known_unsent(&self) -> bool {
+        false
+    }
+}
+
 fn sent() -> Rc<Socket> {
     Rc::new(Socket(Cell::new(true)))
 }
@@ -283,3 +304,68 @@
     assert_eq!(first.closes_at(), Some(2.0 + IDLE_GRACE));
     assert!(!table.close_most_idle(), "its place is given away already");
 }
+
+/// The last answer of the longest idle connection was sent only just now, and another is idle: memory comes from that one, and the
+/// first gives its own in its time.
+#[tokio::test]
+async fn scarce_memory_takes_the_next_where_the_first_was_sent_its_answer_just_now() {
+    let table = ConnectionTable::new(1);
+    let idle_since = |socket: Rc<dyn SendState>, since| {
+        let slot = ConnectionSlot::new(table.clone(), socket, since);
+        slot.mark_active();
+        slot.mark_idle(since, true, false);
+        slot
+    };
+    let slots = [idle_since(Rc::new(SentAt(Cell::new(5.0))), 1.0), idle_since(sent(), 2.0)];
+    assert!(table.close_idle_since_grace(5.0));
+    assert_eq!(asked(&slots), [false, true]);
+    assert!(slots[0].is_idle(), "a newcomer may have its place");
+    // Its task closes it later, too.
+    assert_eq!(slots[0].idle_since(), 5.0);
+    let told = tokio::time::timeout(std::time::Duration::ZERO, slots[0].changed()).await;
+    assert!(told.is_ok(), "its task sleeps until the time it had before");
+    assert!(!table.close_idle_since_grace(4.9 + IDLE_GRACE));
+    assert!(table.close_idle_since_grace(5.0 + IDLE_GRACE));
+    assert_eq!(asked(&slots), [true, true]);
+}
+
+/// A newcomer does not wait for the acknowledgement of what another was sent just now: it has that one's place.
+#[test]
+fn a_newcomer_gets_the_place_of_one_that_was_answered_just_now() {
+    let table = ConnectionTable::new(1);
+    let slot = ConnectionSlot::new(table.clone(), Rc::new(SentAt(Cell::new(5.0))), 1.0);
+    slot.mark_active();
+    slot.mark_idle(5.0, true, false);
+    assert!(table.close_most_idle());
+    assert_eq!(slot.closes_at(), Some(5.0));
+}
+
+/// What a closer finds out in the moment of the close, for one that is to close later.
+#[test]
+fn one_that_owes_its_place_has_its_time_to_read_from_when_its_answer_was_sent() {
+    let table = ConnectionTable::new(1);
+    let socket = Rc::new(SentAt(Cell::new(1.0)));
+    let slot = ConnectionSlot::new(table.clone(), socket.clone(), 1.0);
+    slot.mark_active();
+    slot.mark_idle(1.0, true, false);
+    assert!(table.close_most_idle());
+    slot.mark_active();
+    slot.mark_idle(2.0, true, false);
+    assert_eq!(slot.closes_at(), Some(2.0 + IDLE_GRACE));
+    socket.0.set(2.5);
+    assert!(slot.postpone_to_last_sent());
+    assert_eq!(slot.closes_at(), Some(2.5 + IDLE_GRACE));
+    assert!(!slot.postpone_to_last_sent(), "it would never close");
+}
+
+/// The same where all close.
+#[test]
+fn when_all_close_the_time_to_read_begins_as_the_last_answer_is_sent() {
+    let table = ConnectionTable::new(1);
+    let slot = ConnectionSlot::new(table.clone(), Rc::new(SentAt(Cell::new(2.5))), 1.0);
+    slot.mark_active();
+    slot.mark_idle(1.0, true, false);
+    table.close_all_after_reading();
+    assert!(slot.postpone_to_last_sent());
+    assert_eq!(slot.closes_at(), Some(2.5 + IDLE_GRACE));
+}
--- a/src/net/send_queue.rs
+++ b/src/net/send_queue.rs
@@ -2,6 +2,7 @@
 
 use super::closing::ready_now;
 use super::tcp_info::TcpInfo;
+use crate::clock;
 use nix::poll::PollFlags;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -50,6 +51,8 @@
     unconfirmed: Cell<usize>,
     /// What the system said when it was last asked, if nothing was written since.
     known: Cell<Option<Delivery>>,
+    /// When the system had last sent something, when it was last asked (Unix seconds).
+    sent_at: Cell<Option<f64>>,
     /// The socket's writes are bounded, and it tells once all is sent.
     bounded: Cell<bool>,
 }
@@ -60,6 +63,7 @@
         SendQueue {
             unconfirmed: Cell::default(),
             known: Cell::new(Some(Delivery::Delivered)),
+            sent_at: Cell::default(),
             bounded: Cell::default(),
         }
     }
@@ -92,6 +96,12 @@
         delivery
     }
 
+    /// When the system last sent something, be it again, as [`SendQueue::delivery`] last found it (Unix seconds, to the system's
+    /// tick of 1 to 10 ms); `None` if it was not asked yet.
+    pub(super) fn sent_at(&self) -> Option<f64> {
+        self.sent_at.get()
+    }
+
     /// Is all that was written sent, and none of it known to be without room at the peer? Asks the system. If it is not so,
     /// [`SendQueue::changed`] waits for that.
     pub(super) fn is_empty(&self, stream: &TcpStream) -> bool {
@@ -125,6 +135,7 @@
             let Ok(later) = TcpInfo::of(stream) else { return Delivery::Delivered };
             info = later;
         }
+        self.sent_at.set(Some(clock::now() - info.since_last_sent().as_secs_f64()));
         if info.send_window() == 0 {
             return Delivery::Undelivered;
         }
--- a/src/signed/connection.rs
+++ b/src/signed/connection.rs
@@ -223,6 +223,9 @@
                 true => self.slot.mark_active(),
                 false => self.slot.mark_idle(now, self.spoken, half_a_head),
             }
+            if !unsent && !half_a_head {
+                by = by.max(clock::instant(self.slot.idle_since() + IDLE));
+            }
             // Half a head is waited for, where there is no other in need of the place.
             let waits = half_a_head && self.slot.is_closing_all();
             let closes_at = self.slot.closes_at().filter(|_| !waits);
@@ -238,6 +241,8 @@
                 () = self.slot.changed(), if !unsent => {}
                 () = sleep_until(closing_at.max(acknowledged_by)), if closes_at.is_some() => {
                     match self.socket.delivery() {
+                        // What it was sent only just now, it has as long to read as any other.
+                        Delivery::Delivered if self.slot.postpone_to_last_sent() => {}
                         // One that is asked to close just as its request comes serves that first.
                         Delivery::Delivered if readable_within_window(&self.socket).await => {
                             self.slot.mark_active();
@@ -254,6 +259,7 @@
                         return Ok(false);
                     }
                     match self.socket.delivery() {
+                        Delivery::Delivered if self.slot.postpone_to_last_sent() => {}
                         Delivery::Delivered => return Ok(false),
                         Delivery::InFlight => acknowledged_by = Instant::now() + DELIVERY_CHECK_INTERVAL,
                         Delivery::Unsent | Delivery::Undelivered => {}
--- a/tests/closing_small.rs
+++ b/tests/closing_small.rs
@@ -15,6 +15,7 @@
 use std::path::PathBuf;
 use std::sync::mpsc::Receiver;
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// How large an answer's body is (bytes).
 const SIZES: RangeInclusive<usize> = 20..=4096;
@@ -24,6 +25,10 @@
 const FURTHER: [u64; 3] = [0, 1, 2];
 /// How large an answer is that leaves room for another, where the window is to be closed by one (bytes).
 const EXACT_STEP: usize = 2_000;
+/// A client's time to read its last answer (1 s) is over then.
+const TIME_TO_READ_OVER: Duration = Duration::from_millis(1_100);
+/// A replaced front has come to its end (0.9 s) or all but that, and has left a client that time to read.
+const LEFT_TO_READ: Duration = Duration::from_millis(800);
 /// A narrow socket has no room for so many answers of such sizes.
 const ANSWERS_MOST: u64 = 500;
 /// More than a narrow socket holds (bytes).
@@ -269,6 +274,14 @@
         held(self.stage.slow()).windows(mark.len()).any(|bytes| bytes == mark)
     }
 
+    /// The slow client reads all that it was sent.
+    fn read_answers(&mut self) {
+        for before in 0..self.answers.len() as u64 {
+            let (number, body) = self.stage.read_answer(before);
+            assert!(self.answers.get(&number) == Some(&body), "another answer {number} than was sent");
+        }
+    }
+
     /// The slow client asks once more, and only then reads: each of its answers, once and whole.
     fn all_answers_come(mut self) {
         let has_room = self.first_unsent.is_some_and(|number| self.has_come(number));
@@ -402,6 +415,30 @@
     });
 }
 
+/// Its last answers lay unsent, which nobody asked about, until it reads: guards against a replaced front that counts its time to
+/// read from when they were written.
+#[test]
+fn a_replacement_leaves_the_time_to_read_answers_that_were_sent_only_just_now() {
+    let name = "small-just-now";
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-tmp-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let _removed = Removed(tmp.clone());
+    let (cache, served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin = |config: &mut Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let node = Node::start_in(name, members, admin, Some(&tmp));
+    let mut play = Play::start(Platform::new(&node), served, Fill::Beyond { seed: SEEDS[0], further: 0 });
+    thread::sleep(TIME_TO_READ_OVER);
+    let last = play.answers.len() as u64;
+    assert!(!play.has_come(last), "the harness: the last answer was sent before");
+    let reading_since = Instant::now();
+    play.read_answers();
+    replaced(&node, &tmp);
+    assert!(play.stage.slow.closed(), "it is closed once its client had the time to read");
+    let had = reading_since.elapsed();
+    assert!(had >= LEFT_TO_READ, "its client had {had:?}");
+}
+
 /// Guards against an end of the second front that cuts off a client with small answers unsent.
 #[test]
 fn the_end_closes_no_connection_of_the_second_front_over_small_answers() {
