Force newcomers behind late acknowledgements, and an answer nobody asks about

A client that was answered just now is unacknowledged for up to 40 ms; a newcomer gets its place all the same. The new test through a whole process fails where such a client is passed over, and passes without that. Another holds a short answer to no question by itself.

--- a/src/net/send_queue/tests.rs
+++ b/src/net/send_queue/tests.rs
@@ -164,3 +164,14 @@
         queue.changed(&stream).await.unwrap();
     }
 }
+
+/// Guards against a question on the way of an ordinary answer, which is for those who want to close.
+#[tokio::test]
+async fn a_short_answer_is_asked_about_by_nobody_else() {
+    let (stream, _peer) = pair().await;
+    let queue = SendQueue::default();
+    queue.before_write(&stream);
+    queue.wrote(stream.try_write(b"a short answer").unwrap());
+    assert!(!queue.is_known_unsent(&stream));
+    assert_eq!((queue.known.get(), queue.sent_at()), (None, None));
+}
--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -12,6 +12,9 @@
 /// More than these, and no more than wait at a listener.
 const CROWD: u64 = 200;
 
+/// Many more than a front of 8 descriptors has places for.
+const NEWCOMERS: usize = 50;
+
 /// Many connect while the front is busy elsewhere, and each asks at once: the front finds all connections and all requests
 /// there, and keeps to its descriptors.
 #[test]
@@ -148,3 +151,21 @@
     }
     panic!("five rounds were late");
 }
+
+/// Each newcomer asks and reads its answer, which its system acknowledges late, and the next is there before: nothing tells then
+/// that the answer was not dropped. Guards against newcomers who are turned away for that.
+#[test]
+fn a_newcomer_has_a_place_though_no_answer_is_acknowledged_yet() {
+    let (cache, _served) = cache_node();
+    let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let node = Node::start("places-unacknowledged", members, |config| config["limits"]["sockets"] = json!(8));
+    let mut clients = Vec::new();
+    // One that was turned away would not be answered.
+    for _ in 0..NEWCOMERS {
+        let mut client = node.connect();
+        socket2::SockRef::from(&client.stream).set_tcp_quickack(false).unwrap();
+        client.send(&["HEALTH", "8", ""]);
+        client.answer();
+        clients.push(client);
+    }
+}
--- a/tests/closing_small.rs
+++ b/tests/closing_small.rs
@@ -1,7 +1,7 @@
 //! A front closes a connection whose client has taken nothing for a while and was sent small answers meanwhile. Its system
 //! has no room for the last of them, so that they lie unsent, and the end would lie behind them: what the client sends is to
-//! be answered, and what it was sent is to reach it whole. Or all is sent, and its window is closed, so that the end would
-//! wait behind that. The order of events is forced; no time decides it.
+//! be answered, and what it was sent is to reach it whole. Or each fits the window that its system has told, until that is
+//! closed: what was dropped there, and an end behind that, are not seen by it either. The order of events is forced; no time decides it.
 
 mod stand_ins;
 use nix::libc;
@@ -205,7 +205,7 @@
 enum Fill {
     /// Behind answers of sizes by this seed, with so many further ones behind the first that does not come.
     Beyond { seed: u64, further: u64 },
-    /// With the window that it has told: all answers are sent, and nothing more can be.
+    /// With the window that it has told: no answer is larger than that, until it is closed.
     Exactly,
 }
 
@@ -237,7 +237,7 @@
     }
 
     /// The slow client asks for what its system has told it takes, until that takes nothing. Its last answer fills the window to
-    /// the byte, or is sent and dropped, since the window promised more than there was room for.
+    /// the byte, or is dropped on its way in, since the window promised more than there was room for.
     fn fill_exactly(&mut self) {
         let (mut number, mut window, mut overhead) = (0, usize::MAX, None);
         while window > 0 {
