--- a/tests/closing_small.rs
+++ b/tests/closing_small.rs
@@ -1,7 +1,8 @@
 //! A front closes a connection whose client has taken nothing for a while and was sent small answers meanwhile. Its system
 //! has no room for the last of them, so that they lie unsent, and the end would lie behind them: what the client sends is to
-//! be answered, and what it was sent is to reach it whole. Or each fits the window that its system has told, until that is
-//! closed: what was dropped there, and an end behind that, are not seen by it either. The order of events is forced; no time decides it.
+//! be answered, and what it was sent is to reach it whole. Or each answer fits the window that its system has told, until that is
+//! closed: what was dropped there, and an end behind that, are not seen by it either. The order of events is forced; no time
+//! decides it.
 
 mod stand_ins;
 use nix::libc;
