End a cancelled attempt once its cancel is sent, not once the socket took it

What callers saw: two attempts out for one request. A cache node that reads nothing for a while has a request whole; its cancel lies in this system behind the node's closed window, and the next attempt went 5 to 20 ms later.

Cause: Exchange::written took a cancel for one on its way as soon as the socket had taken it. A socket takes what the system cannot send.

Evidence: TCP_INFO has the cancel among the unsent bytes.

Now the attempt ends once its cancel has left this system (NodeSocket::sent). The system is asked in the turn in which it takes the cancel, and then each millisecond; where it is not sent after 20 ms the connection is reset, as it was where the socket did not take it. Orders wait behind an unsent cancel, so that a reset hands them back as never sent. An ordinary request asks the system nothing.

Linux 5.4 or later is needed: an older kernel knows less of TCP_INFO.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -126,8 +126,8 @@
     }
 
     /// Cancels an attempt. An order that still waits was never sent, and that is its end; one in flight ends once its
-    /// cancel is written ([`Exchange::written`]). Guards against two attempts in flight for one request where the
-    /// socket takes nothing more.
+    /// cancel is sent ([`Exchange::written`]). Guards against two attempts in flight for one request where the socket
+    /// takes nothing more, or the system sends nothing more of it.
     pub fn cancel(&mut self, now: f64, ticket: Ticket) -> Option<Report> {
         if let Some(at) = self.waiting.iter().position(|order| order.ticket == ticket) {
             self.waiting.remove(at);
@@ -141,7 +141,12 @@
         None
     }
 
-    /// Since when the oldest cancel waits to be written.
+    /// Is a cancel encoded that is not known to be sent? Orders wait behind it.
+    pub fn has_unsent_cancel(&self) -> bool {
+        self.cancels.has_encoded()
+    }
+
+    /// Since when the oldest cancel waits to be sent.
     pub fn oldest_cancel_since(&self) -> Option<f64> {
         self.cancels.oldest_since()
     }
--- a/src/net/exchange/cancellation.rs
+++ b/src/net/exchange/cancellation.rs
@@ -1,4 +1,4 @@
-//! Attempts that are cancelled: in flight until their cancel is written.
+//! Attempts that are cancelled: in flight until their cancel is sent.
 
 use crate::broker::Ticket;
 use crate::net::{Buffer, lines};
@@ -17,14 +17,14 @@
     attempt: CancelledAttempt,
 }
 
-/// A cancel that is encoded.
+/// A cancel that is encoded and not known to be sent.
 struct EncodedCancel {
     /// Where on the connection it ends.
     end: u64,
     attempt: CancelledAttempt,
 }
 
-/// Cancels on their way to the socket, in order.
+/// Cancels on their way to the node, in order.
 #[derive(Default)]
 pub(super) struct CancelQueue {
     queued: VecDeque<QueuedCancel>,
@@ -32,7 +32,7 @@
 }
 
 impl CancelQueue {
-    /// How many attempts await the write of their cancel.
+    /// How many attempts wait until their cancel is sent.
     pub(super) fn len(&self) -> usize {
         self.queued.len() + self.encoded.len()
     }
@@ -42,6 +42,16 @@
         !self.queued.is_empty()
     }
 
+    /// Is there a cancel that is encoded and not known to be sent?
+    pub(super) fn has_encoded(&self) -> bool {
+        !self.encoded.is_empty()
+    }
+
+    /// Is a whole cancel among the first `taken` bytes, and not known to be sent?
+    pub(super) fn is_taken(&self, taken: u64) -> bool {
+        self.encoded.front().is_some_and(|cancel| cancel.end <= taken)
+    }
+
     /// Queues the cancel of this call.
     pub(super) fn push(&mut self, call: Box<str>, attempt: CancelledAttempt) {
         self.queued.push_back(QueuedCancel { call, attempt });
@@ -69,10 +79,10 @@
         position
     }
 
-    /// Takes the next attempt whose cancel is among the first `taken` bytes.
-    pub(super) fn pop_written(&mut self, taken: u64) -> Option<CancelledAttempt> {
-        let written = self.encoded.pop_front_if(|cancel| cancel.end <= taken);
-        written.map(|cancel| cancel.attempt)
+    /// Takes the next attempt whose cancel is among the first `sent` bytes.
+    pub(super) fn pop_sent(&mut self, sent: u64) -> Option<CancelledAttempt> {
+        let sent = self.encoded.pop_front_if(|cancel| cancel.end <= sent);
+        sent.map(|cancel| cancel.attempt)
     }
 
     /// Takes all, oldest first.
--- a/src/net/exchange/send.rs
+++ b/src/net/exchange/send.rs
@@ -16,11 +16,13 @@
 
 impl Exchange {
     /// Encodes the cancels that wait and, where the socket has taken all before, one order: the next that is still to be
-    /// sent. What is overdue, called off, or whose client has left goes no further. What there is no memory for waits on,
+    /// sent. No order goes behind a cancel that is not sent: it could not be sent before that either, and if the connection
+    /// is reset for the cancel, it would count as one that may have run. What is overdue, called off, or whose client has left goes no further. What there is no memory for waits on,
     /// and can be taken back unsent. To be followed by a write and [`Exchange::written`].
     pub fn encode(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) {
         self.encoded = self.cancels.encode(self.encoded, out);
         while out.is_empty()
+            && !self.has_unsent_cancel()
             && let Some(order) = self.waiting.pop_front()
         {
             let patience_ms = ((order.due - now) * 1000.0) as u64;
@@ -44,19 +46,26 @@
         lines::serve(out, order, patience_ms)
     }
 
-    /// The socket has taken what it would. Attempts whose cancel is among that have ended; the order whose first byte is
-    /// among it is in flight, and one of which it took nothing waits again. Is there more to write, that it may take?
-    pub fn written(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) -> bool {
-        let cancels_written = self.end_cancelled(out.taken(), &mut report);
+    /// The socket has taken what it would. The order whose first byte is among that is in flight, and one of which it took
+    /// nothing waits again. Attempts whose cancel is sent have ended: `sent` tells how many bytes of the connection are,
+    /// and is asked only where a cancel is among what was taken. Is there more to write, that the socket may take?
+    pub fn written(
+        &mut self,
+        now: f64,
+        out: &mut Buffer,
+        sent: impl FnOnce() -> u64,
+        mut report: impl FnMut(Report),
+    ) -> bool {
+        let cancels_sent = self.cancels.is_taken(out.taken()) && self.end_cancelled(sent(), &mut report);
         let order_written = self.settle_partial_order(now, out, &mut report);
         let has_more = self.has_waiting() || self.cancels.has_queued();
-        (cancels_written || order_written) && out.is_empty() && has_more
+        (cancels_sent || order_written) && out.is_empty() && has_more
     }
 
-    /// Ends the attempts whose cancel is among the first `taken` bytes; was there any?
-    fn end_cancelled(&mut self, taken: u64, report: &mut impl FnMut(Report)) -> bool {
+    /// Ends the attempts whose cancel is among the first `sent` bytes; was there any?
+    fn end_cancelled(&mut self, sent: u64, report: &mut impl FnMut(Report)) -> bool {
         let mut any = false;
-        while let Some(attempt) = self.cancels.pop_written(taken) {
+        while let Some(attempt) = self.cancels.pop_sent(sent) {
             let (outcome, propagation) = (Outcome::Cancelled, self.propagation);
             report(Report::Abandoned { ticket: attempt.ticket, outcome, propagation });
             any = true;
--- a/src/net/model/exchange.rs
+++ b/src/net/model/exchange.rs
@@ -18,8 +18,11 @@
         life: u8,
     },
     Cancel(u8),
-    /// The socket takes this part of what is encoded, in 255ths.
-    Encode(u8),
+    /// The socket takes this part of what is encoded, and the system sends this part of what is taken, in 255ths.
+    Encode {
+        taken: u8,
+        sent: u8,
+    },
     Answer {
         which: u8,
         word: u8,
@@ -100,6 +103,8 @@
     now: f64,
     out: Buffer,
     input: Buffer,
+    /// How many bytes of the connection the system has sent.
+    sent: u64,
     /// What was encoded last.
     wire: String,
     last_request: u32,
@@ -119,6 +124,7 @@
             now: 1000.0,
             out: Buffer::default(),
             input: Buffer::default(),
+            sent: 0,
             wire: String::new(),
             last_request: 0,
             attempts: BTreeMap::new(),
@@ -133,7 +139,7 @@
         match step {
             Step::Queue { call, life } => self.queue(call, life)?,
             Step::Cancel(which) => self.cancel(which)?,
-            Step::Encode(part) => self.encode(part)?,
+            Step::Encode { taken, sent } => self.encode(taken, sent)?,
             Step::Answer { which, word, cut } => return self.answer(which, word, cut),
             Step::Crossed(which) => self.answer_nobody(which),
             Step::Pass(tenths) => self.now += f64::from(tenths) / 10.0,
@@ -185,21 +191,24 @@
         Ok(())
     }
 
-    /// Encodes, and lets the socket take this part of it.
-    fn encode(&mut self, part: u8) -> Result<(), TestCaseError> {
+    /// Encodes, lets the socket take a part of it, and the system send a part of what is unsent. Nothing is written behind
+    /// a cancel that is not sent.
+    fn encode(&mut self, part_taken: u8, part_sent: u8) -> Result<(), TestCaseError> {
         let base = self.out.taken();
-        let clear = self.out.is_empty() && self.count(|state| *state == State::Cancelled(None)) == 0;
+        let clear = self.out.is_empty() && self.count(|state| matches!(state, State::Cancelled(_))) == 0;
         self.exchange.encode(self.now, &mut self.out, |report| self.reports.push(report));
         self.wire = String::from_utf8(self.out.bytes().to_vec()).unwrap();
         self.find_cancels(base);
-        self.out.consume((self.wire.len() * usize::from(part)).div_ceil(255));
+        self.out.consume((self.wire.len() * usize::from(part_taken)).div_ceil(255));
+        self.sent += (self.out.taken() - self.sent) * u64::from(part_sent) / 255;
         for (id, attempt) in &self.attempts {
-            if matches!(attempt.state, State::Cancelled(Some(end)) if end <= self.out.taken()) {
+            if matches!(attempt.state, State::Cancelled(Some(end)) if end <= self.sent) {
                 self.expected.insert(*id, Outcome::Cancelled);
             }
         }
         let (taken, before) = (self.out.taken() > base, self.out.len());
-        let more = self.exchange.written(self.now, &mut self.out, |report| self.reports.push(report));
+        let (sent, report) = (self.sent, |report| self.reports.push(report));
+        let more = self.exchange.written(self.now, &mut self.out, || sent, report);
         prop_assert!(!more || self.out.is_empty(), "more only where the socket takes it");
         let written = if clear { self.check_first_order(taken, before)? } else { None };
         self.check_written(written)
@@ -292,7 +301,7 @@
     /// What was reported in this step is what was expected, and what is under way is counted.
     fn check_step(&mut self) -> Result<(), TestCaseError> {
         for report in std::mem::take(&mut self.reports) {
-            // A cancel that is written is reported as that: its node may not have read it yet.
+            // A cancel that is sent is reported as that: its node may not have read it yet.
             let cancels = matches!(report, Report::Abandoned { .. });
             if let Report::Ended { ticket, outcome, .. } | Report::Abandoned { ticket, outcome, .. } = report
             {
@@ -314,7 +323,8 @@
         let rest = self.out.len();
         self.out.consume(rest);
         let (mut cancelled, mut overdue, mut reset) = (0, 0, 0);
-        self.exchange.written(self.now, &mut self.out, |_| cancelled += 1);
+        let sent = self.sent;
+        self.exchange.written(self.now, &mut self.out, || sent, |_| cancelled += 1);
         self.exchange.encode(self.now, &mut self.out, |report| {
             overdue += usize::from(matches!(report, Report::Ended { .. }));
         });
@@ -355,10 +365,11 @@
 
 #[test]
 fn a_connection_to_a_cache_node_keeps_to_its_states() {
+    let part = || prop_oneof![Just(255u8), any::<u8>()];
     let step = prop_oneof![
         6 => (0u8..40, 0u8..40).prop_map(|(call, life)| Step::Queue { call, life }),
         4 => any::<u8>().prop_map(Step::Cancel),
-        6 => prop_oneof![Just(255u8), any::<u8>()].prop_map(Step::Encode),
+        6 => (part(), part()).prop_map(|(taken, sent)| Step::Encode { taken, sent }),
         6 => (any::<u8>(), any::<u8>(), any::<u8>()).prop_map(|(which, word, cut)| Step::Answer { which, word, cut }),
         2 => any::<u8>().prop_map(Step::Crossed),
         3 => (0u8..9).prop_map(Step::Pass),
@@ -374,18 +385,20 @@
     exchange.queue(order(1, 1, 1010.0));
     exchange.encode(1000.0, &mut out, |_| {});
     out.consume(usize::MAX);
-    assert!(!exchange.written(1000.0, &mut out, |_| {}));
+    assert!(!exchange.written(1000.0, &mut out, || panic!("no cancel is under way"), |_| {}));
     assert!(exchange.cancel(1002.0, ticket(1)).is_none());
-    assert!(exchange.oldest_cancel_since() == Some(1002.0), "it is out until its cancel is written");
+    assert!(exchange.oldest_cancel_since() == Some(1002.0), "it is out until its cancel is sent");
     exchange.encode(1002.0, &mut out, |_| {});
     let (written, mut ended) = (out.len(), 0);
     out.consume(written - 1);
-    exchange.written(1002.0, &mut out, |_| ended += 1);
+    exchange.written(1002.0, &mut out, || panic!("the cancel is not taken"), |_| ended += 1);
     assert_eq!(ended, 0, "nor is it while a byte of that is left");
     out.consume(1);
-    exchange.written(1002.0, &mut out, |r| {
-        ended += usize::from(matches!(r, Report::Abandoned { outcome: Outcome::Cancelled, .. }))
-    });
+    let taken = out.taken();
+    exchange.written(1002.0, &mut out, || taken - 1, |_| ended += 1);
+    assert_eq!(ended, 0, "nor while a byte of that is unsent");
+    let count = |r| ended += usize::from(matches!(r, Report::Abandoned { outcome: Outcome::Cancelled, .. }));
+    exchange.written(1002.0, &mut out, || taken, count);
     assert!(ended == 1 && exchange.oldest_cancel_since().is_none());
     assert!(exchange.closes_when_idle() && !exchange.accepts("other"));
     assert!(input.push(b"0000000000000009 NONE - 0\r\n\r\n"));
--- a/src/net/model/memory.rs
+++ b/src/net/model/memory.rs
@@ -28,7 +28,7 @@
         exchange.queue(order(call.into(), call, 1010.0));
         exchange.encode(1000.0, &mut out, |_| {});
         out.consume(usize::MAX);
-        exchange.written(1000.0, &mut out, |_| {});
+        exchange.written(1000.0, &mut out, || panic!("no cancel is under way"), |_| {});
     }
     let answer = |call: u8, n: usize| {
         let head = format!("{call:016x} HIT n=TCP_HIT,etag=e,made=999000 {n}\r\n");
--- a/src/net/pool/connection.rs
+++ b/src/net/pool/connection.rs
@@ -1,7 +1,9 @@
 //! The task of one connection, and the pool's handle to it.
 
 mod answer_timers;
+mod node_socket;
 mod serve;
+mod transmission;
 
 use super::Limits;
 use crate::broker::{Order, Report, Ticket};
@@ -11,6 +13,7 @@
 use crate::net::exchange::{EndedBy, Exchange, ended_without_answer};
 use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
+use node_socket::NodeSocket;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -144,7 +147,7 @@
         let mut output =
             Buffer::new(OUTPUT_BYTES, self.context.memory.empty(AccountOwner::of(Purpose::Bodies)));
         let result = match connected {
-            Ok(stream) => self.serve(stream, &mut output).await,
+            Ok(stream) => self.serve(NodeSocket::new(stream), &mut output).await,
             Err(error) => Err(error),
         };
         self.queue.close();
--- a/src/net/pool/connection/serve.rs
+++ b/src/net/pool/connection/serve.rs
@@ -1,7 +1,7 @@
 //! The loop of an established connection: commands, writes, answers, and its timers.
 
 use super::answer_timers::AnswerTimers;
-use super::{Connection, ConnectionCommand, INPUT_BYTES};
+use super::{Connection, ConnectionCommand, INPUT_BYTES, NodeSocket};
 use crate::broker::Report;
 use crate::clock;
 use crate::memory::{AccountOwner, Purpose};
@@ -15,9 +15,11 @@
 
 /// Memory that there was not is asked for again after this.
 const MEMORY_RETRY_SECONDS: f64 = 0.005;
-/// A cancel that the socket does not take within this ends the connection, which gives up all that is in flight on it:
-/// no further attempt goes out before. The platform's slack for two attempts in flight is 0.05 s.
+/// A cancel that is not sent within this ends the connection, which gives up all that is in flight on it: no further
+/// attempt goes out before. The platform's slack for two attempts in flight is 0.05 s.
 const CANCEL_WRITE_TIMEOUT_SECONDS: f64 = 0.02;
+/// Whether a cancel that the socket has taken is sent is asked again after this: the system does not tell by itself.
+const SENT_CHECK_SECONDS: f64 = 0.001;
 
 /// What a connection waits for; a time is `None` where it does not count (Unix seconds).
 struct Waits {
@@ -26,6 +28,7 @@
     reads: bool,
     retry_memory_at: Option<f64>,
     answer_stalled_at: Option<f64>,
+    check_sent_at: Option<f64>,
     cancel_overdue_at: Option<f64>,
     idle_at: Option<f64>,
 }
@@ -36,6 +39,7 @@
     RetryMemory,
     Socket(io::Result<Ready>),
     AnswerStalled,
+    CheckSent,
     CancelOverdue,
     Idle,
 }
@@ -52,6 +56,8 @@
             ready = stream.ready(self.interest), if self.reads => Event::Socket(ready),
             // Guards what else is in flight here against an answer that stops short: nothing comes after it.
             () = sleep_to(self.answer_stalled_at), if self.answer_stalled_at.is_some() => Event::AnswerStalled,
+            // Comes before the next, lest a cancel that was sent while this thread was busy counts as overdue.
+            () = sleep_to(self.check_sent_at), if self.check_sent_at.is_some() => Event::CheckSent,
             () = sleep_to(self.cancel_overdue_at), if self.cancel_overdue_at.is_some() => Event::CancelOverdue,
             () = sleep_to(self.idle_at), if self.idle_at.is_some() => Event::Idle,
         }
@@ -73,14 +79,14 @@
 
 impl Connection {
     /// Writes orders and reads answers until the connection breaks, is idle or its node is gone.
-    pub(super) async fn serve(&mut self, stream: TcpStream, output: &mut Buffer) -> io::Result<()> {
+    pub(super) async fn serve(&mut self, socket: NodeSocket, output: &mut Buffer) -> io::Result<()> {
         let account = AccountOwner::of(Purpose::Partial);
         let mut input = Buffer::new(INPUT_BYTES, self.context.memory.empty(account));
         let mut idle_at = clock::now() + self.context.limits.idle;
         let mut timers = AnswerTimers::default();
         loop {
             self.handle_queued();
-            self.write_queued(&stream, output)?;
+            self.write_queued(&socket, output)?;
             let is_idle = self.exchange.borrow().load() == 0;
             if !is_idle {
                 idle_at = clock::now() + self.context.limits.idle;
@@ -90,17 +96,17 @@
             timers.restart_while_memory_is_short(clock::now());
             let mut must_decode = timers.needs_memory();
             let waits = self.waits(&timers, output, is_idle.then_some(idle_at));
-            match waits.next(&mut self.queue, &stream).await {
+            match waits.next(&mut self.queue, &socket).await {
                 Event::Command(command) => self.handle(command),
-                Event::RetryMemory => {}
-                Event::Socket(ready) => match receive(&stream, ready?, &mut input)? {
+                Event::RetryMemory | Event::CheckSent => {}
+                Event::Socket(ready) => match receive(&socket, ready?, &mut input)? {
                     Received::Bytes => must_decode = true,
                     Received::Nothing => {}
                     Received::End if is_idle => return Ok(()),
                     Received::End => return Err(io::ErrorKind::UnexpectedEof.into()),
                 },
                 Event::AnswerStalled => return Err(invalid_data("an answer that stopped short")),
-                Event::CancelOverdue => return Err(reset(&stream)),
+                Event::CancelOverdue => return Err(reset(&socket)),
                 Event::Idle => return Ok(()),
             }
             if must_decode {
@@ -114,14 +120,15 @@
         self.retired || self.exchange.borrow().closes_when_idle()
     }
 
-    /// Writes cancels and orders as far as the socket takes them.
-    fn write_queued(&self, stream: &TcpStream, output: &mut Buffer) -> io::Result<()> {
+    /// Writes cancels and orders as far as the socket takes them, orders only once the cancels before them are sent.
+    fn write_queued(&self, socket: &NodeSocket, output: &mut Buffer) -> io::Result<()> {
         loop {
             let now = clock::now();
             self.exchange.borrow_mut().encode(now, output, |report| self.context.report(report));
-            output.write_to(stream)?;
+            output.write_to(socket)?;
+            let taken = output.taken();
             let mut exchange = self.exchange.borrow_mut();
-            if !exchange.written(now, output, |report| self.context.report(report)) {
+            if !exchange.written(now, output, || socket.sent(taken), |report| self.context.report(report)) {
                 return Ok(());
             }
         }
@@ -136,7 +143,9 @@
             false => Interest::READABLE | Interest::WRITABLE,
         };
         // An order whose body there is no memory to write.
-        let order_needs_memory = exchange.has_waiting() && output.is_empty() && !write_blocked;
+        let cancel_unsent = exchange.has_unsent_cancel();
+        let order_needs_memory =
+            exchange.has_waiting() && output.is_empty() && !write_blocked && !cancel_unsent;
         let needs_memory = timers.needs_memory() || order_needs_memory;
         let cancel_since = exchange.oldest_cancel_since();
         Waits {
@@ -144,6 +153,7 @@
             reads: !timers.needs_memory(),
             retry_memory_at: needs_memory.then(|| clock::now() + MEMORY_RETRY_SECONDS),
             answer_stalled_at: timers.stalled_at(),
+            check_sent_at: (cancel_unsent && output.is_empty()).then(|| clock::now() + SENT_CHECK_SECONDS),
             cancel_overdue_at: cancel_since.map(|since| since + CANCEL_WRITE_TIMEOUT_SECONDS),
             idle_at,
         }
@@ -194,8 +204,8 @@
 }
 
 /// Ends a connection at once, whatever its node has not taken.
-fn reset(stream: &TcpStream) -> io::Error {
-    let _ = stream.set_zero_linger();
+fn reset(socket: &NodeSocket) -> io::Error {
+    socket.reset_when_dropped();
     io::Error::new(io::ErrorKind::TimedOut, "a cancel that it does not take")
 }
 
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::interface::{FillOptions, Node, RequestId};
 use crate::memory::{AccountLimits, PURPOSES, Plan, Purpose};
+use nix::time::{ClockId, clock_gettime};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -335,6 +336,131 @@
     });
 }
 
+/// A node whose window is closed: it has the first request, and the second one's body lies partly in this system, as does
+/// whatever is written behind it. Gives what it listens on and its end of the connection.
+async fn closed_window(
+    send: &UnboundedSender<Command>,
+    reported: &mut UnboundedReceiver<Report>,
+) -> (TcpListener, TcpStream) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    send.send(at(listener.local_addr().unwrap())).unwrap();
+    for (request, body) in [(1, 0), (2, 48_000)] {
+        send.send(Command::Send(order(request, body))).unwrap();
+        assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+    }
+    let (stream, _) = listener.accept().await.unwrap();
+    (listener, stream)
+}
+
+/// Gives the pool and its connections their turns, so that they have done what they can without waiting.
+async fn turns() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards requests that are made while a cancel lies behind a closed window: they are not sent before it, do not share the
+/// end of its connection, and go on another one.
+#[test]
+fn an_order_behind_a_cancel_that_is_never_sent_goes_on_another_connection() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let (listener, _first) = closed_window(&send, &mut reported).await;
+        send.send(cancel(1)).unwrap();
+        send.send(Command::Send(order(3, 0))).unwrap();
+        let mut reports = Vec::new();
+        for _ in 0..3 {
+            reports.push(reported.recv().await.unwrap());
+        }
+        let told = reports.iter().map(|report| match report {
+            Report::Abandoned { ticket, outcome, .. } => (ticket.request.0, Some(*outcome)),
+            Report::Written(ticket) => (ticket.request.0, None),
+            other => panic!("{other:?}"),
+        });
+        let expected = [(1, Some(Outcome::Cancelled)), (2, Some(Outcome::Reset)), (3, None)];
+        assert!(told.eq(expected), "{reports:?}");
+        let (mut second, _) = listener.accept().await.unwrap();
+        let mut got = [0; 22];
+        tokio::io::AsyncReadExt::read_exact(&mut second, &mut got).await.unwrap();
+        assert_eq!(&got, b"serve 0000000000000003");
+    });
+}
+
+/// Guards the connection of a node that is only slow: its cancel ends the attempt once the node reads again, and what was
+/// ordered meanwhile goes behind it.
+#[test]
+fn a_cancel_that_is_sent_late_ends_its_attempt_and_not_its_connection() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let (_listener, stream) = closed_window(&send, &mut reported).await;
+        let mut stream = stream.into_std().unwrap();
+        send.send(cancel(1)).unwrap();
+        send.send(Command::Send(order(3, 0))).unwrap();
+        turns().await;
+        assert!(reported.try_recv().is_err(), "the cancel is not sent");
+        // The node reads all that there is. It is sent more as it reads, before its read returns.
+        let (mut all, mut piece) = (Vec::new(), vec![0; 64 * 1024]);
+        let mut read = || {
+            while let Ok(n @ 1..) = std::io::Read::read(&mut stream, &mut piece) {
+                all.extend(piece[..n].iter().filter(|byte| **byte != b'x'));
+            }
+            String::from_utf8(all.clone()).unwrap()
+        };
+        let text = read();
+        assert!(text.ends_with("cancel 0000000000000001\r\n"), "{text}");
+        // Nor does it matter that this thread is busy until the cancel would be overdue.
+        let busy_until = clock::now() + 0.03;
+        while clock::now() < busy_until {}
+        let Some(Report::Abandoned { ticket, outcome, .. }) = reported.recv().await else { panic!() };
+        assert_eq!((ticket.request, outcome), (RequestId(1), Outcome::Cancelled));
+        let written = reported.recv().await;
+        assert!(matches!(written, Some(Report::Written(t)) if t.request == RequestId(3)), "{written:?}");
+        let text = read();
+        assert!(text.contains("cancel 0000000000000001\r\nserve 0000000000000003 "), "{text}");
+    });
+}
+
+/// A connection that waits until its cancel is sent, or gives that up, sleeps meanwhile.
+#[test]
+fn a_cancel_that_is_not_sent_takes_little_processor_time() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let (_listener, _stream) = closed_window(&send, &mut reported).await;
+        let used = || Duration::from(clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).unwrap());
+        send.send(cancel(1)).unwrap();
+        send.send(Command::Send(order(3, 0))).unwrap();
+        let (asked, before) = (clock::now(), used());
+        assert!(matches!(reported.recv().await, Some(Report::Abandoned { .. })));
+        let (used, waited) = (used() - before, clock::now() - asked);
+        assert!(waited > 0.019, "it is waited for: {waited}");
+        assert!(used < Duration::from_millis(10), "{used:?} in {waited} s");
+    });
+}
+
+/// A cancel that is sent at once is reported in the same turn: no timer and no acknowledgement is waited for.
+#[test]
+fn a_cancel_that_is_sent_at_once_is_reported_at_once() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        send.send(at(listener.local_addr().unwrap())).unwrap();
+        let mut stream = None;
+        for request in 1..=100 {
+            send.send(Command::Send(order(request, 0))).unwrap();
+            assert!(matches!(reported.recv().await, Some(Report::Written(_))));
+            send.send(cancel(request)).unwrap();
+            turns().await;
+            let report = reported.try_recv();
+            assert!(matches!(report, Ok(Report::Abandoned { .. })), "{request}: {report:?}");
+            if stream.is_none() {
+                stream = Some(listener.accept().await.unwrap().0.into_std().unwrap());
+            }
+            // The node reads what there is.
+            let all = std::io::Read::read(stream.as_mut().unwrap(), &mut [0; 4096]).unwrap();
+            assert!(all > "cancel 0000000000000001\r\n".len());
+        }
+    });
+}
+
 /// An answer that waits here for memory is told of once, as soon as its line is here and before it is given up, so that
 /// nobody takes it for lost.
 #[test]
