Reset a cache connection that is given up here while something is unsent

What callers saw: two attempts out for one request. A connection to a cache node is closed here for an answer that cannot be read or that stopped short; the node's window is closed, and its end lies behind what is unsent. Another attempt of what was in flight went 5 to 20 ms later, while the node had no word of that.

Cause: only an overdue cancel reset its connection. An ordinary close sends its end behind the rest.

Now a connection that is given up here before all that was written is sent ends with a reset; it is asked once, at that end. Where all is sent it ends as before.

Test: a_connection_that_is_closed_here_ends_at_once_at_a_node_with_a_closed_window, which failed without the change (the node's socket had no error).

--- a/src/net/pool/connection/serve.rs
+++ b/src/net/pool/connection/serve.rs
@@ -1,12 +1,12 @@
 //! The loop of an established connection: commands, writes, answers, and its timers.
 
 use super::answer_timers::AnswerTimers;
-use super::{Connection, ConnectionCommand, INPUT_BYTES, NodeSocket};
+use super::{Connection, ConnectionCommand, INPUT_BYTES, NodeSocket, ended_by};
 use crate::broker::Report;
 use crate::clock;
 use crate::memory::{AccountOwner, Purpose};
 use crate::net::Buffer;
-use crate::net::exchange::Progress;
+use crate::net::exchange::{EndedBy, Progress};
 use std::io;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
@@ -78,15 +78,26 @@
 }
 
 impl Connection {
-    /// Writes orders and reads answers until the connection breaks, is idle or its node is gone.
+    /// Writes orders and reads answers until the connection breaks, is idle or its node is gone. One that is given up here
+    /// ends with a reset where not all was sent: an ordinary end would lie behind that, and its node might work on.
     pub(super) async fn serve(&mut self, socket: NodeSocket, output: &mut Buffer) -> io::Result<()> {
+        let result = self.exchange_messages(&socket, output).await;
+        let given_up = result.is_err() && ended_by(&result) == EndedBy::Front;
+        if given_up && socket.sent(output.taken()) < output.taken() {
+            socket.reset_when_dropped();
+        }
+        result
+    }
+
+    /// The loop: commands, writes, answers and timers, until the connection ends.
+    async fn exchange_messages(&mut self, socket: &NodeSocket, output: &mut Buffer) -> io::Result<()> {
         let account = AccountOwner::of(Purpose::Partial);
         let mut input = Buffer::new(INPUT_BYTES, self.context.memory.empty(account));
         let mut idle_at = clock::now() + self.context.limits.idle;
         let mut timers = AnswerTimers::default();
         loop {
             self.handle_queued();
-            self.write_queued(&socket, output)?;
+            self.write_queued(socket, output)?;
             let is_idle = self.exchange.borrow().load() == 0;
             if !is_idle {
                 idle_at = clock::now() + self.context.limits.idle;
@@ -96,17 +107,17 @@
             timers.restart_while_memory_is_short(clock::now());
             let mut must_decode = timers.needs_memory();
             let waits = self.waits(&timers, output, is_idle.then_some(idle_at));
-            match waits.next(&mut self.queue, &socket).await {
+            match waits.next(&mut self.queue, socket).await {
                 Event::Command(command) => self.handle(command),
                 Event::RetryMemory | Event::CheckSent => {}
-                Event::Socket(ready) => match receive(&socket, ready?, &mut input)? {
+                Event::Socket(ready) => match receive(socket, ready?, &mut input)? {
                     Received::Bytes => must_decode = true,
                     Received::Nothing => {}
                     Received::End if is_idle => return Ok(()),
                     Received::End => return Err(io::ErrorKind::UnexpectedEof.into()),
                 },
                 Event::AnswerStalled => return Err(invalid_data("an answer that stopped short")),
-                Event::CancelOverdue => return Err(reset(&socket)),
+                Event::CancelOverdue => return Err(reset(socket)),
                 Event::Idle => return Ok(()),
             }
             if must_decode {
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -355,6 +355,23 @@
     (listener, stream)
 }
 
+/// Guards against two attempts out for one request where its connection is closed here for a spoilt answer: the node hears
+/// of that at once, though it reads nothing of what was sent before.
+#[test]
+fn a_connection_that_is_closed_here_ends_at_once_at_a_node_with_a_closed_window() {
+    pooled(LIMITS, |send, mut reported| async move {
+        let (_listener, stream) = closed_window(&send, &mut reported).await;
+        let answer = b"an answer of no use\r\n";
+        assert_eq!(stream.try_write(answer).unwrap(), answer.len());
+        for _ in 0..2 {
+            let Some(Report::Abandoned { outcome, .. }) = reported.recv().await else { panic!() };
+            assert_eq!(outcome, Outcome::Reset);
+        }
+        let error = stream.take_error().unwrap().map(|error| error.kind());
+        assert_eq!(error, Some(io::ErrorKind::ConnectionReset), "the node knows");
+    });
+}
+
 /// Gives the pool and its connections their turns, so that they have done what they can without waiting.
 async fn turns() {
     for _ in 0..20 {
