--- a/src/net/exchange/send.rs
+++ b/src/net/exchange/send.rs
@@ -17,8 +17,9 @@
 impl Exchange {
     /// Encodes the cancels that wait and, where the socket has taken all before, one order: the next that is still to be
     /// sent. No order goes behind a cancel that is not sent: it could not be sent before that either, and if the connection
-    /// is reset for the cancel, it would count as one that may have run. What is overdue, called off, or whose client has left goes no further. What there is no memory for waits on,
-    /// and can be taken back unsent. To be followed by a write and [`Exchange::written`].
+    /// is reset for the cancel, it would count as one that may have run. What is overdue, called off, or whose client has
+    /// left goes no further. What there is no memory for waits on, and can be taken back unsent. To be followed by a write
+    /// and [`Exchange::written`].
     pub fn encode(&mut self, now: f64, out: &mut Buffer, mut report: impl FnMut(Report)) {
         self.encoded = self.cancels.encode(self.encoded, out);
         while out.is_empty()
