--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -13,3 +13,4 @@
 mod retries;
 mod slow_start;
 mod sources;
+mod stalls;
