--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,23 +3,13 @@
 //! entry point, then the ordinary path (beliefs, exclusion probabilities, cost rule), then the guards.
 
 use crate::interface::*;
-use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, Sizes, fade, smooth};
+use crate::routing::{Beliefs, COUNTS, Exclusion, Pace, Pipe, Purges, STRETCHED, Sizes, fade, smooth};
 use crate::spread::*;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Tuned values: the mechanism ----
 
-/// Counts of positive beliefs that are told apart; more count as the last.
-const COUNTS: usize = 4;
-/// Outcomes in a window after which an exclusion probability is estimated anew.
-const WINDOW: u32 = 20;
-/// Weight of the newest window for ν (not believed, and absent) and π (believed, yet absent).
-const DELTA: [f64; 2] = [0.5, 0.25];
-/// ν and π before anything is known; ν is clamped to it once an epoch, so that speculative tries go on.
-const START: [f64; 2] = [0.8, 0.001];
-/// Length of that epoch (seconds).
-const EPOCH: f64 = 5.0;
 /// A belief older than this is dropped (seconds).
 const BELIEF_AGE: f64 = 30.0;
 /// Weight of one outcome in smoothed latencies.
@@ -103,14 +93,6 @@
 
 // ---- State ----
 
-/// One exclusion probability and its window.
-#[derive(Clone, Copy, Default)]
-struct Window {
-    value: f64,
-    asked: u32,
-    absent: u32,
-}
-
 /// A cache node as this director sees it.
 #[derive(Default)]
 struct Known {
@@ -205,9 +187,8 @@
     /// Answers that told a class's sending time, where sizes are untold, and who is refused by size.
     hits: Vec<f64>,
     sizes: Vec<Sizes>,
-    /// ν and π by count of beliefs, and the epoch of the last clamp of ν.
-    rho: [[Window; COUNTS]; 2],
-    epoch: i64,
+    /// How often caches lack what they are asked for.
+    exclusion: Exclusion,
     /// Fills that the origin answered, and all that are known to have come to it; fading, and when counted.
     origin_calls: [(f64, f64); 2],
     /// Answers that were lost, and those that came; fading, and when counted.
@@ -247,8 +228,7 @@
             hits: vec![0.0; work.len()],
             sizes: vec![Sizes::default(); work.len()],
             work,
-            rho: START.map(|value| [Window { value, asked: 0, absent: 0 }; COUNTS]),
-            epoch: 0,
+            exclusion: Exclusion::default(),
             origin_calls: [(0.0, 0.0); 2],
             losses: [(0.0, 0.0); 2],
             sibling_extra: BASE,
@@ -443,23 +423,6 @@
         holders
     }
 
-    /// Counts an outcome of a belief, or of a try without one; estimates anew when its window is full.
-    fn count(&mut self, now: f64, believed: bool, n: usize, absent: bool) {
-        let epoch = (now / EPOCH) as i64;
-        if epoch != self.epoch {
-            self.epoch = epoch;
-            self.rho[0].iter_mut().for_each(|nu| nu.value = nu.value.min(START[0]));
-        }
-        let kind = usize::from(believed);
-        let w = &mut self.rho[kind][n];
-        w.asked += 1;
-        w.absent += u32::from(absent);
-        if w.asked == WINDOW {
-            w.value += DELTA[kind] * (f64::from(w.absent) / f64::from(w.asked) - w.value);
-            (w.asked, w.absent) = (0, 0);
-        }
-    }
-
     // ---- Costs ----
 
     /// Sending time at full pace, from the size or else the class's mean.
@@ -524,14 +487,14 @@
             let spread = Some(node) != hashed && !believed;
             let signs = [known.blamed.is_some(), cold, spread, never_kept, count > 1, believed];
             let why = RoutingReason::first(signs);
-            let rho = self.rho[usize::from(believed)][n].value;
+            let absent = self.exclusion.chance(believed, n);
             let from_upper = upper.or((believed && !never_kept).then_some(node)).map(|source| {
-                (source, false, access + penalty * rho, access + if believed { 0.0 } else { penalty })
+                (source, false, access + penalty * absent, access + if believed { 0.0 } else { penalty })
             });
             let siblings = holders.iter().filter(|&&h| siblings && h != node && fit(h));
             let from_siblings = siblings.map(|s| {
                 let through = access + self.sibling_extra + sending * (self.pace(&self.nodes[s]) - 1.0);
-                (*s, true, through + penalty * rho * self.rho[1][n].value, through)
+                (*s, true, through + penalty * absent * self.exclusion.chance(true, n), through)
             });
             for (source, sibling, cost, latency) in from_upper.into_iter().chain(from_siblings) {
                 if best.is_none_or(|b| cost < b.cost) {
@@ -543,7 +506,7 @@
                         held_only,
                         n,
                         believed,
-                        absent: rho,
+                        absent,
                         cost,
                         why,
                         latency,
@@ -751,13 +714,13 @@
         let absent = filled || end.outcome == Outcome::Miss || lacked;
         // A timed-out, refused or failed attempt says nothing about content.
         if end.outcome == Outcome::Ok && hit || absent {
-            self.count(now, believed, n, absent);
+            self.exclusion.count(now, believed, n, absent);
         }
         if absent && end.outcome != Outcome::Ok {
             self.held.disbelieve(request.object, request.part, node);
         }
         if sibling && (lacked || filled) {
-            self.count(now, true, n, lacked);
+            self.exclusion.count(now, true, n, lacked);
             if lacked {
                 self.held.disbelieve(request.object, request.part, source);
             }
