--- a/tests/closing_crossings.rs
+++ b/tests/closing_crossings.rs
@@ -16,8 +16,6 @@
 const WHOLE: Duration = Duration::from_secs(2);
 /// A request that is not answered is open for longer than this.
 const OPEN_FOR: Duration = Duration::from_secs(2);
-/// A machine that is so late that a while is over says nothing; it has this many tries.
-const ROUNDS: u32 = 5;
 /// Descriptors of a front, and the clients that may be connected then: two fifths.
 const SOCKETS: usize = 64;
 const PLACES: usize = 25;
@@ -36,33 +34,6 @@
 /// Answers of the largest size that the system takes of a front, at most.
 const ANSWERS_MOST: u64 = 100;
 
-/// The states of a process that waits for events, and of one that is stopped (proc_pid_stat(5)).
-const SLEEPING: char = 'S';
-const STOPPED: char = 'T';
-
-/// Lets events come to the front while it stands still.
-fn at_once<T>(node: &Node, events: impl FnOnce() -> T) -> T {
-    eventually("the front waits for events", || state(node) == SLEEPING);
-    node.signal("-STOP");
-    eventually("the front stands still", || state(node) == STOPPED);
-    let came = events();
-    node.signal("-CONT");
-    came
-}
-
-/// The state of the front's process.
-fn state(node: &Node) -> char {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.child.id())).unwrap();
-    let (_, behind_the_name) = stat.rsplit_once(") ").unwrap();
-    behind_the_name.chars().next().unwrap()
-}
-
-/// Plays again where the machine was too late, which the play tells by `None`.
-fn in_time(mut play: impl FnMut(&str) -> Option<()>) {
-    let in_time = (0..ROUNDS).any(|round| play(&format!("round-{round}")).is_some());
-    assert!(in_time, "{ROUNDS} rounds were late");
-}
-
 /// A front whose memory is scarce from its first idle connection on.
 fn scarce(name: &str) -> (Node, Receiver<Served>) {
     let (node, served) = one_cache(name);
--- a/tests/policy/stalls.rs
+++ b/tests/policy/stalls.rs
@@ -99,6 +99,13 @@
         self.take(actions);
     }
 
+    /// The client's time is up so long after the attempt was sent.
+    fn times_out(&mut self, sent: Sent, took: f64) {
+        self.stage.now -= took;
+        let actions = self.stage.end(sent, 0, Outcome::TimedOut, Note::None, took);
+        self.take(actions);
+    }
+
     /// The withdrawn attempts have ended.
     fn withdrawn_end(&mut self, out: &[Sent]) {
         let withdrawn: Vec<Sent> = out.iter().copied().filter(|sent| self.is_withdrawn(sent)).collect();
@@ -196,3 +203,46 @@
     let withdrawn = out.iter().filter(|sent| s.is_withdrawn(sent)).count();
     assert_eq!((withdrawn, s.refused_of(100, LATER)), (0, 0), "withdrawn, and refused later");
 }
+
+/// Guards health and the origin's record where clients' times run out while the front stands still.
+#[test]
+fn times_that_run_out_while_the_front_stands_still_blame_nobody() {
+    let mut s = stage(&[edge(10), origin(30)]);
+    s.stage.patience = SILENCE / 2.0;
+    let out = s.fetch_unknown(1, OUT);
+    s.stage.patience = 5.0;
+    s.stands_still(SILENCE);
+    for sent in &out {
+        s.times_out(*sent, SILENCE);
+    }
+    assert_eq!(s.refused_of(100, LATER), 0);
+}
+
+/// What waits for a moment after a silence does not wait where there was none.
+#[test]
+fn a_lost_answer_is_noticed_at_once_where_its_node_was_never_silent() {
+    let mut s = stage(&[edge(10), origin(30)]);
+    let lost = s.fetch(1);
+    let due = s.next_alarm().expect("it is looked at");
+    while s.stage.now < due {
+        let other = s.fetch(2);
+        s.pass(BEHIND);
+        s.end(other, 0, Outcome::Ok, Note::Hit);
+    }
+    assert!(s.is_withdrawn(&lost), "{:?}", s.actions);
+}
+
+/// Nor does it wait for ever where each answer ends a silence, and the front is too busy to look before the next.
+#[test]
+fn a_lost_answer_is_noticed_though_each_answer_ends_a_silence() {
+    let mut s = stage(&[edge(10), origin(30)]);
+    let lost = s.fetch(1);
+    let begun = s.stage.now;
+    while !s.is_withdrawn(&lost) {
+        assert!(s.stage.now < begun + 1.0, "waited for too long");
+        let other = s.fetch(2);
+        s.stage.now += 2.0 * BEHIND + 0.1;
+        s.end(other, 0, Outcome::Ok, Note::Hit);
+        s.alarms_go_off();
+    }
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -369,3 +369,32 @@
 pub fn same(text: String) -> String {
     text
 }
+
+/// The states of a process that waits for events, and of one that is stopped (proc_pid_stat(5)).
+const SLEEPING: char = 'S';
+const STOPPED: char = 'T';
+/// A machine that is so late that a while is over says nothing; it has this many tries.
+const ROUNDS: u32 = 5;
+
+/// Lets events come to the front while it stands still.
+pub fn at_once<T>(node: &Node, events: impl FnOnce() -> T) -> T {
+    eventually("the front waits for events", || state(node) == SLEEPING);
+    node.signal("-STOP");
+    eventually("the front stands still", || state(node) == STOPPED);
+    let came = events();
+    node.signal("-CONT");
+    came
+}
+
+/// The state of the front's process.
+fn state(node: &Node) -> char {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.child.id())).unwrap();
+    let (_, behind_the_name) = stat.rsplit_once(") ").unwrap();
+    behind_the_name.chars().next().unwrap()
+}
+
+/// Plays again where the machine was too late, which the play tells by `None`.
+pub fn in_time(mut play: impl FnMut(&str) -> Option<()>) {
+    let in_time = (0..ROUNDS).any(|round| play(&format!("round-{round}")).is_some());
+    assert!(in_time, "{ROUNDS} rounds were late");
+}
