Hold no answer for lost, and no source for silent, while a silent node catches up

Callers saw 'full' for a share of requests right after a cache node (or the machine) stood still for 0.3 s and more. Cause: several answers come at once then, and the first to be read counts as one to a later request, so that those asked for before were held for lost, or their source for silent: withdrawn, the origin blamed, which was perhaps never asked, and what no cache is believed to hold refused. Now an answer that ends a silence of its node (attempts out, nothing heard for RECHECK, 0.1 s) puts off verdicts on its attempts by RECHECK, three times an attempt at most. Where the node was not silent nothing waits longer. The bookkeeping is src/routing/silence.rs.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,9 @@
 //! entry point, then the ordinary path (beliefs, exclusion probabilities, cost rule), then the guards.
 
 use crate::interface::*;
-use crate::routing::{Beliefs, COUNTS, Exclusion, Pace, Pipe, Purges, STRETCHED, Sizes, fade, smooth};
+use crate::routing::{
+    Beliefs, COUNTS, Exclusion, Hearing, Pace, Pipe, Purges, RECHECK, STRETCHED, Sizes, fade, smooth,
+};
 use crate::spread::*;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
@@ -58,8 +60,8 @@
 /// full; where none is (none of 13,000 good answers took so long); and at a first attempt while answers get
 /// lost, where a hit is expected of its latency (0.1 to 0.3% of good ones take so long).
 const LOST: [(f64, f64); 3] = [(2.0, 0.3), (1.5, 0.1), (1.25, 0.08)];
-/// An answer that may be lost is looked at again after this, until its node has answered another (seconds).
-const RECHECK: f64 = 0.1;
+/// So often a verdict waits by `RECHECK` for what a silence held up: no lost answer waits for ever.
+const SPARED_MOST: u8 = 3;
 /// Answers get lost where more than this share of them was lately.
 const LOSING: f64 = 0.005;
 /// Timers are set for the time at which something is due, and may fire this much before it (seconds).
@@ -109,7 +111,7 @@
     pace: Pace,
     /// What this director sent it lately.
     own: Share,
-    last_answer: f64,
+    hearing: Hearing,
     /// When the newest attempt went that it has answered.
     answered: f64,
     /// When it was last listed.
@@ -126,6 +128,8 @@
 struct Attempt {
     choice: Choice,
     sent_at: f64,
+    /// How often a verdict on it was put off for a silence.
+    spared: u8,
     /// Transfers of all directors at the node, and over the zone's link, when it went.
     then: (f64, f64),
     out: bool,
@@ -589,15 +593,15 @@
         let sending = self.sending(&request);
         if let Some(k) = self.nodes.get_mut(&node) {
             k.own.sent(now, sending);
+            k.hearing.sent(now);
         }
         let then = (self.transfers(&self.nodes[&node]), self.fills());
         let attempt = Attempt { choice, sent_at: now, then, out: true, ..Attempt::default() };
         let Some(open) = self.open.get_mut(&id) else { return };
         open.attempts.push(attempt);
-        let token = u64::from(id.0) << 16 | (open.attempts.len() - 1) as u64;
-        let number = self.open[&id].attempts.len() - 1;
+        let number = open.attempts.len() - 1;
         let after = (PATIENCE.0 * choice.latency + PATIENCE.1).min(self.lost_after(now, &choice, number));
-        actions.push(Action::Alarm { token, after });
+        actions.push(Action::Alarm { token: u64::from(id.0) << 16 | number as u64, after });
     }
 
     /// Counts an attempt in (1, with its class mean) or out (-1, with the work done) at the links it uses.
@@ -694,6 +698,9 @@
         self.book(now, &seen.choice, -1.0, done);
         self.learn(now, &request, &seen, &end);
         let blame = self.health(now, id, &seen, &end);
+        if let Some(k) = self.nodes.get_mut(&seen.choice.node) {
+            k.hearing.ended();
+        }
         let Some(open) = self.open.get_mut(&id) else { return };
         open.avoid.extend(blame);
         if end.done || open.done {
@@ -793,8 +800,9 @@
         let answered = matches!(end.outcome, Outcome::Ok | Outcome::Miss | Outcome::Full | Outcome::Error);
         for (who, yes) in [(node, answered), (source, filled)] {
             if let Some(k) = self.nodes.get_mut(&who).filter(|_| yes) {
-                (k.last_answer, k.strikes, k.blamed) = (now, 0, None);
+                (k.strikes, k.blamed) = (0, None);
                 k.answered = k.answered.max(seen.sent_at);
+                k.hearing.heard(now);
                 self.last_answer = now;
             }
         }
@@ -844,7 +852,7 @@
         // Silence is held against a node only if others answered meanwhile: a stall of everything is not.
         let Choice { node, source, believed, .. } = a.choice;
         let others = self.last_answer > a.sent_at;
-        let silent = |id| others && self.nodes.get(&id).is_some_and(|k| k.last_answer <= a.sent_at);
+        let silent = |id| others && self.nodes.get(&id).is_some_and(|k| k.hearing.last_answer() <= a.sent_at);
         let suspects = [Some(node), Some(source).filter(|_| !believed)];
         let patient = a.sent_at + PATIENCE.0 * a.choice.latency + PATIENCE.1;
         let guilty = suspects.into_iter().flatten().find(|&id| now + EARLY > patient && silent(id));
@@ -856,6 +864,14 @@
             let next = [due, patient].into_iter().filter(|&at| at > now + EARLY).reduce(f64::min);
             return actions.push(Action::Alarm { token, after: next.map_or(RECHECK, |at| at - now) });
         }
+        // What a silence held up comes together behind it: who is late then is not to blame.
+        let after = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at()) - now;
+        if after > EARLY && a.spared < SPARED_MOST {
+            if let Some(open) = self.open.get_mut(&id) {
+                open.attempts[number].spared += 1;
+            }
+            return actions.push(Action::Alarm { token, after });
+        }
         self.losses[0] = (self.losses[0].0 * fade(self.losses[0].1, now) + f64::from(u8::from(lost)), now);
         if let Some(k) = guilty.and_then(|g| self.nodes.get_mut(&g)) {
             k.blame(now);
@@ -933,16 +949,7 @@
 impl Known {
     fn new(info: Node, me: u16) -> Self {
         let (never, pace) = (f64::MIN, Pace::new(unit(info.id.0, u64::from(me))));
-        Known {
-            info,
-            lag: BASE,
-            pace,
-            size: 1.0,
-            last_answer: never,
-            answered: never,
-            struck: never,
-            ..Known::default()
-        }
+        Known { info, lag: BASE, pace, size: 1.0, answered: never, struck: never, ..Known::default() }
     }
 
     /// What fills from it take beyond hits, as far as that still counts: a jam long ago is no jam now.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,10 +4,12 @@
 mod exclusion;
 mod load;
 mod purges;
+mod silence;
 mod sizes;
 
 pub use beliefs::Beliefs;
 pub use exclusion::{COUNTS, Exclusion};
 pub use load::{Pace, Pipe, STRETCHED, fade, smooth};
 pub use purges::Purges;
+pub use silence::{Hearing, RECHECK};
 pub use sizes::Sizes;
