Give no verdict on what came while the front itself stood still

Callers saw 'full' after a front (or its machine) had stood still for 0.4 s and more, though every answer lay in its sockets. Cause: its timers fire before what came meanwhile is read; a cache that owed answers, while another had answered since they were asked for, was taken for silent and blamed, its attempts withdrawn. Now a timer that ends 0.1 s without any event, and fires more than 10 ms after it was due, tells of a standstill, and verdicts wait for RECHECK behind it. A quiet front whose timers are in time waits no longer. Where another event than a timer ends the quiet, nothing is put off: without_leave_to_duplicate_the_next_attempt_waits_for_the_cancelled_one asks for a verdict right behind an answer that ends 0.5 s of quiet, and is kept.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,8 @@
 
 use crate::interface::*;
 use crate::routing::{
-    Beliefs, COUNTS, Exclusion, Hearing, Pace, Pipe, Purges, RECHECK, STRETCHED, Sizes, fade, smooth,
+    Beliefs, COUNTS, Exclusion, Hearing, Pace, Pipe, Purges, RECHECK, STRETCHED, Sizes, Standstill, fade,
+    smooth,
 };
 use crate::spread::*;
 use rustc_hash::FxHashMap;
@@ -128,7 +129,8 @@
 struct Attempt {
     choice: Choice,
     sent_at: f64,
-    /// How often a verdict on it was put off for a silence.
+    /// When it is looked at next, and how often that was put off for a silence.
+    look_at: f64,
     spared: u8,
     /// Transfers of all directors at the node, and over the zone's link, when it went.
     then: (f64, f64),
@@ -204,6 +206,8 @@
     caches: Pipe,
     above: Pipe,
     last_answer: f64,
+    /// Whether this front stood still.
+    standstill: Standstill,
 }
 
 impl Director {
@@ -240,6 +244,7 @@
             caches: Pipe::new(LINK_GUESS, false),
             above: Pipe::default(),
             last_answer: 0.0,
+            standstill: Standstill::default(),
         }
     }
 
@@ -277,6 +282,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        self.standstill.event(now, matches!(event, Event::Alarm { .. }));
         match event {
             Event::List { kind, nodes } => self.list(now, kind, &nodes, actions),
             Event::Request(request) => {
@@ -601,6 +607,14 @@
         open.attempts.push(attempt);
         let number = open.attempts.len() - 1;
         let after = (PATIENCE.0 * choice.latency + PATIENCE.1).min(self.lost_after(now, &choice, number));
+        self.look_again(now, id, number, after, actions);
+    }
+
+    /// Has an attempt looked at after so long.
+    fn look_again(&mut self, now: f64, id: RequestId, number: usize, after: f64, actions: &mut Vec<Action>) {
+        if let Some(a) = self.open.get_mut(&id).and_then(|open| open.attempts.get_mut(number)) {
+            a.look_at = now + after;
+        }
         actions.push(Action::Alarm { token: u64::from(id.0) << 16 | number as u64, after });
     }
 
@@ -841,14 +855,21 @@
         LOST[mode].0 * expected + LOST[mode].1
     }
 
+    /// When what a silence of this node or a standstill of this front held up has come.
+    fn caught_up_at(&self, node: NodeId) -> f64 {
+        let heard = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at());
+        heard.max(self.standstill.caught_up_at())
+    }
+
     /// A look at an attempt that takes longer than expected.
     fn look(&mut self, now: f64, token: u64, actions: &mut Vec<Action>) {
         let (id, number) = (RequestId((token >> 16) as u32), (token & 0xffff) as usize);
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         let class = usize::from(open.request.class.0);
-        let Some(a) = open.attempts.get(number).filter(|a| a.out && !a.streaming && !a.cancelled) else {
+        let Some(&a) = open.attempts.get(number).filter(|a| a.out && !a.streaming && !a.cancelled) else {
             return;
         };
+        self.standstill.timer(a.look_at);
         // Silence is held against a node only if others answered meanwhile: a stall of everything is not.
         let Choice { node, source, believed, .. } = a.choice;
         let others = self.last_answer > a.sent_at;
@@ -862,15 +883,16 @@
         let lost = now + EARLY > due && self.nodes.get(&node).is_some_and(|k| k.answered > a.sent_at);
         if guilty.is_none() && !lost {
             let next = [due, patient].into_iter().filter(|&at| at > now + EARLY).reduce(f64::min);
-            return actions.push(Action::Alarm { token, after: next.map_or(RECHECK, |at| at - now) });
+            let after = next.map_or(RECHECK, |at| at - now);
+            return self.look_again(now, id, number, after, actions);
         }
         // What a silence held up comes together behind it: who is late then is not to blame.
-        let after = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at()) - now;
+        let after = self.caught_up_at(node) - now;
         if after > EARLY && a.spared < SPARED_MOST {
             if let Some(open) = self.open.get_mut(&id) {
                 open.attempts[number].spared += 1;
             }
-            return actions.push(Action::Alarm { token, after });
+            return self.look_again(now, id, number, after, actions);
         }
         self.losses[0] = (self.losses[0].0 * fade(self.losses[0].1, now) + f64::from(u8::from(lost)), now);
         if let Some(k) = guilty.and_then(|g| self.nodes.get_mut(&g)) {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,5 +11,5 @@
 pub use exclusion::{COUNTS, Exclusion};
 pub use load::{Pace, Pipe, STRETCHED, fade, smooth};
 pub use purges::Purges;
-pub use silence::{Hearing, RECHECK};
+pub use silence::{Hearing, RECHECK, Standstill};
 pub use sizes::Sizes;
--- a/src/routing/silence.rs
+++ b/src/routing/silence.rs
@@ -1,9 +1,13 @@
-//! Times in which nothing is heard of a node. Answers that were held up in one come together behind it, in any order;
-//! for a moment their lateness says nothing.
+//! Times in which nothing is heard of a node, or in which the front itself stood still. Answers that were held up in
+//! one come together behind it, in any order; for a moment their lateness says nothing.
 
 /// An answer that may be lost is looked at again after this. Where answers are waited for and none came for as long,
 /// there was a silence, and what it held up comes within as long behind it (seconds).
 pub const RECHECK: f64 = 0.1;
+/// A timer that fires later than this, though nothing else kept the front busy, tells that the front stood still
+/// (seconds).
+const TIMER_LATE: f64 = RECHECK / 10.0;
+
 /// When a node was heard.
 #[derive(Clone, Copy)]
 pub struct Hearing {
@@ -55,6 +59,44 @@
     }
 }
 
+/// Whether the front itself stood still: nothing at all was handled for a while, in which a timer was due.
+#[derive(Clone, Copy)]
+pub struct Standstill {
+    last_event: f64,
+    /// When a timer last ended such a while: after a standstill timers fire before anything that came meanwhile is read.
+    woke: f64,
+    /// The same, where the timer should have fired earlier.
+    ended: f64,
+}
+
+impl Default for Standstill {
+    fn default() -> Self {
+        Standstill { last_event: f64::MIN, woke: f64::MIN, ended: f64::MIN }
+    }
+}
+
+impl Standstill {
+    /// Something is handled; `timer` says that it is a timer that fires.
+    pub fn event(&mut self, now: f64, timer: bool) {
+        if timer && now - self.last_event >= RECHECK {
+            self.woke = now;
+        }
+        self.last_event = now;
+    }
+
+    /// The timer that fires was due then.
+    pub fn timer(&mut self, due: f64) {
+        if self.woke > due + TIMER_LATE {
+            self.ended = self.woke;
+        }
+    }
+
+    /// When what the last standstill held up has been read.
+    pub fn caught_up_at(&self) -> f64 {
+        self.ended + RECHECK
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -77,4 +119,23 @@
         hearing.heard(106.45);
         assert_eq!(hearing.caught_up_at(), 106.4 + RECHECK, "right behind it is none");
     }
+
+    #[test]
+    fn a_standstill_is_a_late_timer_after_a_while_without_events() {
+        let mut standstill = Standstill::default();
+        standstill.event(100.0, false);
+        standstill.event(100.3, true);
+        standstill.timer(100.3);
+        assert!(standstill.caught_up_at() < 100.0, "quiet, and the timer in time");
+        for i in 1..=40 {
+            standstill.event(100.3 + f64::from(i) / 100.0, false);
+        }
+        standstill.event(100.7, true);
+        standstill.timer(100.5);
+        assert!(standstill.caught_up_at() < 100.0, "busy with other events");
+        standstill.event(101.2, true);
+        standstill.event(101.201, true);
+        standstill.timer(100.9);
+        assert_eq!(standstill.caught_up_at(), 101.2 + RECHECK);
+    }
 }
