Blame nobody for a client's time that ran out while the front stood still

Callers saw 'full' (20 of 20 in the test) after six clients' times had run out while the front stood still. Cause: a time-out counts against the node and, for what it is not believed to hold, as a failure of the origin, though the answers may lie unread. Now a time-out that comes right behind a standstill counts against nobody.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -791,8 +791,9 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledFromOrigin);
         let Choice { node, source, held_only, believed, .. } = seen.choice;
         let told = self.settings.notes == Notes::All;
-        // Nor does one that was given no time: a client's short wait must not cost a node its health.
-        let early = end.outcome == Outcome::TimedOut && end.took < seen.choice.latency;
+        // Nor does one that was given no time, by a client's short wait or a standstill of this front.
+        let unread = end.took < seen.choice.latency || now < self.standstill.caught_up_at();
+        let early = end.outcome == Outcome::TimedOut && unread;
         if early || seen.dropped && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
             return None;
         }
