--- a/src/brain.rs
+++ b/src/brain.rs
@@ -599,7 +599,7 @@
         let sending = self.sending(&request);
         if let Some(k) = self.nodes.get_mut(&node) {
             k.own.sent(now, sending);
-            k.hearing.sent(now);
+            k.hearing.sent(now + choice.latency);
         }
         let then = (self.transfers(&self.nodes[&node]), self.fills());
         let attempt = Attempt { choice, sent_at: now, then, out: true, ..Attempt::default() };
@@ -713,7 +713,7 @@
         self.learn(now, &request, &seen, &end);
         let blame = self.health(now, id, &seen, &end);
         if let Some(k) = self.nodes.get_mut(&seen.choice.node) {
-            k.hearing.ended();
+            k.hearing.ended(seen.sent_at + seen.choice.latency);
         }
         let Some(open) = self.open.get_mut(&id) else { return };
         open.avoid.extend(blame);
@@ -856,9 +856,9 @@
         LOST[mode].0 * expected + LOST[mode].1
     }
 
-    /// When what a silence of this node or a standstill of this front held up has come.
-    fn caught_up_at(&self, node: NodeId) -> f64 {
-        let heard = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at());
+    /// When what a silence of this node, or a standstill of this front, held up of what was due then has come.
+    fn caught_up_at(&self, node: NodeId, due: f64) -> f64 {
+        let heard = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at(due));
         heard.max(self.standstill.caught_up_at())
     }
 
@@ -888,7 +888,7 @@
             return self.look_again(now, id, number, after, actions);
         }
         // What a silence held up comes together behind it: who is late then is not to blame.
-        let after = self.caught_up_at(node) - now;
+        let after = self.caught_up_at(node, if lost { due } else { patient }) - now;
         if after > EARLY && a.spared < SPARED_MOST {
             if let Some(open) = self.open.get_mut(&id) {
                 open.attempts[number].spared += 1;
--- a/src/routing/silence.rs
+++ b/src/routing/silence.rs
@@ -9,11 +9,9 @@
 const TIMER_LATE: f64 = RECHECK / 10.0;
 
 /// When a node was heard.
-#[derive(Clone, Copy)]
 pub struct Hearing {
-    /// Attempts that are out, and since when there are any.
-    out: u32,
-    waits_since: f64,
+    /// When the answers to the attempts that are out are expected.
+    expected: Vec<f64>,
     last_answer: f64,
     /// When the newest answer came that ended a silence.
     resumed: f64,
@@ -21,31 +19,31 @@
 
 impl Default for Hearing {
     fn default() -> Self {
-        Hearing { out: 0, waits_since: f64::MIN, last_answer: f64::MIN, resumed: f64::MIN }
+        Hearing { expected: Vec::new(), last_answer: f64::MIN, resumed: f64::MIN }
     }
 }
 
 impl Hearing {
-    /// An attempt goes out.
-    pub fn sent(&mut self, now: f64) {
-        if self.out == 0 {
-            self.waits_since = now;
-        }
-        self.out += 1;
+    /// An attempt goes out, whose answer is expected then.
+    pub fn sent(&mut self, expected: f64) {
+        self.expected.push(expected);
     }
 
-    /// An answer came.
+    /// An answer came. It ends a silence if one was overdue for a while and nothing was heard.
     pub fn heard(&mut self, now: f64) {
-        let quiet_since = self.last_answer.max(self.waits_since);
-        if self.out > 0 && now - quiet_since >= RECHECK {
+        let overdue_since = self.expected.iter().copied().reduce(f64::min);
+        if overdue_since.is_some_and(|since| now - since.max(self.last_answer) >= RECHECK) {
             self.resumed = now;
         }
         self.last_answer = now;
     }
 
-    /// An attempt has ended, whether by an answer, of which [`Hearing::heard`] is told before, or without.
-    pub fn ended(&mut self) {
-        self.out = self.out.saturating_sub(1);
+    /// An attempt has ended whose answer was expected then, whether by an answer, of which [`Hearing::heard`] is told before,
+    /// or without.
+    pub fn ended(&mut self, expected: f64) {
+        if let Some(place) = self.expected.iter().position(|&at| at == expected) {
+            self.expected.swap_remove(place);
+        }
     }
 
     /// When the last answer came; `f64::MIN` where none did.
@@ -53,9 +51,9 @@
         self.last_answer
     }
 
-    /// When what the last silence held up has come.
-    pub fn caught_up_at(&self) -> f64 {
-        self.resumed + RECHECK
+    /// When what the last silence held up has come, if that may be an answer that was due then.
+    pub fn caught_up_at(&self, due: f64) -> f64 {
+        if due <= self.resumed { self.resumed + RECHECK } else { f64::MIN }
     }
 }
 
@@ -104,20 +102,26 @@
     #[test]
     fn a_silence_is_one_only_while_answers_are_waited_for() {
         let mut hearing = Hearing::default();
-        hearing.sent(100.0);
-        hearing.heard(100.05);
-        hearing.ended();
-        assert!(hearing.caught_up_at() < 100.0, "it was quick");
-        hearing.sent(105.0);
-        hearing.heard(105.05);
-        hearing.ended();
-        assert!(hearing.caught_up_at() < 100.0, "nobody waited before");
-        hearing.sent(106.0);
-        hearing.sent(106.35);
-        hearing.heard(106.4);
-        assert_eq!(hearing.caught_up_at(), 106.4 + RECHECK, "the first was waited for since 106");
+        hearing.sent(100.05);
+        hearing.heard(100.06);
+        hearing.ended(100.05);
+        assert!(hearing.caught_up_at(100.0) < 100.0, "it was quick");
+        hearing.sent(105.05);
+        hearing.heard(105.06);
+        hearing.ended(105.05);
+        assert!(hearing.caught_up_at(105.0) < 100.0, "nobody waited before");
+        hearing.sent(105.9);
+        hearing.heard(105.9);
+        hearing.ended(105.9);
+        assert!(hearing.caught_up_at(105.0) < 100.0, "it was expected to be slow");
+        hearing.sent(106.05);
+        hearing.sent(106.4);
+        hearing.heard(106.41);
+        assert_eq!(hearing.caught_up_at(106.2), 106.41 + RECHECK, "the first was waited for since 106.05");
+        assert!(hearing.caught_up_at(106.45) < 100.0, "not due in the silence");
+        hearing.ended(106.4);
         hearing.heard(106.45);
-        assert_eq!(hearing.caught_up_at(), 106.4 + RECHECK, "right behind it is none");
+        assert_eq!(hearing.caught_up_at(106.2), 106.41 + RECHECK, "right behind it is none");
     }
 
     #[test]
