--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,23 +3,16 @@
 //! entry point, then the ordinary path (beliefs, exclusion probabilities, cost rule), then the guards.
 
 use crate::interface::*;
-use crate::routing::{Beliefs, Pace, Pipe, Purges, STRETCHED, Sizes, fade, smooth};
+use crate::routing::{
+    Beliefs, COUNTS, Exclusion, Hearing, Pace, Pipe, Purges, RECHECK, STRETCHED, Sizes, Standstill, fade,
+    smooth,
+};
 use crate::spread::*;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Tuned values: the mechanism ----
 
-/// Counts of positive beliefs that are told apart; more count as the last.
-const COUNTS: usize = 4;
-/// Outcomes in a window after which an exclusion probability is estimated anew.
-const WINDOW: u32 = 20;
-/// Weight of the newest window for ν (not believed, and absent) and π (believed, yet absent).
-const DELTA: [f64; 2] = [0.5, 0.25];
-/// ν and π before anything is known; ν is clamped to it once an epoch, so that speculative tries go on.
-const START: [f64; 2] = [0.8, 0.001];
-/// Length of that epoch (seconds).
-const EPOCH: f64 = 5.0;
 /// A belief older than this is dropped (seconds).
 const BELIEF_AGE: f64 = 30.0;
 /// Weight of one outcome in smoothed latencies.
@@ -68,8 +61,8 @@
 /// full; where none is (none of 13,000 good answers took so long); and at a first attempt while answers get
 /// lost, where a hit is expected of its latency (0.1 to 0.3% of good ones take so long).
 const LOST: [(f64, f64); 3] = [(2.0, 0.3), (1.5, 0.1), (1.25, 0.08)];
-/// An answer that may be lost is looked at again after this, until its node has answered another (seconds).
-const RECHECK: f64 = 0.1;
+/// So often a verdict waits by `RECHECK` for what a silence held up: no lost answer waits for ever.
+const SPARED_MOST: u8 = 3;
 /// Answers get lost where more than this share of them was lately.
 const LOSING: f64 = 0.005;
 /// Timers are set for the time at which something is due, and may fire this much before it (seconds).
@@ -103,14 +96,6 @@
 
 // ---- State ----
 
-/// One exclusion probability and its window.
-#[derive(Clone, Copy, Default)]
-struct Window {
-    value: f64,
-    asked: u32,
-    absent: u32,
-}
-
 /// A cache node as this director sees it.
 #[derive(Default)]
 struct Known {
@@ -127,7 +112,7 @@
     pace: Pace,
     /// What this director sent it lately.
     own: Share,
-    last_answer: f64,
+    hearing: Hearing,
     /// When the newest attempt went that it has answered.
     answered: f64,
     /// When it was last listed.
@@ -144,6 +129,9 @@
 struct Attempt {
     choice: Choice,
     sent_at: f64,
+    /// When it is looked at next, and how often that was put off for a silence.
+    look_at: f64,
+    spared: u8,
     /// Transfers of all directors at the node, and over the zone's link, when it went.
     then: (f64, f64),
     out: bool,
@@ -205,9 +193,8 @@
     /// Answers that told a class's sending time, where sizes are untold, and who is refused by size.
     hits: Vec<f64>,
     sizes: Vec<Sizes>,
-    /// ν and π by count of beliefs, and the epoch of the last clamp of ν.
-    rho: [[Window; COUNTS]; 2],
-    epoch: i64,
+    /// How often caches lack what they are asked for.
+    exclusion: Exclusion,
     /// Fills that the origin answered, and all that are known to have come to it; fading, and when counted.
     origin_calls: [(f64, f64); 2],
     /// Answers that were lost, and those that came; fading, and when counted.
@@ -219,6 +206,8 @@
     caches: Pipe,
     above: Pipe,
     last_answer: f64,
+    /// Whether this front stood still.
+    standstill: Standstill,
 }
 
 impl Director {
@@ -247,8 +236,7 @@
             hits: vec![0.0; work.len()],
             sizes: vec![Sizes::default(); work.len()],
             work,
-            rho: START.map(|value| [Window { value, asked: 0, absent: 0 }; COUNTS]),
-            epoch: 0,
+            exclusion: Exclusion::default(),
             origin_calls: [(0.0, 0.0); 2],
             losses: [(0.0, 0.0); 2],
             sibling_extra: BASE,
@@ -256,6 +244,7 @@
             caches: Pipe::new(LINK_GUESS, false),
             above: Pipe::default(),
             last_answer: 0.0,
+            standstill: Standstill::default(),
         }
     }
 
@@ -293,6 +282,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        self.standstill.event(now, matches!(event, Event::Alarm { .. }));
         match event {
             Event::List { kind, nodes } => self.list(now, kind, &nodes, actions),
             Event::Request(request) => {
@@ -443,23 +433,6 @@
         holders
     }
 
-    /// Counts an outcome of a belief, or of a try without one; estimates anew when its window is full.
-    fn count(&mut self, now: f64, believed: bool, n: usize, absent: bool) {
-        let epoch = (now / EPOCH) as i64;
-        if epoch != self.epoch {
-            self.epoch = epoch;
-            self.rho[0].iter_mut().for_each(|nu| nu.value = nu.value.min(START[0]));
-        }
-        let kind = usize::from(believed);
-        let w = &mut self.rho[kind][n];
-        w.asked += 1;
-        w.absent += u32::from(absent);
-        if w.asked == WINDOW {
-            w.value += DELTA[kind] * (f64::from(w.absent) / f64::from(w.asked) - w.value);
-            (w.asked, w.absent) = (0, 0);
-        }
-    }
-
     // ---- Costs ----
 
     /// Sending time at full pace, from the size or else the class's mean.
@@ -524,14 +497,14 @@
             let spread = Some(node) != hashed && !believed;
             let signs = [known.blamed.is_some(), cold, spread, never_kept, count > 1, believed];
             let why = RoutingReason::first(signs);
-            let rho = self.rho[usize::from(believed)][n].value;
+            let absent = self.exclusion.chance(believed, n);
             let from_upper = upper.or((believed && !never_kept).then_some(node)).map(|source| {
-                (source, false, access + penalty * rho, access + if believed { 0.0 } else { penalty })
+                (source, false, access + penalty * absent, access + if believed { 0.0 } else { penalty })
             });
             let siblings = holders.iter().filter(|&&h| siblings && h != node && fit(h));
             let from_siblings = siblings.map(|s| {
                 let through = access + self.sibling_extra + sending * (self.pace(&self.nodes[s]) - 1.0);
-                (*s, true, through + penalty * rho * self.rho[1][n].value, through)
+                (*s, true, through + penalty * absent * self.exclusion.chance(true, n), through)
             });
             for (source, sibling, cost, latency) in from_upper.into_iter().chain(from_siblings) {
                 if best.is_none_or(|b| cost < b.cost) {
@@ -543,7 +516,7 @@
                         held_only,
                         n,
                         believed,
-                        absent: rho,
+                        absent,
                         cost,
                         why,
                         latency,
@@ -626,15 +599,23 @@
         let sending = self.sending(&request);
         if let Some(k) = self.nodes.get_mut(&node) {
             k.own.sent(now, sending);
+            k.hearing.sent(now + choice.latency);
         }
         let then = (self.transfers(&self.nodes[&node]), self.fills());
         let attempt = Attempt { choice, sent_at: now, then, out: true, ..Attempt::default() };
         let Some(open) = self.open.get_mut(&id) else { return };
         open.attempts.push(attempt);
-        let token = u64::from(id.0) << 16 | (open.attempts.len() - 1) as u64;
-        let number = self.open[&id].attempts.len() - 1;
+        let number = open.attempts.len() - 1;
         let after = (PATIENCE.0 * choice.latency + PATIENCE.1).min(self.lost_after(now, &choice, number));
-        actions.push(Action::Alarm { token, after });
+        self.look_again(now, id, number, after, actions);
+    }
+
+    /// Has an attempt looked at after so long.
+    fn look_again(&mut self, now: f64, id: RequestId, number: usize, after: f64, actions: &mut Vec<Action>) {
+        if let Some(a) = self.open.get_mut(&id).and_then(|open| open.attempts.get_mut(number)) {
+            a.look_at = now + after;
+        }
+        actions.push(Action::Alarm { token: u64::from(id.0) << 16 | number as u64, after });
     }
 
     /// Counts an attempt in (1, with its class mean) or out (-1, with the work done) at the links it uses.
@@ -731,6 +712,9 @@
         self.book(now, &seen.choice, -1.0, done);
         self.learn(now, &request, &seen, &end);
         let blame = self.health(now, id, &seen, &end);
+        if let Some(k) = self.nodes.get_mut(&seen.choice.node) {
+            k.hearing.ended(seen.sent_at + seen.choice.latency);
+        }
         let Some(open) = self.open.get_mut(&id) else { return };
         open.avoid.extend(blame);
         if end.done || open.done {
@@ -751,13 +735,13 @@
         let absent = filled || end.outcome == Outcome::Miss || lacked;
         // A timed-out, refused or failed attempt says nothing about content.
         if end.outcome == Outcome::Ok && hit || absent {
-            self.count(now, believed, n, absent);
+            self.exclusion.count(now, believed, n, absent);
         }
         if absent && end.outcome != Outcome::Ok {
             self.held.disbelieve(request.object, request.part, node);
         }
         if sibling && (lacked || filled) {
-            self.count(now, true, n, lacked);
+            self.exclusion.count(now, true, n, lacked);
             if lacked {
                 self.held.disbelieve(request.object, request.part, source);
             }
@@ -807,8 +791,9 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledFromOrigin);
         let Choice { node, source, held_only, believed, .. } = seen.choice;
         let told = self.settings.notes == Notes::All;
-        // Nor does one that was given no time: a client's short wait must not cost a node its health.
-        let early = end.outcome == Outcome::TimedOut && end.took < seen.choice.latency;
+        // Nor does one that was given no time, by a client's short wait or a standstill of this front.
+        let unread = end.took < seen.choice.latency || now < self.standstill.caught_up_at();
+        let early = end.outcome == Outcome::TimedOut && unread;
         if early || seen.dropped && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
             return None;
         }
@@ -830,8 +815,9 @@
         let answered = matches!(end.outcome, Outcome::Ok | Outcome::Miss | Outcome::Full | Outcome::Error);
         for (who, yes) in [(node, answered), (source, filled)] {
             if let Some(k) = self.nodes.get_mut(&who).filter(|_| yes) {
-                (k.last_answer, k.strikes, k.blamed) = (now, 0, None);
+                (k.strikes, k.blamed) = (0, None);
                 k.answered = k.answered.max(seen.sent_at);
+                k.hearing.heard(now);
                 self.last_answer = now;
             }
         }
@@ -870,18 +856,25 @@
         LOST[mode].0 * expected + LOST[mode].1
     }
 
+    /// When what a silence of this node, or a standstill of this front, held up of what was due then has come.
+    fn caught_up_at(&self, node: NodeId, due: f64) -> f64 {
+        let heard = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at(due));
+        heard.max(self.standstill.caught_up_at())
+    }
+
     /// A look at an attempt that takes longer than expected.
     fn look(&mut self, now: f64, token: u64, actions: &mut Vec<Action>) {
         let (id, number) = (RequestId((token >> 16) as u32), (token & 0xffff) as usize);
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         let class = usize::from(open.request.class.0);
-        let Some(a) = open.attempts.get(number).filter(|a| a.out && !a.streaming && !a.cancelled) else {
+        let Some(&a) = open.attempts.get(number).filter(|a| a.out && !a.streaming && !a.cancelled) else {
             return;
         };
+        self.standstill.timer(a.look_at);
         // Silence is held against a node only if others answered meanwhile: a stall of everything is not.
         let Choice { node, source, believed, .. } = a.choice;
         let others = self.last_answer > a.sent_at;
-        let silent = |id| others && self.nodes.get(&id).is_some_and(|k| k.last_answer <= a.sent_at);
+        let silent = |id| others && self.nodes.get(&id).is_some_and(|k| k.hearing.last_answer() <= a.sent_at);
         let suspects = [Some(node), Some(source).filter(|_| !believed)];
         let patient = a.sent_at + PATIENCE.0 * a.choice.latency + PATIENCE.1;
         let guilty = suspects.into_iter().flatten().find(|&id| now + EARLY > patient && silent(id));
@@ -891,7 +884,16 @@
         let lost = now + EARLY > due && self.nodes.get(&node).is_some_and(|k| k.answered > a.sent_at);
         if guilty.is_none() && !lost {
             let next = [due, patient].into_iter().filter(|&at| at > now + EARLY).reduce(f64::min);
-            return actions.push(Action::Alarm { token, after: next.map_or(RECHECK, |at| at - now) });
+            let after = next.map_or(RECHECK, |at| at - now);
+            return self.look_again(now, id, number, after, actions);
+        }
+        // What a silence held up comes together behind it: who is late then is not to blame.
+        let after = self.caught_up_at(node, if lost { due } else { patient }) - now;
+        if after > EARLY && a.spared < SPARED_MOST {
+            if let Some(open) = self.open.get_mut(&id) {
+                open.attempts[number].spared += 1;
+            }
+            return self.look_again(now, id, number, after, actions);
         }
         self.losses[0] = (self.losses[0].0 * fade(self.losses[0].1, now) + f64::from(u8::from(lost)), now);
         if let Some(k) = guilty.and_then(|g| self.nodes.get_mut(&g)) {
@@ -970,16 +972,7 @@
 impl Known {
     fn new(info: Node, me: u16) -> Self {
         let (never, pace) = (f64::MIN, Pace::new(unit(info.id.0, u64::from(me))));
-        Known {
-            info,
-            lag: BASE,
-            pace,
-            size: 1.0,
-            last_answer: never,
-            answered: never,
-            struck: never,
-            ..Known::default()
-        }
+        Known { info, lag: BASE, pace, size: 1.0, answered: never, struck: never, ..Known::default() }
     }
 
     /// What fills from it take beyond hits, as far as that still counts: a jam long ago is no jam now.
--- a/src/net/pool/connection.rs
+++ b/src/net/pool/connection.rs
@@ -3,7 +3,6 @@
 mod answer_timers;
 mod node_socket;
 mod serve;
-mod transmission;
 
 use super::Limits;
 use crate::broker::{Order, Report, Ticket};
--- a/src/net/pool/connection/node_socket.rs
+++ b/src/net/pool/connection/node_socket.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection to a cache node, which tells how many of its bytes have reached the node's system.
 
-use super::transmission::Transmission;
+use crate::net::tcp_info::TcpInfo;
 use std::cell::Cell;
 use std::ops::Deref;
 use tokio::net::TcpStream;
@@ -24,14 +24,14 @@
     /// is not waited for: a healthy system delays it by up to 40 ms, whereas it tells at once that it dropped something.
     pub(super) fn sent(&self, written: u64) -> u64 {
         // Where the system does not tell, all that was written counts as sent.
-        let Some(transmission) = Transmission::of(&self.stream) else { return written };
-        let lacks_some = transmission.is_dropped() || self.awaits_acknowledgement.get();
-        let awaits_acknowledgement = lacks_some && !transmission.is_acknowledged();
+        let Some(info) = TcpInfo::of(&self.stream) else { return written };
+        let lacks_some = info.is_dropped() || self.awaits_acknowledgement.get();
+        let awaits_acknowledgement = lacks_some && info.has_unacknowledged();
         self.awaits_acknowledgement.set(awaits_acknowledgement);
         if awaits_acknowledgement {
             return 0;
         }
-        written.saturating_sub(u64::from(transmission.unsent))
+        written.saturating_sub(u64::from(info.unsent_bytes()))
     }
 
     /// Has it end with a reset, which the node's system hears of whatever it has not taken.
--- a/src/net/pool/connection/node_socket/tests.rs
+++ b/src/net/pool/connection/node_socket/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `node_socket.rs`.
 
-use super::super::transmission::Transmission;
 use super::NodeSocket;
+use crate::net::tcp_info::TcpInfo;
 use std::io::Read;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -42,7 +42,7 @@
 async fn an_acknowledgement_is_not_waited_for() {
     let (socket, _node) = pair().await;
     let mut written = 0;
-    while Transmission::of(&socket).unwrap().is_acknowledged() {
+    while !TcpInfo::of(&*socket).unwrap().has_unacknowledged() {
         written += write(&socket, 20);
         assert_eq!(socket.sent(written), written);
     }
--- a/src/net/send_queue.rs
+++ b/src/net/send_queue.rs
@@ -125,16 +125,17 @@
     }
 
     fn ask(&self, stream: &TcpStream) -> Delivery {
-        // Where the system refuses an answer, it is not known what is sent, and all counts as delivered.
-        let Ok(mut info) = TcpInfo::of(stream) else { return Delivery::Delivered };
-        if info.has_unsent() {
+        let mut info = TcpInfo::of(stream);
+        // Where the system does not tell, a socket that is not writable does.
+        if info.is_none_or(|info| info.has_unsent()) {
             if self.is_unwritable_until_sent(stream) {
                 return Delivery::Unsent;
             }
             // It was sent since then.
-            let Ok(later) = TcpInfo::of(stream) else { return Delivery::Delivered };
-            info = later;
+            info = TcpInfo::of(stream);
         }
+        // What is not known to be undelivered counts as delivered.
+        let Some(info) = info else { return Delivery::Delivered };
         self.sent_at.set(Some(clock::now() - info.since_last_sent().as_secs_f64()));
         if info.send_window() == 0 {
             return Delivery::Undelivered;
--- a/src/net/tcp_info/tests.rs
+++ b/src/net/tcp_info/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `tcp_info.rs`.
 
-use super::TcpInfo;
+use super::{TcpInfo, has_fields};
 use nix::libc::tcp_info;
 use std::mem::offset_of;
 
@@ -27,3 +27,11 @@
     ];
     assert_eq!(here, system);
 }
+
+/// Guards against a panic on a system that fills less.
+#[test]
+fn older_systems_are_not_asked() {
+    let asked = ["5.4.0-42-generic", "5.10.1\n", "6.1"].map(has_fields);
+    let not_asked = ["4.19.0", "5.3.18-lp152", "4.4.0\n", "", "unknown"].map(has_fields);
+    assert_eq!((asked, not_asked), ([true; 3], [false; 5]));
+}
