Move the memory of new client connections into a module of its own

src/net/listener.rs listened, accepted and gave out memory. Nothing changes but the place of the code; the acceptor has the ledger that it counts clients in as its own.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,9 +1,9 @@
 //! Listening for clients, beside another process of the same front too, and accepting them: a task for each connection.
 
-use super::closing::{FINAL_READ_WINDOW, has_input};
-use super::connections::{ConnectionSlot, ConnectionTable, IDLE_GRACE};
-use super::{ClientSocket, INPUT, TEXT};
-use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
+use super::ClientSocket;
+use super::connection_memory::{ConnectionMemory, RELIEF_INTERVAL};
+use super::connections::{ConnectionSlot, ConnectionTable};
+use crate::memory::{Grant, Ledger};
 use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use std::cell::Cell;
@@ -11,25 +11,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
 /// After a failed accept (too many descriptors, say) the next is tried this much later (seconds).
 const ACCEPT_PAUSE: f64 = 0.01;
-/// What a client connection has as its own beside the text of its answers: its task, its tables, and what is
-/// read at once (bytes).
-const CONNECTION_BYTES: usize = 4 * 1024 + INPUT;
-/// While memory is scarce, idle connections are looked at this often (seconds).
-const RELIEF_INTERVAL: f64 = 0.1;
 /// Connections that the system holds for a listener before they are accepted.
 const BACKLOG: u32 = 1024;
 /// One in so many connections may linger, and one in so many may be about to give its place, beside those that are served.
 const EXTRA_SHARE: usize = 8;
-/// So many idle connections are closed at a time, while there is no memory for a new one.
-const CLOSED_AT_ONCE: usize = 4;
-/// A new connection without memory asks for it again this often (seconds).
-const MEMORY_RETRY_INTERVAL: f64 = 0.05;
 /// The place that no listener has: any of them gets a connection, by its hash.
 const ANY_BY_HASH: u32 = u32::MAX;
 /// The place of the younger of two listeners.
@@ -159,8 +150,14 @@
     F: Future<Output = io::Result<()>> + 'static,
 {
     let table = ConnectionTable::new((most / EXTRA_SHARE).max(1));
-    let waiting = ConnectionMemory { ledger: memory.clone(), table: table.clone(), turn: Semaphore::new(1) };
-    let acceptor = Acceptor { table: table.clone(), most, memory: Rc::new(waiting), serve: Rc::new(serve) };
+    let connection_memory = Rc::new(ConnectionMemory::new(memory.clone(), table.clone()));
+    let acceptor = Acceptor {
+        table: table.clone(),
+        most,
+        ledger: memory.clone(),
+        memory: connection_memory,
+        serve: Rc::new(serve),
+    };
     let mut relief_at = clock::now();
     // What still waits of what was at the listener when it was closed.
     let (mut listener, mut waited) = (Some(listener), Vec::new());
@@ -226,6 +223,7 @@
 struct Acceptor<S> {
     table: Rc<ConnectionTable>,
     most: usize,
+    ledger: Ledger,
     memory: Rc<ConnectionMemory>,
     serve: Rc<S>,
 }
@@ -246,72 +244,21 @@
         }
         let socket = Rc::new(ClientSocket::new(stream));
         let slot = ConnectionSlot::new(self.table.clone(), socket.clone(), clock::now());
-        let (memory, serve) = (self.memory.clone(), self.serve.clone());
+        let (ledger, memory, serve) = (self.ledger.clone(), self.memory.clone(), self.serve.clone());
         spawn_local(measured(TaskKind::Client, async move {
             let Some(grant) = memory.grant(&socket, &slot).await else {
                 return log!("client {peer} is turned away: no memory for another connection");
             };
-            memory.ledger.clients(1);
+            ledger.clients(1);
             if let Err(e) = serve(socket, slot, grant).await
                 && !matches!(e.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
             {
                 log!("client {peer}: {e}");
             }
-            memory.ledger.clients(-1);
+            ledger.clients(-1);
         }));
     }
 }
 
-/// Memory for new connections, which wait for it one after the other: each has as many idle ones closed as it needs, and no
-/// more.
-struct ConnectionMemory {
-    ledger: Ledger,
-    table: Rc<ConnectionTable>,
-    turn: Semaphore,
-}
-
-impl ConnectionMemory {
-    /// Memory for a new connection; `None` if there is none, and none can be had. After a cut of the limit idle connections may
-    /// hold far more than it grants. Those that never said anything usable give way at once. The others have the time to read
-    /// what they were just sent, for which the new one waits; then one gives way all the same, to a client that has asked for
-    /// something.
-    async fn grant(&self, socket: &ClientSocket, slot: &ConnectionSlot) -> Option<Grant> {
-        if let Some(grant) = self.ask() {
-            return Some(grant);
-        }
-        // It has nothing that another could be given.
-        slot.mark_active();
-        let patient_until = clock::now() + IDLE_GRACE;
-        let _turn = self.turn.acquire().await.ok()?;
-        loop {
-            if let Some(grant) = self.ask() {
-                slot.mark_idle(clock::now(), false, false);
-                return Some(grant);
-            }
-            let now = clock::now();
-            let pause = if self.close_some(now) {
-                2.0 * FINAL_READ_WINDOW
-            } else if now < patient_until {
-                MEMORY_RETRY_INTERVAL
-            } else if has_input(socket) && self.table.close_idle_for_memory() {
-                RELIEF_INTERVAL
-            } else {
-                return None;
-            };
-            sleep_until(clock::instant(now + pause)).await;
-        }
-    }
-
-    fn ask(&self) -> Option<Grant> {
-        self.ledger.ask(AccountOwner::of(Purpose::Clients), CONNECTION_BYTES + TEXT).ok()
-    }
-
-    /// Closes some idle connections whose clients lose nothing; were there any?
-    fn close_some(&self, now: f64) -> bool {
-        let closed = (0..CLOSED_AT_ONCE).take_while(|_| self.table.close_idle_for_newcomer(now)).count();
-        closed > 0
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod client_socket;
 pub mod clients;
 mod closing;
+mod connection_memory;
 mod connections;
 pub mod coordinator;
 mod exchange;
