Give the places of newcomers without memory away before those of clients

Cause: who waits for memory counted as active and kept its place. Once they held most places, only those that had been answered were idle and could be asked.

--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,7 +1,7 @@
 //! Listening for clients, beside another process of the same front too, and accepting them: a task for each connection.
 
 use super::ClientSocket;
-use super::connection_memory::{ConnectionMemory, RELIEF_INTERVAL};
+use super::connection_memory::{ConnectionMemory, MEMORY_RETRY_INTERVAL, RELIEF_INTERVAL};
 use super::connections::{ConnectionSlot, ConnectionTable};
 use crate::memory::{Grant, Ledger};
 use crate::turns::{TaskKind, measured};
@@ -139,7 +139,8 @@
 /// Accepts until the program ends, or the front takes no more clients and all that were accepted are served and gone: a
 /// task for each connection, and at most so many of them, with a few that linger.
 /// Guards against connections that say nothing, which must not keep out those that would: the newest comer gets
-/// the place of the one that is first to be closed, and is turned away only where none is idle.
+/// the place of the one that is first to be closed, and is turned away only where none is idle. Where it is memory that is
+/// missing, it waits in the system's queue until those before it have theirs.
 pub async fn accept<F>(
     listener: TcpListener,
     state: Rc<ListenerState>,
@@ -165,6 +166,7 @@
     let mut closing_at = None;
     loop {
         let scarce = memory.closes(table.open()) > 0;
+        let held = acceptor.holds_newcomers();
         let accepted = tokio::select! {
             biased;
             // New connections go to the successor first; then the listener is closed, and only then is any connection asked
@@ -207,7 +209,8 @@
                 continue;
             }
             () = memory.became_scarce(), if !scarce => continue,
-            accepted = next(&listener), if !table.is_closing_all() => accepted,
+            () = sleep_until(clock::instant(clock::now() + MEMORY_RETRY_INTERVAL)), if held => continue,
+            accepted = next(&listener), if !held && !table.is_closing_all() => accepted,
         };
         match accepted {
             Ok(accepted) => acceptor.take(accepted).await,
@@ -233,10 +236,15 @@
     S: Fn(Rc<ClientSocket>, ConnectionSlot, Grant) -> F + 'static,
     F: Future<Output = io::Result<()>> + 'static,
 {
+    /// Are new connections left in the system's queue, since all places are taken and those who wait for memory keep theirs?
+    fn holds_newcomers(&self) -> bool {
+        self.table.places_taken() >= self.most && self.memory.holds_newcomers()
+    }
+
     /// Serves a connection, for which another may be closed, or turns it away.
     async fn take(&self, (stream, peer): Accepted) {
         if self.table.places_taken() >= self.most {
-            if !self.table.make_place().await {
+            if !self.memory.make_place().await {
                 return log!("client {peer} is turned away: {} are connected", self.most);
             }
             // The one that was asked to close does so first.
--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -11,6 +11,16 @@
 const SOCKETS: usize = 64;
 /// More than these, and no more than wait at a listener.
 const CROWD: u64 = 200;
+/// Descriptors of a front that has places for more clients than [`ANSWERED`]: two fifths of them.
+const ROOMY_SOCKETS: usize = 128;
+/// Clients that hold all the memory that a cut limit leaves.
+const ANSWERED: usize = 40;
+/// An idle connection is left to its client for so long while memory is scarce.
+const TIME_TO_READ: Duration = Duration::from_secs(1);
+/// What a newcomer sends that is in the middle of its first request.
+const HALF_A_REQUEST: &str = "*5\r\n$3\r\nREQ\r\n$1\r\n1\r\n";
+/// A machine that is so late that a while is over says nothing; it has this many tries.
+const ROUNDS: u32 = 5;
 
 /// Many connect while the front is busy elsewhere, and each asks at once: the front finds all connections and all requests
 /// there, and keeps to its descriptors.
@@ -148,3 +158,88 @@
     }
     panic!("five rounds were late");
 }
+
+/// A front without memory for newcomers, which has places for a few of them.
+struct WithoutMemory {
+    node: Node,
+    /// Since when its clients have had their last answers.
+    began: Instant,
+    /// Clients that were answered just now.
+    answered: Vec<Client>,
+}
+
+impl WithoutMemory {
+    fn start(name: &str) -> Self {
+        let (cache, _served) = cache_node();
+        let members = vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+        let node = Node::start(name, members, |config| config["limits"]["sockets"] = json!(ROOMY_SOCKETS));
+        let mut answered: Vec<Client> = (0..ANSWERED).map(|_| idle_client(&node)).collect();
+        node.reload(|config| config["limits"]["memory_mb"] = json!(4));
+        node.logged("settings are in force");
+        node.logged("are in no account");
+        let began = Instant::now();
+        for client in &mut answered {
+            client.send(&["HEALTH", "8", ""]);
+            client.answer();
+        }
+        WithoutMemory { node, began, answered }
+    }
+
+    /// Newcomers come for half of the time that those before them have to read; each sends this.
+    fn newcomers(&self, sends: &str) -> Vec<Client> {
+        let mut newcomers = Vec::new();
+        while self.began.elapsed() < TIME_TO_READ / 2 || newcomers.len() + ANSWERED < ROOMY_SOCKETS {
+            let mut newcomer = self.node.connect();
+            // One that was turned away cannot be written to.
+            let _ = newcomer.stream.write_all(sends.as_bytes());
+            newcomers.push(newcomer);
+            thread::sleep(Duration::from_millis(2));
+        }
+        newcomers
+    }
+
+    /// Are those that were answered still in the time that they have to read?
+    fn in_time(&self) -> bool {
+        self.began.elapsed() < TIME_TO_READ
+    }
+}
+
+/// Plays again where the machine was too late, which the play tells by `None`.
+fn in_time<T>(name: &str, play: impl Fn(&str) -> Option<T>) -> T {
+    let played = (0..ROUNDS).find_map(|round| play(&format!("{name}-{round}")));
+    played.unwrap_or_else(|| panic!("{ROUNDS} rounds were late"))
+}
+
+/// Newcomers for which there is no memory take the last places. Those that come after them get none of a client that was
+/// answered just now, whether the newcomers say nothing or half of a request.
+#[test]
+fn newcomers_that_wait_for_memory_close_none_that_were_just_answered() {
+    for sends in ["", HALF_A_REQUEST] {
+        let closed = in_time(&format!("places-waiting-{}", sends.len()), |name| {
+            let mut front = WithoutMemory::start(name);
+            let _newcomers = front.newcomers(sends);
+            let closed = front.answered.iter_mut().filter_map(|client| is_closed(client).then_some(()));
+            let closed = closed.count();
+            front.in_time().then_some(closed)
+        });
+        assert_eq!(closed, 0, "of {ANSWERED} that were answered just now; newcomers send {sends:?}");
+    }
+}
+
+/// The last places are taken by newcomers that wait for memory, and another comes and asks: it is answered once there is memory
+/// again.
+#[test]
+fn a_newcomer_that_asks_is_not_turned_away_for_others_that_wait_for_memory() {
+    let answered = in_time("places-asks", |name| {
+        let front = WithoutMemory::start(name);
+        let _newcomers = front.newcomers(HALF_A_REQUEST);
+        let mut asks = front.node.connect();
+        asks.send(&["HEALTH", "8", ""]);
+        front.node.reload(|config| config["limits"]["memory_mb"] = json!(64));
+        let in_time = front.in_time();
+        let mut first = [0];
+        let answered = asks.stream.read(&mut first).is_ok_and(|n| n > 0);
+        in_time.then_some(answered)
+    });
+    assert!(answered, "it finds the end of its connection in place of an answer");
+}
