Have the soak's clients leave each ended process for good, and keep its series apart

Cause: its patient clients remembered only the last SIGTERM of a front, so that with the next one they sent to a process that was gone and had the connection reset, with answers unread.

Each SIGTERM is kept now, and a series waits for the one before.

--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -1,7 +1,6 @@
 //! Clients of a fleet: they ask whether or not they were answered, each by its front's connection, and go to another
 //! front of the location once they notice that theirs is gone.
 
-use super::faults::COMING;
 use super::fronts::Front;
 use super::plan::Plan;
 use super::record::{Asked, End, EventLog};
@@ -24,8 +23,6 @@
 /// A request that crosses the close of its connection was sent so much before it at most, and is sent again, once
 /// (seconds; the platform's). This rig sees the close as late as it is otherwise, which is measured and added.
 const CROSSED: f64 = 0.05;
-/// Requests come so long on the open connections of a front that was told to end (the platform's).
-const CLOSING: Duration = Duration::from_millis(600);
 /// A connection has so many requests open at most.
 const OPEN: usize = 30;
 /// Classes: name, deadline, aim beyond the sending time, its multiple (seconds; as in the example's settings).
@@ -220,9 +217,7 @@
     /// Has a connection room, and is it still to be used? Clients use their connections to the kill, but for those that read
     /// at a pace of their own: they do not see an end in time, and send as long as the platform says.
     fn usable(&self, front: usize, line: &Line) -> bool {
-        let told = self.fronts[front].told_to_end.get();
-        let coming = Duration::from_secs_f64(COMING);
-        let closing = told.is_some_and(|told| line.made < told + coming && told.elapsed() > CLOSING);
+        let closing = self.fronts[front].terminations.end_requests(line.made, std::time::Instant::now());
         let patient = self.plan.clients.pace.is_none() || !closing;
         patient && !line.ended.get() && line.open.borrow().len() < OPEN
     }
--- a/crates/lab/src/fleet/cycle.rs
+++ b/crates/lab/src/fleet/cycle.rs
@@ -36,6 +36,7 @@
     }
 
     async fn cycle(self: Rc<Self>, front: usize, series: SignalSeries, gap: Duration) {
+        let _turn = self.fronts[front].cycle_turn.lock().await;
         let from = self.tier.unix();
         let place = {
             let mut seen = self.book.open();
@@ -140,7 +141,7 @@
             return self.note_end(front, "it ended by itself".into());
         }
         send(&child, Signal::SIGTERM);
-        self.fronts[front].told_to_end.set(Some(std::time::Instant::now()));
+        self.fronts[front].terminations.note(std::time::Instant::now());
         let kill_at = Instant::now() + EARLIEST_KILL;
         for &more in further {
             sleep(gap).await;
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -1,6 +1,7 @@
 //! The fronts of a fleet as processes: each with a configuration, a coordinator and a folder of its own.
 
 use super::plan::Plan;
+use super::terminations::Terminations;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use onyxyoke_stand_ins::coordinator::{Coordinator, Member};
@@ -13,11 +14,11 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
-use tokio::sync::oneshot;
+use tokio::sync::{Mutex, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -80,8 +81,10 @@
     pub crashed: Cell<bool>,
     /// Its clients go on using the connections that they have, though no new ones come.
     pub lingers: Cell<bool>,
-    /// When a process of it was last told to end.
-    pub told_to_end: Cell<Option<Instant>>,
+    /// When its processes were told to end.
+    pub terminations: Terminations,
+    /// Held while its process goes through a series of signals: the next series is for the process that comes of this one.
+    pub cycle_turn: Mutex<()>,
     /// How often the rig killed all its processes for another than the rig to start it again, and after how many of these a
     /// client has had an answer: in between nobody need take connections.
     pub kills: Cell<u32>,
@@ -138,7 +141,8 @@
             meant: Cell::new(false),
             crashed: Cell::new(false),
             lingers: Cell::new(false),
-            told_to_end: Cell::new(None),
+            terminations: Terminations::default(),
+            cycle_turn: Mutex::default(),
             kills: Cell::new(0),
             answered_after: Cell::new(0),
         }))
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod plot;
 pub mod record;
 mod rollout;
+mod terminations;
 pub mod verdict;
 
 use clients::Clients;
@@ -281,6 +282,10 @@
     while tier.unix() < by && book.open().asked.iter().any(|a| a.end.is_none()) {
         sleep(Duration::from_millis(20)).await;
     }
+    // A series that waited for the one before may have begun late.
+    for front in &fronts {
+        let _over = front.cycle_turn.lock().await;
+    }
     let rig = std::fs::read_to_string("/proc/self/stat").ok().map_or(0.0, |s| {
         let ticks = |i: usize| s.rsplit(") ").next().and_then(|s| s.split(' ').nth(i)?.parse::<f64>().ok());
         (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / 100.0
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -27,6 +27,17 @@
     assert!(schema["properties"]["faults"].is_object());
 }
 
+/// Two series of signals for one front, of which the second comes while the first goes on: it is for the process that comes of
+/// the first.
+#[test]
+fn a_series_of_signals_waits_for_the_one_before() {
+    let series = |at: f64| {
+        let cycled = json!({"front-cycled": {"series": "term", "gap_s": 0.1}});
+        json!({"fault": cycled, "at": at, "until": at, "fronts": {"places": [0]}})
+    };
+    hold("series", json!({"faults": [series(5.0), series(5.2)]}));
+}
+
 /// Guards small links against as many objects as large ones get.
 #[test]
 fn unequal_links_are_used_alike() {
