Tell a machine that is late from answers that are cut off

Cause: the test read slowly for 1,000 steps, each of which starts a process to send a signal. Under load that took 6 to 11 s, and what a client takes later than 5 s after its unreadable command is late by the front's stated bound. Now it reads slowly for 1.5 s, three times what the guarded fault waited (0.5 s), and a play that took more than the 5 s is played again, as in the tests beside it. And a test of closing_small waits for a time that it reads instead of sleeping.

--- a/tests/closing_crossings.rs
+++ b/tests/closing_crossings.rs
@@ -27,8 +27,10 @@
 const LARGE: usize = 240_000;
 /// A slow client reads so much at a time (bytes).
 const STEP: usize = 64;
-/// It does so this often, which takes longer than the front writes last answers (0.5 s).
-const SLOW_STEPS: u32 = 1000;
+/// It does so for longer than the front waits for a client that takes nothing (0.5 s).
+const SLOW_FOR: Duration = Duration::from_millis(1500);
+/// What a client takes of its last answers later than this after it said something unreadable is late.
+const FLUSHED: Duration = Duration::from_secs(5);
 /// The system takes no more of a front once the front holds as much at so many looks in turn.
 const LOOKS: u32 = 100;
 /// Answers of the largest size that the system takes of a front, at most.
@@ -209,11 +211,12 @@
     (1..=ANSWERS_MOST).find(filled).expect("a front that holds answers")
 }
 
-/// Reads a little each time that the front has answered its operator, until it says that it ended the connection, or so often
+/// Reads a little each time that the front has answered its operator, until it says that it ended the connection, or for so long
 /// that it would have.
 fn read_slowly(node: &Node, stream: &mut TcpStream) -> Vec<u8> {
     let (mut all, mut step) = (Vec::new(), [0; STEP]);
-    for _ in 0..SLOW_STEPS {
+    let began = Instant::now();
+    while began.elapsed() < SLOW_FOR {
         let n = stream.read(&mut step).unwrap();
         all.extend_from_slice(&step[..n]);
         node.signal("-USR1");
@@ -228,17 +231,27 @@
 /// A client that is behind its answers says something unreadable, reads slowly for a while, says this, and reads the rest: each
 /// answer is to be whole.
 fn answers_are_whole_behind_an_unreadable_command(name: &str, then: &[u8]) {
-    let (node, served) = one_cache(name);
-    let mut client = Client::new(narrow(node.address));
-    let asked = fill(&node, &served, &mut client);
-    client.stream.write_all(UNREADABLE).unwrap();
-    let mut all = read_slowly(&node, &mut client.stream);
-    client.stream.write_all(then).unwrap();
-    let ended = client.stream.read_to_end(&mut all).map_err(|e| e.kind());
-    let text = String::from_utf8(all).unwrap();
-    let whole: Vec<u64> = (1..=asked).filter(|&number| text.contains(&end_mark(number))).collect();
-    let bytes = text.len();
-    assert!(whole.len() as u64 == asked, "whole: {whole:?} of {asked}; {bytes} bytes; the end: {ended:?}");
+    in_time(|round| {
+        let (node, served) = one_cache(&format!("{name}-{round}"));
+        let mut client = Client::new(narrow(node.address));
+        let asked = fill(&node, &served, &mut client);
+        let began = Instant::now();
+        client.stream.write_all(UNREADABLE).unwrap();
+        let mut all = read_slowly(&node, &mut client.stream);
+        client.stream.write_all(then).unwrap();
+        let ended = client.stream.read_to_end(&mut all).map_err(|e| e.kind());
+        if began.elapsed() > FLUSHED {
+            return None;
+        }
+        let text = String::from_utf8(all).unwrap();
+        let whole: Vec<u64> = (1..=asked).filter(|&number| text.contains(&end_mark(number))).collect();
+        let bytes = text.len();
+        assert!(
+            whole.len() as u64 == asked,
+            "whole: {whole:?} of {asked}; {bytes} bytes; the end: {ended:?}"
+        );
+        Some(())
+    });
 }
 
 /// Guards against a lingering close that gives up answers while the client takes them.
--- a/tests/closing_small.rs
+++ b/tests/closing_small.rs
@@ -429,7 +429,8 @@
     let admin = |config: &mut Value| config["admin_addr"] = json!("127.0.0.1:0");
     let node = Node::start_in(name, members, admin, Some(&tmp));
     let mut play = Play::start(Platform::new(&node), served, Fill::Beyond { seed: SEEDS[0], further: 0 });
-    thread::sleep(TIME_TO_READ_OVER);
+    let written_since = Instant::now();
+    eventually("its time to read is over", || written_since.elapsed() > TIME_TO_READ_OVER);
     let last = play.answers.len() as u64;
     assert!(!play.has_come(last), "the harness: the last answer was sent before");
     let reading_since = Instant::now();
