--- a/src/brain.rs
+++ b/src/brain.rs
@@ -856,7 +856,7 @@
         LOST[mode].0 * expected + LOST[mode].1
     }
 
-    /// When what a silence of this node, or a standstill of this front, held up of what was due then has come.
+    /// When what was due then has come, if a silence of this node, or a standstill of this front, held it up.
     fn caught_up_at(&self, node: NodeId, due: f64) -> f64 {
         let heard = self.nodes.get(&node).map_or(f64::MIN, |k| k.hearing.caught_up_at(due));
         heard.max(self.standstill.caught_up_at())
