Give a second process of a front no clients while the first serves

Cause: SO_REUSEPORT gave each new client to either process by its hash as soon as the second listened. A client of the second cannot know that it is called off, nor see its end before it has read what lies before that; what it sends meanwhile is lost.

Change: the first listener is given every client until it hands over at SIGTERM, or is gone (the packet filter that steers at a hand-over, set from the start). Fronts without an operators' address keep no note of one another and share by hash as before.

Test: a_second_process_takes_no_clients_while_the_first_serves. In a_cordon_holds_until_the_call_back_and_over_a_replacement the line that asked both processes to have some of 40 clients stated the cause, and is replaced: the new process has exactly all 40 that come once the old one is told to end, and none goes to the cordoned node; the call back at a third process is heard by the one that serves, and holds in the third once that serves.

--- a/src/main.rs
+++ b/src/main.rs
@@ -274,6 +274,9 @@
     let listeners = Listeners::open(&config)?;
     // Cordons are kept where the process that replaces this one finds them; with no operators' socket there are none.
     let kept = config.admin.map(|_| Kept::open(&config.name, &listeners)).transpose()?;
+    if kept.is_none() {
+        listeners.all().for_each(onyxyoke::net::share_by_hash);
+    }
     let classes = Rc::new(config.classes);
     let mut fronts = Fronts {
         asks: asks_in,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -23,7 +23,8 @@
 const EXTRA_SHARE: usize = 8;
 /// The place that no listener has: any of them gets a connection, by its hash.
 const ANY_BY_HASH: u32 = u32::MAX;
-/// The place of the younger of two listeners.
+/// The places of two listeners, in the order in which they came.
+const OLDEST: u32 = 0;
 const YOUNGEST_OF_TWO: u32 = 1;
 /// So long after the successor's listener was given all that is new, what was in its handshake has come (seconds).
 const HANDSHAKE: f64 = 0.05;
@@ -31,8 +32,9 @@
 /// A connection as it is accepted, with its client's address.
 type Accepted = (TcpStream, SocketAddr);
 
-/// Listens for clients at an address that a second process of the same front may listen at too (SO_REUSEPORT):
-/// during a replacement both take connections, and the one that ends hands over without a refused one.
+/// Listens for clients at an address that a second process of the same front may listen at too (SO_REUSEPORT). While both
+/// do, the system gives every connection to the one that came first, until that hands over ([`prefer_youngest`]) or is gone:
+/// a second process that is ended while the first still serves has no clients, and loses none.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
@@ -40,10 +42,16 @@
     socket.bind(address)?;
     let listener = socket.listen(BACKLOG)?;
     // What a process that closed here before has left at the address no longer counts.
-    let _ = steer_to(&listener, ANY_BY_HASH);
+    let _ = steer_to(&listener, OLDEST);
     Ok(listener)
 }
 
+/// Has the system give each new connection at the listener's address to any of those that share it, by its hash: for
+/// processes that cannot tell one another when to hand over.
+pub fn share_by_hash(listener: &TcpListener) {
+    let _ = steer_to(listener, ANY_BY_HASH);
+}
+
 /// Has the system give each new connection at the listener's address to the younger of two that share it; one that is alone
 /// is given them all.
 pub fn prefer_youngest(listener: &TcpListener) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,7 +24,7 @@
 pub use client_socket::{ClientSocket, SendState};
 pub use closing::{PEER_CHECK_INTERVAL, linger, peer_has_closed, readable_within_window, shut_and_discard};
 pub use connections::{ConnectionSlot, LingerPermit};
-pub use listener::{ListenerState, accept, listen, prefer_youngest};
+pub use listener::{ListenerState, accept, listen, prefer_youngest, share_by_hash};
 pub use send_queue::{DELIVERY_CHECK_INTERVAL, Delivery};
 
 use std::cell::Cell;
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -146,32 +146,40 @@
     for tag in 41..=80 {
         assert_eq!(ask(&mut c, tag, &caches), 1, "request {tag} went to the cordoned node");
     }
-    // The process that replaces this one, at its address, holds the cordon from its start. A connection made now is with
-    // either; the new one's own figures tell that it took some.
+    // The process that replaces this one, at its address, holds the cordon from its start: it has every client that comes once
+    // the old one is told to end.
     let replaced = |config: &mut serde_json::Value| {
         admin_on(config);
         config["listen"] = json!(address);
     };
     let new = Node::start_in("operate-cordon-new", members(), replaced, Some(&tmp));
     let admin = admin_of(&new);
-    let mut either: Vec<Client> = (0..40).map(|_| new.connect()).collect();
-    for (c, tag) in either.iter_mut().zip(81..) {
+    old.signal("-TERM");
+    old.logged("listener closed");
+    let mut with_new: Vec<Client> = (0..40).map(|_| new.connect()).collect();
+    for (c, tag) in with_new.iter_mut().zip(81..) {
         assert_eq!(ask(c, tag, &caches), 1, "request {tag} went to the cordoned node after the replacement");
     }
     let taken = figure(&call(admin, "counters"), "front_success{tier=\"media\"}");
-    assert!((1..40).contains(&taken), "the new process took {taken}");
-    // Put back at the new process, heard by the old one through the file.
+    assert_eq!(taken, 40, "of 40 clients");
+    // Put back at a third process beside that, heard by the one that serves through the file.
+    let third = Node::start_in("operate-cordon-third", members(), replaced, Some(&tmp));
+    let admin = admin_of(&third);
     assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 uncordoned; it starts cold\n");
     assert_eq!(call(admin, "uncordon s-00000007"), "ok s-00000007 was not cordoned\n");
-    let back = (121..=400).find(|&tag| ask(&mut either[tag as usize % 40], tag, &caches) == 0);
-    assert!(back.is_some(), "the node put back got nothing");
     let by = Instant::now() + Duration::from_secs(2);
     let mut tag = 1000;
-    while ask(&mut c, tag, &caches) != 0 {
-        assert!(Instant::now() < by, "the old process does not hear of the call back");
+    while ask(&mut with_new[0], tag, &caches) != 0 {
+        assert!(Instant::now() < by, "the process that serves does not hear of the call back");
         tag += 1;
     }
-    drop((old, new));
+    // The third has the clients in its turn, and uses the node too.
+    new.signal("-TERM");
+    new.logged("listener closed");
+    let mut with_third: Vec<Client> = (0..40).map(|_| third.connect()).collect();
+    let back = (2000..2280).find(|&tag| ask(&mut with_third[tag as usize % 40], tag, &caches) == 0);
+    assert!(back.is_some(), "the node put back got nothing");
+    drop((old, new, third));
     std::fs::remove_dir_all(&tmp).unwrap();
 }
 
@@ -296,6 +304,56 @@
     std::fs::remove_dir_all(&tmp).unwrap();
 }
 
+/// The system gave each client to either of two processes by its hash, also while the second was not to replace the first yet.
+/// If that was ended again, its clients were left with a process that closes, though the one that serves on could have had
+/// them: a request that was sent just before such a client saw the end was lost.
+#[test]
+fn a_second_process_takes_no_clients_while_the_first_serves() {
+    const CLIENTS: u64 = 40;
+    let tmp = std::env::temp_dir().join(format!("onyxyoke-operate-standby-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let (cache, served) = cache_node();
+    std::thread::spawn(move || served.iter().for_each(|mut s| s.hit(b"whole")));
+    let members = || vec![member(EDGE, "standard", cache), member(ORIGIN, "origin", cache)];
+    let admin_on = |config: &mut serde_json::Value| config["admin_addr"] = json!("127.0.0.1:0");
+    let mut first = Node::start_in("operate-standby-first", members(), admin_on, Some(&tmp));
+    let first_admin = admin_of(&first);
+    let address = first.address;
+    let at_the_same = |config: &mut serde_json::Value| {
+        admin_on(config);
+        config["listen"] = json!(address);
+    };
+    let mut call_id = 0;
+    let mut ask_each = |clients: &mut [Client]| {
+        for client in clients {
+            call_id += 1;
+            client.ask(&call_id.to_string(), call_id, "");
+            assert_eq!(client.answer()[1], "ok");
+        }
+    };
+    let connect_all = || (0..CLIENTS).map(|_| Client::new(TcpStream::connect(address).unwrap()));
+    let mut second = Node::start_in("operate-standby-second", members(), at_the_same, Some(&tmp));
+    let second_admin = admin_of(&second);
+    assert_eq!(call(second_admin, "health"), "ok yes\n");
+    let mut clients: Vec<Client> = connect_all().collect();
+    ask_each(&mut clients);
+    let success = |admin| figure(&call(admin, "counters"), "front_success{tier=\"media\"}");
+    assert_eq!((success(first_admin), success(second_admin)), (CLIENTS, 0));
+    // It is called off: its end is nobody's, and the first has its clients as before.
+    second.signal("-TERM");
+    assert!(second.child.wait().unwrap().success());
+    ask_each(&mut clients);
+    // Another is there when the first is killed: it has all that come then.
+    let third = Node::start_in("operate-standby-third", members(), at_the_same, Some(&tmp));
+    let third_admin = admin_of(&third);
+    first.signal("-KILL");
+    first.child.wait().unwrap();
+    let mut clients: Vec<Client> = connect_all().collect();
+    ask_each(&mut clients);
+    assert_eq!(success(third_admin), CLIENTS);
+    std::fs::remove_dir_all(&tmp).unwrap();
+}
+
 /// The platform sends a front new clients for so long after it told it to end.
 const COMING: Duration = Duration::from_millis(400);
 
