Close busy connections right behind their last answers as a process ends

Cause: a connection closed once nothing was open on it and its last answer was acknowledged, which clients that go on asking do with their next request. As others close, the last ones carry the whole load and are never idle before the core refuses all that is open, 0.45 s before SIGKILL; and then they stayed open for want of a pause of 40 ms, while all that came was failed and tried again on the same connection.

Evidence: a probe of each answer that serves nobody. All 128 that failed at once had come 0 to 0.12 s after that time. Ruled out: clients' own time (up to seconds were left), caches (no attempt was ordered), memory.

Change: from that time on a connection ends right behind its last answer at a moment without input, and after 10 ms whether or not; a peer without room is waited for as before. What comes too late is refused with a pushback, since its client has time left for another process.

--- a/src/broker/admission.rs
+++ b/src/broker/admission.rs
@@ -6,6 +6,9 @@
 use crate::memory::Purpose;
 use std::rc::Rc;
 
+/// A client whose request came too late is to come again after this: its connection has closed by then (seconds).
+const RETRY_AFTER_CLOSE: f64 = 0.05;
+
 impl Broker {
     /// Takes a request from a front.
     pub fn ask(&mut self, now: f64, caller: Caller, ask: impl Into<Rc<ClientRequest>>) {
@@ -20,6 +23,10 @@
             self.counters.aborted += 1;
             return;
         }
+        // Whoever asks too late for this process has time left for another.
+        if self.closes <= now {
+            return self.turn_away(caller, ask.class, Answer::Refused(RETRY_AFTER_CLOSE));
+        }
         if ask.deadline <= now {
             return self.turn_away(caller, ask.class, Answer::Late);
         }
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -105,6 +105,18 @@
     assert_eq!(broker.pending(), 0);
 }
 
+/// A request that comes too late for this process was failed, though its client had time left for another.
+#[test]
+fn what_comes_after_a_core_has_closed_is_refused() {
+    let mut broker = broker(Contracts::default());
+    broker.answer_by(1003.0);
+    broker.effects().for_each(drop);
+    let ask = ClientRequest { deadline: 1005.0, call: "1".into(), ..ClientRequest::default() };
+    broker.ask(1003.1, Caller { connection: 1, tag: 1 }, ask);
+    let effects: Vec<Effect> = broker.effects().collect();
+    assert!(matches!(effects[..], [Effect::Answer { answer: Answer::Refused(wait), .. }] if wait > 0.0));
+}
+
 /// What the world outside the core knows.
 #[derive(Default)]
 struct World {
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{Sender, channel, unbounded_channel};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::sleep_until;
 
 /// Tells what is live, and gives what was freed back to the system: the accounts are held against both.
 #[global_allocator]
@@ -409,11 +409,20 @@
 }
 
 /// Each connection closes in steps: what was taken from it is answered, and then it ends in order. A process that ended over
-/// open ones would reset those on which something comes just then, with the last answers.
+/// open ones would reset those on which something comes just then, with the last answers. One whose client never pauses is
+/// idle only once the core has answered all it took.
 async fn close_connections(served: &mut JoinSet<()>, listening: &ListenerState, killed: f64) {
     listening.close();
     let gone = async { while served.join_next().await.is_some() {} };
-    let _ = timeout_at(clock::instant(killed - BEFORE.1), gone).await;
+    let time_is_up = async {
+        sleep_until(clock::instant(killed - BEFORE.0)).await;
+        listening.end();
+        sleep_until(clock::instant(killed - BEFORE.1)).await;
+    };
+    tokio::select! {
+        () = gone => {}
+        () = time_is_up => {}
+    }
 }
 
 /// The last answers are with their connections' tasks, which get the time to write them.
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -5,6 +5,7 @@
 use crate::broker::Answer;
 use crate::clock;
 use crate::memory::{AccountOwner, Grant, Purpose};
+use crate::net::closing::has_input;
 use crate::net::resp::FrameError;
 use crate::net::{
     Buffer, ClientSocket, ConnectionSlot, DELIVERY_CHECK_INTERVAL, Delivery, INPUT, PEER_CHECK_INTERVAL,
@@ -26,6 +27,9 @@
 const WHOLE: f64 = 2.0;
 /// A client whose frame may not grow is read from again after this (seconds).
 const RELIEF: f64 = 0.005;
+/// Once the front ends, a connection on which requests still come is read from for so long (seconds). What crosses a close by
+/// up to 0.05 s is sent again.
+const LAST_READS: f64 = 0.01;
 /// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
 /// and its bytes are counted against everybody's.
 const STALLED: f64 = 5.0;
@@ -134,6 +138,8 @@
     session: Session,
     answers: UnboundedReceiver<(u64, Answer)>,
     grant: Grant,
+    /// Once the front ends: nothing more is read after this (Unix seconds).
+    reads_until: f64,
 }
 
 impl ClientConnection {
@@ -144,7 +150,14 @@
         grant: Grant,
     ) -> Self {
         let (reply, answers) = unbounded_channel();
-        ClientConnection { socket, slot, session: Session::new(front, reply), answers, grant }
+        ClientConnection {
+            socket,
+            slot,
+            session: Session::new(front, reply),
+            answers,
+            grant,
+            reads_until: f64::INFINITY,
+        }
     }
 
     pub(super) async fn serve(mut self) -> io::Result<()> {
@@ -196,6 +209,9 @@
         let mut timers = Timers::new(clock::now());
         loop {
             self.write_answers(&mut timers)?;
+            if self.reads_until.is_infinite() && self.slot.closes_behind_answers() {
+                self.reads_until = clock::now() + LAST_READS;
+            }
             let half_a_frame = !input.is_empty() || input.skipping() > 0;
             let wait = self.plan(half_a_frame, &mut timers);
             let throttled_until = wait.throttled_until.unwrap_or(wait.now);
@@ -209,7 +225,7 @@
                     None
                 }
                 ready = socket.ready(wait.interest()),
-                    if wait.writes || wait.throttled_until.is_none() =>
+                    if wait.writes || wait.throttled_until.is_none() && !self.reads_ended(wait.now) =>
                 {
                     self.ready(ready?, &wait, &mut input, &mut timers).await?
                 }
@@ -239,6 +255,16 @@
         }
     }
 
+    /// Is nothing more read? A client that never pauses would keep its connection open for as long as it is read from.
+    fn reads_ended(&self, now: f64) -> bool {
+        now >= self.reads_until
+    }
+
+    /// May the end come right behind the last answers? Only where nothing has come meanwhile, while it is read.
+    async fn may_end_behind_answers(&self, now: f64) -> bool {
+        self.reads_ended(now) || !has_input(&self.socket) || !readable_within_window(&self.socket).await
+    }
+
     /// Writes what the socket takes of the answers that are there.
     fn write_answers(&mut self, timers: &mut Timers) -> io::Result<()> {
         while let Ok((tag, answer)) = self.answers.try_recv() {
@@ -258,7 +284,7 @@
         let unsent = output.len();
         // One that leaves much unread is not read from, and sooner while all do.
         let may_read = self.session.front.memory.may_read(unsent);
-        let held_back = unsent > UNSENT_MOST || output.crowded() || !may_read;
+        let held_back = unsent > UNSENT_MOST || output.crowded() || !may_read || self.reads_ended(now);
         let writes = !output.is_empty();
         // What is still unread so long after it was due is of no use to its client any more; where memory is scarce,
         // it has no such time.
@@ -291,10 +317,12 @@
         let idle_at = idle.then_some(timers.idle_at.max(timers.acknowledged_by));
         // Half a request is waited for, where there is no other in need of the place.
         let waits = half_a_frame && self.slot.is_closing_all();
-        let closes_at = self.slot.closes_at().filter(|_| !waits);
+        let waits_until = if waits { self.reads_until } else { now };
+        let closes_at = self.slot.closes_at().map(|at| at.max(waits_until)).filter(|at| at.is_finite());
         // What one that has spoken has sent ahead is read before it closes.
         let heard_by = throttled_until.filter(|_| self.session.spoken).unwrap_or(now);
-        let closes_at = closes_at.map(|at| at.max(heard_by).max(timers.acknowledged_by));
+        let acknowledged_by = if self.slot.closes_behind_answers() { now } else { timers.acknowledged_by };
+        let closes_at = closes_at.map(|at| at.max(heard_by).max(acknowledged_by));
         let all = [silent, timers.whole_by, stalled, timers.taken_by, idle_at, closes_at];
         let until = all.into_iter().flatten().reduce(f64::min);
         Wait { now, writes, untaken, idle, held_back, throttled_until, stalled_by, until }
@@ -356,7 +384,11 @@
         if untaken || wait.writes && now >= wait.stalled_by {
             return Ok(Some(End::ByClient));
         }
-        match self.socket.delivery() {
+        let delivery = self.socket.delivery();
+        if wait.idle && self.slot.closes_behind_answers() && !delivery.is_blocked() {
+            return Ok(self.may_end_behind_answers(now).await.then_some(End::ByFront));
+        }
+        match delivery {
             Delivery::Delivered => {}
             Delivery::InFlight => {
                 timers.acknowledged_by = now + DELIVERY_CHECK_INTERVAL.as_secs_f64();
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -24,8 +24,10 @@
     No,
     /// Each closes once its client had the time to read its last answer.
     AfterReading,
-    /// Each closes at once.
+    /// Each closes once its client's system has its last answer.
     Immediately,
+    /// Each closes right behind its last answer.
+    BehindAnswers,
 }
 
 /// Why one connection is asked to close.
@@ -111,11 +113,16 @@
         self.set_close_all(CloseAll::AfterReading);
     }
 
-    /// Has every connection close as soon as it is idle.
+    /// Has every connection close as soon as it is idle and its client's system has its last answer.
     pub(super) fn close_all_immediately(&self) {
         self.set_close_all(CloseAll::Immediately);
     }
 
+    /// Has every connection close right behind its last answer, unless its client's system is known to have no room for that.
+    pub(super) fn close_all_behind_answers(&self) {
+        self.set_close_all(CloseAll::BehindAnswers);
+    }
+
     fn set_close_all(&self, close_all: CloseAll) {
         self.close_all.set(close_all);
         self.idle.borrow().values().for_each(|entry| entry.changed.notify_one());
@@ -439,7 +446,7 @@
         let all = match self.table.close_all.get() {
             CloseAll::No => f64::INFINITY,
             CloseAll::AfterReading => self.entry.read_by(),
-            CloseAll::Immediately => self.entry.idle_since.get(),
+            CloseAll::Immediately | CloseAll::BehindAnswers => self.entry.idle_since.get(),
         };
         Some(asked.min(all)).filter(|at| at.is_finite())
     }
@@ -470,6 +477,11 @@
         self.table.is_closing_all()
     }
 
+    /// Is the connection to close right behind its last answer?
+    pub fn closes_behind_answers(&self) -> bool {
+        self.table.close_all.get() == CloseAll::BehindAnswers
+    }
+
     /// Is something that was written known to be unsent, or without room at the client? Once all connections close, the
     /// client's time to read its last answer begins as that is sent, so that the system is asked.
     pub fn is_unsent(&self) -> bool {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -7,6 +7,7 @@
 use crate::turns::{TaskKind, measured};
 use crate::{clock, log};
 use std::cell::Cell;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -80,6 +81,8 @@
     HandedOver,
     /// It does not, and nothing more is to come on open connections.
     No,
+    /// All that was taken is answered, and what still comes on open connections is refused.
+    Ended,
 }
 
 /// Whether a front takes clients. When it no longer does, the listener is closed once what waits at it is accepted, and
@@ -106,6 +109,11 @@
         self.set(Accepting::No);
     }
 
+    /// All that was taken is answered, and what still comes on open connections is refused.
+    pub fn end(&self) {
+        self.set(Accepting::Ended);
+    }
+
     fn set(&self, accepting: Accepting) {
         self.accepting.set(accepting);
         self.changed.notify_waiters();
@@ -123,7 +131,7 @@
 async fn next(listener: &Option<TcpListener>) -> io::Result<Accepted> {
     match listener {
         Some(listener) => listener.accept().await,
-        None => std::future::pending().await,
+        None => pending().await,
     }
 }
 
@@ -198,14 +206,7 @@
                 Some(last) => Ok(last),
                 None => {
                     log!("listener closed: no more clients are accepted");
-                    tokio::select! {
-                        () = table.all_closed() => {}
-                        () = state.reached(Accepting::No) => {
-                            table.close_all_immediately();
-                            table.all_closed().await;
-                        }
-                    }
-                    return;
+                    return close_all(&table, &state).await;
                 }
             },
             () = sleep_until(clock::instant(relief_at)), if scarce => {
@@ -230,6 +231,21 @@
     }
 }
 
+/// Closes what was accepted, and waits for less the less time there is, until all of it is gone.
+async fn close_all(table: &ConnectionTable, state: &ListenerState) {
+    let hasten = async {
+        state.reached(Accepting::No).await;
+        table.close_all_immediately();
+        state.reached(Accepting::Ended).await;
+        table.close_all_behind_answers();
+        pending::<()>().await;
+    };
+    tokio::select! {
+        () = table.all_closed() => {}
+        () = hasten => {}
+    }
+}
+
 /// What turns an accepted connection into a task that serves it.
 struct Acceptor<S> {
     table: Rc<ConnectionTable>,
