Have no process that ends pass clients on to itself

Cause: a process that closes its listener has the system give all new clients to the younger of two, for 50 ms. A second process that is ended while the first serves is itself the younger: it took every client of that time, and closed.

Change: only a process that has found a successor, or cannot tell, passes clients on. Else those of two are the first one's all the time.

Test: a_second_process_takes_no_clients_while_the_first_serves goes on to ask while the second ends.

--- a/src/main.rs
+++ b/src/main.rs
@@ -372,7 +372,11 @@
     let _ = close.send(Close::AnswerBy(killed - BEFORE.0));
     match succession {
         Some(succession) => serve_or_hand_over(succession, &listening, told + CLOSING).await,
-        None => sleep_until(clock::instant(told + CLOSING)).await,
+        None => {
+            sleep_until(clock::instant(told + CLOSING)).await;
+            // There may be a successor, which could not tell.
+            listening.hand_over();
+        }
     }
     close_connections(&mut served, &listening, killed).await;
     let _ = close.send(Close::WhenAnswered);
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -90,6 +90,7 @@
 #[derive(Default)]
 pub struct ListenerState {
     accepting: Cell<Accepting>,
+    has_successor: Cell<bool>,
     changed: Notify,
 }
 
@@ -99,8 +100,9 @@
         Rc::default()
     }
 
-    /// Another process of the front takes its clients.
+    /// A younger process of the front takes its clients.
     pub fn hand_over(&self) {
+        self.has_successor.set(true);
         self.set(Accepting::HandedOver);
     }
 
@@ -185,10 +187,11 @@
         let held = acceptor.holds_newcomers();
         let accepted = tokio::select! {
             biased;
-            // New connections go to the successor first; then the listener is closed, and only then is any connection asked
+            // New connections go to the successor first, if there is one; then the listener is closed, and only then is any connection asked
             // to close: a client that comes again must find the successor's.
             () = state.reached(Accepting::HandedOver), if closing_at.is_none() => {
-                listener.iter().for_each(prefer_youngest);
+                // One that is itself the younger has none, and would take the other's clients.
+                listener.iter().filter(|_| state.has_successor.get()).for_each(prefer_youngest);
                 closing_at = Some(clock::now() + HANDSHAKE);
                 continue;
             }
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -339,10 +339,19 @@
     ask_each(&mut clients);
     let success = |admin| figure(&call(admin, "counters"), "front_success{tier=\"media\"}");
     assert_eq!((success(first_admin), success(second_admin)), (CLIENTS, 0));
-    // It is called off: its end is nobody's, and the first has its clients as before.
+    // It is called off: its end is nobody's, and the first has all clients as before, also those that come meanwhile.
     second.signal("-TERM");
-    assert!(second.child.wait().unwrap().success());
+    let mut asked = CLIENTS;
+    let ended = loop {
+        ask_each(&mut [Client::new(TcpStream::connect(address).unwrap())]);
+        asked += 1;
+        if let Some(status) = second.child.try_wait().unwrap() {
+            break status;
+        }
+    };
+    assert!(ended.success());
     ask_each(&mut clients);
+    assert_eq!(success(first_admin), asked + CLIENTS);
     // Another is there when the first is killed: it has all that come then.
     let third = Node::start_in("operate-standby-third", members(), at_the_same, Some(&tmp));
     let third_admin = admin_of(&third);
