Record which connection a soak's request went on, and when that ended

A lost request told of the front that was asked first, and of nothing else: of which connection it was lost on, and of what ended that, a trace had to be added each time (docs/incidents/soak-sent-to-processes-that- had-ended.md, 'Earlier'). requests.csv has the front that the connection leads to, its client's port, when it was made and when its end came; the fronts' logs have the time on each line. The verdict is as it was.

--- a/crates/lab/src/connection.rs
+++ b/crates/lab/src/connection.rs
@@ -19,8 +19,9 @@
     /// By tag.
     pub open: RefCell<HashMap<u64, T>>,
     next: Cell<u64>,
-    /// When it was made.
+    /// When it was made, and from where.
     pub made: Instant,
+    pub local_port: u16,
     pub ended: Cell<bool>,
     /// When the front's end of it came, though what lies before that may still be unread.
     end_came: Cell<Option<Instant>>,
@@ -38,6 +39,7 @@
         }
         let stream = socket.connect(front).await?;
         let _ = stream.set_nodelay(true);
+        let local_port = stream.local_addr()?.port();
         let stream = stream.into_std()?;
         let watched = pace.map(|_| stream.try_clone()).transpose()?;
         let stream = TcpStream::from_std(stream)?;
@@ -47,6 +49,7 @@
             open: RefCell::default(),
             next: Cell::new(1),
             made: Instant::now(),
+            local_port,
             ended: Cell::new(false),
             end_came: Cell::default(),
         };
--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -3,7 +3,7 @@
 
 use super::fronts::Front;
 use super::plan::Plan;
-use super::record::{Asked, End, EventLog};
+use super::record::{Asked, End, EventLog, SentOn};
 use crate::connection::ClientConnection;
 use crate::paced::PacedReader;
 use crate::soak::clients::answer;
@@ -133,6 +133,7 @@
             asked.push(Asked {
                 at: self.tier.unix(),
                 front,
+                sent_on: None,
                 aim: aim + stretch * work(object),
                 deadline,
                 object,
@@ -155,7 +156,7 @@
             let there = &self.fronts[at];
             if there.address.get().is_some() || there.lingers.get() {
                 match self.line(at, again).await {
-                    Ok(line) => return self.send_on(&line, place, holds, again).await,
+                    Ok(line) => return self.send_on(at, &line, place, holds, again).await,
                     Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => self.was_refused(at),
                     Err(_) => {}
                 }
@@ -186,13 +187,16 @@
         }
     }
 
-    async fn send_on(&self, line: &Line, place: usize, holds: bool, again: bool) {
+    async fn send_on(&self, front: usize, line: &Line, place: usize, holds: bool, again: bool) {
         let tag = line.fresh_tag();
         let call = self.calls.replace(self.calls.get() + 1);
         let (object, deadline) = {
             let mut seen = self.book.open();
             // The time of a request counts from its last byte.
-            seen.asked[place].at = self.tier.unix();
+            let now = self.tier.unix();
+            seen.asked[place].at = now;
+            let made = now - line.made.elapsed().as_secs_f64();
+            seen.asked[place].sent_on = Some(SentOn { front, port: line.local_port, made, closed: None });
             (seen.asked[place].object, seen.asked[place].deadline)
         };
         let (class, ..) = if holds { HOLDS } else { MEDIA };
@@ -289,6 +293,7 @@
             } else {
                 let asked = &mut self.book.open().asked[place];
                 asked.end = Some((now, End::Lost));
+                asked.sent_on = asked.sent_on.map(|sent_on| SentOn { closed: Some(closed), ..sent_on });
                 asked.excused |= self.plan.rollout.as_ref().is_some_and(|r| r.crashes);
             }
         }
--- a/crates/lab/src/fleet/fronts.rs
+++ b/crates/lab/src/fleet/fronts.rs
@@ -14,7 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
@@ -72,8 +72,9 @@
     operators: Cell<Option<SocketAddr>>,
     path: PathBuf,
     folder: PathBuf,
-    /// Where what its processes log is kept, if it is.
+    /// Where what its processes log is kept, if it is, each line with the time since this.
     log: Option<PathBuf>,
+    began: Instant,
     config: RefCell<Value>,
     child: RefCell<Option<Child>>,
     /// It is meant to be up: an end by itself is a crash.
@@ -136,6 +137,7 @@
             path,
             folder,
             log: logs.map(|l| l.join(format!("front{place}.log"))),
+            began: Instant::now(),
             config: RefCell::new(config),
             child: RefCell::new(None),
             meant: Cell::new(false),
@@ -172,7 +174,7 @@
             let mut sender = Some(sender);
             while let Ok(Some(line)) = lines.next_line().await {
                 if let Some(log) = &mut log {
-                    let _ = writeln!(log, "{line}");
+                    let _ = writeln!(log, "{:.3} {line}", this.began.elapsed().as_secs_f64());
                 }
                 if line.contains(" answers operators on ") {
                     this.operators.set(line.rsplit(' ').next().and_then(|a| a.parse().ok()));
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -26,11 +26,24 @@
     Unreached,
 }
 
+/// The connection that a request was last sent on, in Unix seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct SentOn {
+    /// The front that it leads to.
+    pub front: usize,
+    /// Its client's port, by which it is found in the front's log.
+    pub port: u16,
+    pub made: f64,
+    /// When its end came to its client's system, if that was noticed.
+    pub closed: Option<f64>,
+}
+
 /// A client's request.
 #[derive(Debug, Clone, Copy)]
 pub struct Asked {
     pub at: f64,
     pub front: usize,
+    pub sent_on: Option<SentOn>,
     /// What its class allows, and how long its client waits (seconds).
     pub aim: f64,
     pub deadline: f64,
@@ -164,14 +177,24 @@
     }
 }
 
-/// Writes every request as a line: when it was asked, of which front, what for, how it ended and how long that took.
+/// Writes every request as a line: when it was asked, of which front, what for, how it ended and how long that took; then the
+/// front, the client's port, the making and the end of the connection that it was last sent on.
 pub fn write_requests(path: &Path, seen: &Seen) -> io::Result<()> {
     let mut out = io::BufWriter::new(std::fs::File::create(path)?);
-    writeln!(out, "at_s,front,object,deadline_s,end,took_s,excused")?;
+    let columns = "at_s,front,object,deadline_s,end,took_s,excused,sent_to,port,connected_s,closed_s";
+    writeln!(out, "{columns}")?;
     for a in &seen.asked {
         let (took, end) = a.end.map_or((f64::NAN, "open".into()), |(t, e)| (t - a.at, format!("{e:?}")));
         let at = a.at - seen.began;
-        writeln!(out, "{at:.3},{},{:016x},{},{end},{took:.3},{}", a.front, a.object, a.deadline, a.excused)?;
+        write!(out, "{at:.3},{},{:016x},{},{end},{took:.3},{}", a.front, a.object, a.deadline, a.excused)?;
+        match a.sent_on {
+            None => writeln!(out, ",,,,")?,
+            Some(SentOn { front, port, made, closed }) => {
+                let made = made - seen.began;
+                let closed = closed.map_or(String::new(), |at| format!("{:.3}", at - seen.began));
+                writeln!(out, ",{front},{port},{made:.3},{closed}")?;
+            }
+        }
     }
     out.flush()
 }
--- a/crates/lab/src/fleet/verdict/tests.rs
+++ b/crates/lab/src/fleet/verdict/tests.rs
@@ -28,7 +28,20 @@
         let end = Some((at + 0.1, End::Served));
         let (aim, deadline, made) = (0.5, 3.0, Some(at));
         let (again, spoilt, excused, paced, object) = (0, false, false, false, 7);
-        seen.asked.push(Asked { at, front, aim, deadline, object, end, made, again, spoilt, excused, paced });
+        seen.asked.push(Asked {
+            at,
+            front,
+            sent_on: None,
+            aim,
+            deadline,
+            object,
+            end,
+            made,
+            again,
+            spoilt,
+            excused,
+            paced,
+        });
     }
     (0..2).for_each(|n| seen.done[n] = vec![0.1; 40]);
     let terms = VerdictCriteria {
