--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod request;
 mod session;
+mod timers;
 
 #[cfg(test)]
 pub(super) use session::Session;
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -2,6 +2,7 @@
 
 use super::Front;
 use super::session::Session;
+use super::timers::{IDLE, STALLED, Timers, WHOLE, Wait};
 use crate::broker::Answer;
 use crate::clock;
 use crate::memory::{AccountOwner, Grant, Purpose};
@@ -13,95 +14,17 @@
 };
 use std::io;
 use std::rc::Rc;
-use tokio::io::{Interest, Ready};
+use tokio::io::Ready;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::sleep_until;
 
 /// With so many bytes of answers unsent, a connection is not read from.
 const UNSENT_MOST: usize = 512 * 1024;
-/// An idle connection is closed after this (seconds). Clients close theirs after 4 s.
-const IDLE: f64 = 5.0;
-/// One that has said nothing whole is closed this long after it was made (seconds).
-const SPEAK: f64 = 2.0;
-/// A frame is to be whole this long after its first byte (seconds).
-const WHOLE: f64 = 2.0;
 /// A client whose frame may not grow is read from again after this (seconds).
 const RELIEF: f64 = 0.005;
 /// Once the front ends, a connection on which requests still come is read from for so long (seconds). What crosses a close by
 /// up to 0.05 s is sent again.
 const LAST_READS: f64 = 0.01;
-/// One that takes nothing of what it is sent is closed after this (seconds): what it holds is late by then,
-/// and its bytes are counted against everybody's.
-const STALLED: f64 = 5.0;
-
-/// When a connection's waits end (Unix seconds).
-struct Timers {
-    /// It has been idle for too long.
-    idle_at: f64,
-    /// It has taken nothing of what it is sent for too long.
-    stalled_at: f64,
-    /// It is to have said something usable.
-    speak_by: f64,
-    /// The frame that has begun is to be whole.
-    whole_by: Option<f64>,
-    /// The client is to have taken what the system holds for it: longer after an idle connection would be closed, since the
-    /// client cannot see the end of this one.
-    taken_by: Option<f64>,
-    /// It is not closed before, since the client is to acknowledge by then what it was sent just now.
-    acknowledged_by: f64,
-}
-
-impl Timers {
-    /// For a connection that is made now.
-    fn new(now: f64) -> Self {
-        Timers {
-            idle_at: now + IDLE,
-            stalled_at: now + STALLED,
-            speak_by: now + SPEAK,
-            whole_by: None,
-            taken_by: None,
-            acknowledged_by: now,
-        }
-    }
-
-    /// Something has come, or is to go.
-    fn active(&mut self) {
-        self.idle_at = clock::now() + IDLE;
-    }
-}
-
-/// What a connection waits for in one turn.
-struct Wait {
-    now: f64,
-    /// Answers are unsent.
-    writes: bool,
-    /// Nothing is open and all is written, but the client's system is known to have no room for all of it.
-    untaken: bool,
-    /// Nothing is open, and nothing is known to be unsent.
-    idle: bool,
-    /// Nothing is read, since too much is unsent.
-    held_back: bool,
-    /// When frames are taken again, where its client has sent too many (Unix seconds).
-    throttled_until: Option<f64>,
-    /// It has taken nothing of what it is sent by then.
-    stalled_by: f64,
-    /// The first of its timers.
-    until: Option<f64>,
-}
-
-impl Wait {
-    fn reads_paused(&self) -> bool {
-        self.held_back || self.throttled_until.is_some()
-    }
-
-    fn interest(&self) -> Interest {
-        match (self.reads_paused(), self.writes) {
-            (true, _) => Interest::WRITABLE,
-            (false, true) => Interest::READABLE | Interest::WRITABLE,
-            (false, false) => Interest::READABLE,
-        }
-    }
-}
 
 /// How a connection ends in order.
 enum End {
