Let a newcomer without memory wait until the others had time to read

Cause: a newcomer without memory waits for a connection that was left to its client for 1 s, and after 1 s itself was given one that was not. Whoever became idle after the newcomer came has not had its time by then, and cannot see the end behind answers that it has not read.

Change: the newcomer waits for 2 s, so that whoever becomes idle in the first has had its time. Beyond that one gives way all the same, as before.

Test: a_newcomer_waits_for_those_that_are_answered_beside_it.

--- a/src/net/connection_memory.rs
+++ b/src/net/connection_memory.rs
@@ -20,6 +20,9 @@
 const CLOSED_AT_ONCE: usize = 4;
 /// A new connection without memory asks for it again this often (seconds).
 pub(super) const MEMORY_RETRY_INTERVAL: f64 = 0.05;
+/// A new connection waits so long for one that was left to its client for [`IDLE_GRACE`] (seconds): all that become idle in the
+/// first half of it have had that time by then.
+const NEWCOMER_PATIENCE: f64 = 2.0 * IDLE_GRACE;
 /// A new connection that waits for memory and sends nothing for so long gives its place to another (seconds).
 const TIME_TO_ASK: f64 = 0.05;
 
@@ -58,7 +61,7 @@
 
     /// Waits for memory; `None` if none can be had.
     async fn wait(&self, socket: &ClientSocket, slot: &ConnectionSlot) -> Option<Grant> {
-        let patient_until = clock::now() + IDLE_GRACE;
+        let patient_until = clock::now() + NEWCOMER_PATIENCE;
         let _turn = self.turn.acquire().await.ok()?;
         loop {
             if let Some(grant) = self.ask() {
--- a/tests/closing_places.rs
+++ b/tests/closing_places.rs
@@ -17,6 +17,8 @@
 const ANSWERED: usize = 40;
 /// An idle connection is left to its client for so long while memory is scarce.
 const TIME_TO_READ: Duration = Duration::from_secs(1);
+/// Clients go on asking for so long beside a newcomer: less than that time, so that each is idle for less as it is over.
+const ASKED_BESIDE: Duration = Duration::from_millis(600);
 /// What a newcomer sends that is in the middle of its first request.
 const HALF_A_REQUEST: &str = "*5\r\n$3\r\nREQ\r\n$1\r\n1\r\n";
 /// A machine that is so late that a while is over says nothing; it has this many tries.
@@ -162,6 +164,32 @@
     panic!("five rounds were late");
 }
 
+/// The same where they go on asking for a while beside a newcomer that has asked, so that each has its answer later than the
+/// newcomer came. It had the place of one that was answered 0.4 s before.
+#[test]
+fn a_newcomer_waits_for_those_that_are_answered_beside_it() {
+    let WithoutMemory { node, mut answered, .. } = WithoutMemory::start("places-beside");
+    let mut newcomer = node.connect();
+    newcomer.send(&["HEALTH", "8", ""]);
+    let came = Instant::now();
+    let mut asked_at = vec![came; answered.len()];
+    while came.elapsed() < ASKED_BESIDE {
+        for (client, asked_at) in answered.iter_mut().zip(&mut asked_at) {
+            *asked_at = Instant::now();
+            client.send(&["HEALTH", "8", ""]);
+            client.answer();
+        }
+    }
+    let mut closed = None;
+    eventually("one gives its place", || {
+        closed = answered.iter_mut().position(is_closed);
+        closed.is_some()
+    });
+    let since_asked = asked_at[closed.unwrap()].elapsed();
+    assert!(since_asked >= TIME_TO_READ, "closed {since_asked:?} after it asked");
+    assert_eq!(newcomer.answer()[1], "yes");
+}
+
 /// Each newcomer asks and reads its answer, which its system acknowledges late, and the next is there before: nothing tells then
 /// that the answer was not dropped. Guards against newcomers who are turned away for that.
 #[test]
