--- a/crates/lab/src/connection.rs
+++ b/crates/lab/src/connection.rs
@@ -19,8 +19,9 @@
     /// By tag.
     pub open: RefCell<HashMap<u64, T>>,
     next: Cell<u64>,
-    /// When it was made, and from where.
+    /// When it was made.
     pub made: Instant,
+    /// The client's port, by which the front's log names it.
     pub local_port: u16,
     pub ended: Cell<bool>,
     /// When the front's end of it came, though what lies before that may still be unread.
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -33,6 +33,7 @@
     pub front: usize,
     /// Its client's port, by which it is found in the front's log.
     pub port: u16,
+    /// When it was made.
     pub made: f64,
     /// When its end came to its client's system, if that was noticed.
     pub closed: Option<f64>,
@@ -42,7 +43,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Asked {
     pub at: f64,
+    /// Its client's own front, which it is meant for.
     pub front: usize,
+    /// `None` until it was sent.
     pub sent_on: Option<SentOn>,
     /// What its class allows, and how long its client waits (seconds).
     pub aim: f64,
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -187,8 +187,8 @@
         let held = acceptor.holds_newcomers();
         let accepted = tokio::select! {
             biased;
-            // New connections go to the successor first, if there is one; then the listener is closed, and only then is any connection asked
-            // to close: a client that comes again must find the successor's.
+            // New connections go to the successor first, if there is one; then the listener is closed, and only then is any
+            // connection asked to close: a client that comes again must find the successor's.
             () = state.reached(Accepting::HandedOver), if closing_at.is_none() => {
                 // One that is itself the younger has none, and would take the other's clients.
                 listener.iter().filter(|_| state.has_successor.get()).for_each(prefer_youngest);
