--- a/review/stand/called_off.rs
+++ b/review/stand/called_off.rs
@@ -8,7 +8,7 @@
     let r = &d.record;
     let arrivals = Arrivals::default();
     let nodes = start_nodes(3, 400, &arrivals, r);
-    let listen = free_address("127.0.0.1");
+    let listen = free_address();
     let file = d.folder.join("config.json");
     std::fs::write(&file, config((0, 1), listen, start_coordinator(1), &nodes)).expect("a settings file");
     let variables = [("NODE_CONFIG", file.to_str().unwrap())];
--- a/review/stand/second_front_cordon.rs
+++ b/review/stand/second_front_cordon.rs
@@ -10,7 +10,7 @@
         r#""signed":{{"listen":"{}","base":"https://media.example.org","keys":{keys:?}}},
 "teams":[{{"name":"talks","issuer":"talks.example.org","classes":["media"],"prefixes":[{{"path":"/talks","class":"media"}}],
 "requests_per_s":1000,"in_flight":500,"bytes_per_s":100000000}}],"#,
-        free_address("127.0.0.1")
+        free_address()
     )
 }
 
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -52,9 +52,12 @@
     }
 }
 
-/// A port that is free on this loopback address now.
-pub fn free_address(ip: &str) -> SocketAddr {
-    TcpListener::bind((ip, 0)).expect("a free port").local_addr().unwrap()
+/// An address for a listener of a front: a free port of a loopback address that only this process uses, so that no
+/// client's connection takes the port before the front listens.
+pub fn free_address() -> SocketAddr {
+    let id = std::process::id();
+    let ip = format!("127.{}.{}.1", 16 + (id >> 8) % 200, id % 256);
+    TcpListener::bind((&*ip, 0)).expect("a free port").local_addr().unwrap()
 }
 
 // ---- Cache nodes ----
@@ -482,7 +485,7 @@
 
     /// Starts a process of the front with `run`. Processes of one front share `tmpdir`.
     pub fn start(&self, name: &str, variables: &[(&str, &str)], tmpdir: &Path) -> Process {
-        let operators = free_address("127.0.0.1");
+        let operators = free_address();
         let _ = std::fs::create_dir_all(tmpdir);
         let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log");
         let mut command = Command::new("/bin/sh");
@@ -576,7 +579,7 @@
     let _ = std::fs::create_dir_all(folder);
     let coordinator = start_coordinator(1);
     let start = |me: usize| {
-        let listen = free_address("127.0.0.1");
+        let listen = free_address();
         let settings = folder.join(format!("n{me}.json"));
         std::fs::write(&settings, config((me, 2), listen, coordinator, nodes)).expect("a settings file");
         let tmpdir = folder.join(format!("tmp{me}"));
