--- a/review/stand-2/case10.rs
+++ b/review/stand-2/case10.rs
@@ -1,78 +1,96 @@
-//! Some clients write their request slowly: it comes on a new connection over less than 2 s, half a second after
-//! the connection was made. It has to get a final answer, on that connection or on the one on which the client
-//! sends it again after a close.
+//! A client sends many commands at once: health checks, and behind them requests. Each request has to get a final
+//! answer. The connection has served a request before, so that none of them is the first on it.
 mod common;
 use common::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
-/// Time from the connection's start to the request's first byte, and from there to its last byte (seconds).
-const PAUSE: f64 = 0.5;
-const SPAN: f64 = 1.75;
-/// Pieces in which a request comes.
-const PIECES: usize = 8;
-/// Clients, and how long each waits for the answer from the request's last byte (milliseconds).
-const CLIENTS: u64 = 12;
+/// Health checks that are sent at once, and the requests behind them.
+const CHECKS: u64 = 125;
+const REQUESTS: u64 = 2;
+/// Rounds, each on a connection of its own.
+const ROUNDS: u64 = 5;
+/// How long a client waits for an answer (milliseconds).
 const TTL_MS: u64 = 3000;
 
-/// Sends a request on a new connection and waits for its answer: the word, or none if the connection ended.
-fn ask(listen: SocketAddr, call: u64, object: u64, slow: bool, record: &Record) -> Option<String> {
-    let mut stream = TcpStream::connect(listen).ok()?;
+/// What became of a round's requests.
+struct Round {
+    answered: u64,
+    checks_answered: u64,
+}
+
+/// Plays a round: a request, its answer, then the checks and the other requests.
+fn round(listen: SocketAddr, number: u64, record: &Record) -> Round {
+    let mut stream = TcpStream::connect(listen).unwrap_or_else(|e| quit(&e.to_string()));
     let _ = stream.set_nodelay(true);
     // Up to half a second after its time an answer only earns nothing.
     let _ = stream.set_read_timeout(Some(Duration::from_millis(TTL_MS + 550)));
-    let (pause, span) = if slow { (PAUSE, SPAN) } else { (0.0, 0.0) };
-    let frame = request(1, "pages", call, object, TTL_MS, "", b"");
-    let connected = now();
-    for piece in 0..PIECES {
-        sleep_until(connected + pause + span * piece as f64 / (PIECES - 1) as f64);
-        let (from, to) = (frame.len() * piece / PIECES, frame.len() * (piece + 1) / PIECES);
-        if let Err(e) = stream.write_all(&frame[from..to]) {
-            record.line(&format!("call {call:016x}: piece {piece} cannot be written: {e}"));
-            return None;
+    let mut input = BufReader::new(stream.try_clone().unwrap_or_else(|e| quit(&e.to_string())));
+    let call = |tag: u64| number << 32 | tag;
+    let first = request(1, "pages", call(1), 5, TTL_MS, "", b"");
+    stream.write_all(&first).unwrap_or_else(|e| quit(&e.to_string()));
+    match read_answer(&mut input) {
+        Ok(Some((1, word, _, _))) if word == "ok" => {}
+        other => quit(&format!("the connection's first request: {other:?}")),
+    }
+    let mut checks_answered = 0;
+    let mut commands = Vec::new();
+    for tag in 2..2 + CHECKS {
+        let command = resp(&[b"HEALTH", tag.to_string().as_bytes(), b""]);
+        if trouble() {
+            commands.extend(command);
+        } else {
+            // One after the other: each is answered before the next is sent.
+            let _ = stream.write_all(&command);
+            checks_answered += u64::from(matches!(read_answer(&mut input), Ok(Some(a)) if a.1 == "yes"));
         }
     }
-    let written = now();
-    let answer = read_answer(&mut BufReader::new(stream));
-    let word = answer.as_ref().ok().and_then(|a| a.as_ref()).map(|a| a.1.clone());
+    let requests = 2 + CHECKS..2 + CHECKS + REQUESTS;
+    for tag in requests.clone() {
+        commands.extend(request(tag, "pages", call(tag), 5 + tag, TTL_MS, "", b""));
+    }
+    let sent = now();
+    stream.write_all(&commands).unwrap_or_else(|e| quit(&e.to_string()));
+    record.line(&format!("round {number}: {} bytes written at once at {}", commands.len(), record.at(sent)));
+    let mut answered = 0;
+    let ended = loop {
+        match read_answer(&mut input) {
+            Ok(Some((tag, word, _, _))) if requests.contains(&tag) => {
+                answered += 1;
+                record.line(&format!(
+                    "round {number}: tag {tag} call {:016x}: '{word}' {:.3} s later",
+                    call(tag),
+                    now() - sent
+                ));
+                if answered == REQUESTS {
+                    break "all answered";
+                }
+            }
+            Ok(Some(_)) => checks_answered += 1,
+            Ok(None) => break "the front has ended the connection",
+            Err(_) => break "no answer in time",
+        }
+    };
     record.line(&format!(
-        "call {call:016x}: connected at {}, last byte written at {} ({:.3} s later), {} at {}",
-        record.at(connected),
-        record.at(written),
-        written - connected,
-        match &answer {
-            Ok(Some(a)) => format!("answer '{}'", a.1),
-            Ok(None) => "the connection ended without an answer".into(),
-            Err(e) => format!("no answer ({e})"),
-        },
-        record.at(now())
+        "round {number}: {ended} {:.3} s after the write; {checks_answered} of {CHECKS} checks and {answered} of {REQUESTS} requests answered",
+        now() - sent
     ));
-    word
+    Round { answered, checks_answered }
 }
 
 fn main() {
     let site = Site::new("case10", 6);
     let record = site.record.clone();
     let mut front = site.start("front", None);
-    let listen = site.listen;
-    let client = |c: u64, record: Arc<Record>| {
-        thread::spawn(move || {
-            sleep(c as f64 * 0.2);
-            let first = ask(listen, 0x1000 + c, 1 + c, trouble(), &record);
-            // A request that crosses a close is sent again on a new connection, once.
-            first.or_else(|| ask(listen, 0x2000 + c, 1 + c, trouble(), &record))
-        })
-    };
-    let clients: Vec<_> = (0..CLIENTS).map(|c| client(c, record.clone())).collect();
-    let answers: Vec<Option<String>> = clients.into_iter().map(|c| c.join().unwrap()).collect();
-    let lost = answers.iter().filter(|a| a.is_none()).count();
+    let rounds: Vec<Round> = (1..=ROUNDS).map(|number| round(site.listen, number, &record)).collect();
+    let answered: u64 = rounds.iter().map(|r| r.answered).sum();
+    let checks: u64 = rounds.iter().map(|r| r.checks_answered).sum();
     record_arrivals(&record, &site.deployment.arrivals());
     front.record_log(&record);
-    record.say(&format!("{} requests, {} answered, {lost} lost", answers.len(), answers.len() - lost));
+    let (asked, checked) = (ROUNDS * REQUESTS, ROUNDS * CHECKS);
+    record.say(&format!("{checks} of {checked} health checks answered; {asked} requests behind them, {answered} answered, {} lost", asked - answered));
     let crashed = front.ended();
     drop((front, site.folder));
-    finish(i32::from(lost > 0 || crashed.is_some()));
+    finish(i32::from(answered < asked || crashed.is_some()));
 }
