Keep cordons that are called at both processes of a replacement at once

Cause: each process read the whole file of cordons, changed its set and wrote the whole set, so that the later write replaced the earlier one; a process that read the file took its set in place of its own and lifted what it had confirmed; and cordons had no time, so that nothing told an older call from a newer one.

Change: each process writes a record of its own under $TMPDIR, with the time of the last call for each node, and merges the records of the others every 0.1 s: for each node the newest call counts, an uncordon as much as a cordon (membership::Overrides, state::records). No process writes what another one owns, and there is no lock to wait for; records of ended processes (a lock that the kernel releases tells) are merged and removed at the next start. The shared file stays for earlier builds (membership::SharedFile): it is replaced by an exchange, only if it is what was read; a cordon that an earlier build's file lacks is lifted only by a later `woke` line, else put back. A call is answered within 0.7 s, `fail` if it could not be saved by then; before, it waited for the disk without an end.

Tests: tests/operator_overrides.rs stops a process between its read and its write while the other one executes a call: cordons and uncordons, other nodes and the same, either process held, an earlier build's write in between.

Changed tests: a_slow_write_of_the_cordons_does_not_block_others held the temporary file of the old scheme; it holds the write of the record now, and asks for `fail` within 1 s where it asked for no answer: never `ok` before the cordon is kept, as before, and then that a successor has it. state_written_by_one_process_... is split in two with the same checks, for the new store. invalid_lines_... moved with the format it tests.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -20,11 +20,11 @@
     Order, REQUEST_OVERHEAD_BYTES, Report,
 };
 pub use metrics::{Count, Gauges, Metrics};
-pub use run::{Inputs, OperatorRequest, Shutdown, run};
+pub use run::{Inputs, OperatorRequest, OverrideApplied, Shutdown, run};
 pub use tenants::{Contracts, Team, TeamId};
 
 use crate::interface::*;
-use crate::membership::{Membership, OperatorOverride, SavedOverrides};
+use crate::membership::{Membership, OperatorOverride, Overrides};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
 use crate::{Director, log};
 use attempts::OpenRequest;
@@ -207,20 +207,19 @@
         Ok(message)
     }
 
-    /// Applies the overrides that another process of this front, or its predecessor, saved.
-    pub fn restore_overrides(&mut self, now: f64, saved: &SavedOverrides) {
-        let changed = self.members.restore(now, saved);
+    /// Merges the overrides that another process of this front, or its predecessor, saved.
+    pub fn merge_overrides(&mut self, now: f64, saved: &Overrides) {
+        let changed = self.members.merge_overrides(saved);
         if !changed.is_empty() {
-            log!("cordons restored: {} cordoned, {} nodes changed", saved.cordoned.len(), changed.len());
+            let cordoned = self.members.overrides().cordoned_count();
+            log!("cordons merged: {cordoned} cordoned, {} nodes changed", changed.len());
         }
         self.apply_view_changes(now, changed);
     }
 
-    /// Returns the overrides to save for a successor: cordons, and nodes uncordoned so recently that they may
-    /// be cold.
-    pub fn saved_overrides(&self, now: f64) -> SavedOverrides {
-        let settings = self.director.settings();
-        self.members.saved_overrides(now, settings.warm_up_time.max(settings.parent_warm_up_time))
+    /// Returns the operators' overrides, to be saved for the other process of this front and for successors.
+    pub fn overrides(&self) -> &Overrides {
+        self.members.overrides()
     }
 
     /// Hands the director the nodes whose view changed, and cancels unwritten attempts to those no longer
--- a/src/broker/run.rs
+++ b/src/broker/run.rs
@@ -1,7 +1,7 @@
 //! The task that owns the broker.
 
 use super::{Answer, Broker, Caller, Command, DiscoveryUpdate, Effect, Input, Report};
-use crate::membership::{OperatorOverride, SavedOverrides};
+use crate::membership::{OperatorOverride, Overrides};
 use crate::{clock, turns};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
@@ -40,16 +40,24 @@
 /// Request from the operators' socket.
 #[derive(Debug)]
 pub enum OperatorRequest {
-    /// A cordon or uncordon. The reply is the message for the operator, the overrides to save and the number
-    /// of the call, so that of two replies the later is saved; or why the call is refused.
+    /// A cordon or uncordon. The reply says what was done, or why the call is refused.
     Override {
         /// The cordon or uncordon.
         action: OperatorOverride,
         /// Receives the reply.
-        reply: oneshot::Sender<Result<(String, SavedOverrides, u64), String>>,
+        reply: oneshot::Sender<Result<OverrideApplied, String>>,
     },
     /// Overrides that another process of this front saved.
-    Restore(SavedOverrides),
+    Merge(Overrides),
+}
+
+/// A cordon or uncordon that is in force.
+#[derive(Debug)]
+pub struct OverrideApplied {
+    /// The message for the operator.
+    pub message: String,
+    /// The overrides to save.
+    pub overrides: Overrides,
 }
 
 /// A step of the shutdown.
@@ -70,7 +78,6 @@
     let period = Duration::from_secs_f64(GAUGE_INTERVAL_SECONDS);
     let mut publish = interval_at(Instant::now() + period, period);
     publish.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut calls = 0;
     loop {
         if !started && broker.has_nodes() {
             started = true;
@@ -120,11 +127,11 @@
             Some(request) = inputs.operators.recv() => match request {
                 OperatorRequest::Override { action, reply } => {
                     let now = clock::now();
-                    calls += 1;
                     let result = broker.apply_override(now, action);
-                    let _ = reply.send(result.map(|message| (message, broker.saved_overrides(now), calls)));
+                    let applied = |message| OverrideApplied { message, overrides: broker.overrides().clone() };
+                    let _ = reply.send(result.map(applied));
                 }
-                OperatorRequest::Restore(saved) => broker.restore_overrides(clock::now(), &saved),
+                OperatorRequest::Merge(saved) => broker.merge_overrides(clock::now(), &saved),
             },
             () = timer => {}
             _ = publish.tick() => broker.publish(clock::now(), inputs.requests.len()),
--- a/src/main.rs
+++ b/src/main.rs
@@ -246,21 +246,21 @@
 /// State on disk that processes of the same front share.
 struct SharedState {
     store: StateStore,
-    /// Cordons from before the start.
-    cordons: Option<onyxyoke::membership::SavedOverrides>,
     succession: Succession,
 }
 
 impl SharedState {
     /// Opens the state that earlier processes of the front left. One that is shutting down may still listen;
     /// it must get no further clients.
-    fn open(name: &str, listeners: &Listeners) -> std::io::Result<Self> {
-        let (store, cordons) = StateStore::open(std::env::temp_dir(), name, &listeners.addresses()?);
+    fn open(config: &Config, listeners: &Listeners) -> std::io::Result<Self> {
+        let (name, addresses) = (&config.name, listeners.addresses()?);
+        let uncordon_retention_s = config.settings.warm_up_time.max(config.settings.parent_warm_up_time);
+        let store = StateStore::open(std::env::temp_dir(), name, &addresses, uncordon_retention_s);
         let succession = store.succession();
         if !succession.has_successor() {
             listeners.all().for_each(onyxyoke::net::prefer_youngest);
         }
-        Ok(SharedState { store, cordons, succession })
+        Ok(SharedState { store, succession })
     }
 }
 
@@ -282,7 +282,7 @@
     let listeners = Listeners::open(&config)?;
     // Cordons are stored where the process that replaces this one finds them; without an operators' socket
     // there are none.
-    let shared_state = config.admin.map(|_| SharedState::open(&config.name, &listeners)).transpose()?;
+    let shared_state = config.admin.map(|_| SharedState::open(&config, &listeners)).transpose()?;
     if shared_state.is_none() {
         listeners.all().for_each(onyxyoke::net::share_by_hash);
     }
@@ -308,11 +308,12 @@
     if let (Some(listener), Some(signed)) = (listeners.signed, config.signed) {
         listener_context.serve_signed(&config.name, listener, signed, config.settings.classes.clone())?;
     }
-    let (mut cordons, mut succession) = (None, None);
+    let (mut overrides, mut succession) = (None, None);
     if let (Some(address), Some(mut shared_state)) = (config.admin, shared_state) {
         let listener = TcpListener::bind(address).await?;
         log!("{} answers operators on {}", config.name, listener.local_addr()?);
         shared_state.succession.register();
+        overrides = Some(shared_state.store.overrides().clone());
         let context = admin::AdminContext {
             ready: ready.clone(),
             metrics: listener_context.metrics.clone(),
@@ -322,7 +323,7 @@
             build: Cell::new(None),
         };
         spawn_local(track_polls(TaskKind::Operators, admin::serve(listener, Rc::new(context))));
-        (cordons, succession) = (shared_state.cordons, Some(shared_state.succession));
+        succession = Some(shared_state.succession);
     }
     drop(operators_in);
     let limits = pool::PoolLimits {
@@ -345,8 +346,8 @@
         metrics: listener_context.metrics.clone(),
     });
     // Before the first list, so that a cordoned node is never taken for ready.
-    if let Some(cordons) = cordons {
-        broker.restore_overrides(clock::now(), &cordons);
+    if let Some(overrides) = overrides {
+        broker.merge_overrides(clock::now(), &overrides);
     }
     let (last_number, initial_updates) = config.initial_updates;
     apply_initial_updates(&mut broker, initial_updates);
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 //! line `eof`), and ends. Nothing is decided here: health and metrics are read where they are published, and
 //! cordons are queued to the broker, which replies once they are in force.
 
-use crate::broker::{Metrics, OperatorRequest};
+use crate::broker::{Metrics, OperatorRequest, OverrideApplied};
 use crate::interface::NodeId;
 use crate::membership::{OperatorOverride, node_id};
 use crate::spread::HOME_RULE_VERSION;
@@ -11,6 +11,7 @@
 use crate::{clock, log};
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::io;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -36,12 +37,14 @@
 const ACCEPT_RETRY_DELAY: f64 = 0.01;
 /// The program's file is read in chunks of this size (bytes).
 const DIGEST_CHUNK_BYTES: usize = 65_536;
-/// Interval of checks whether the other process of the front has changed the state file of the cordons
-/// (seconds).
-const STATE_POLL_INTERVAL: f64 = 0.25;
-/// Limit of a call's wait for the state file (seconds): a cordon must be in force 1 s after its call, however
+/// Interval of checks whether the other process of the front has saved overrides (seconds), which must be in
+/// force here 0.25 s after that.
+const STATE_POLL_INTERVAL: f64 = 0.1;
+/// Limit of a call's wait for the saved state (seconds): a cordon must be in force 1 s after its call, however
 /// slow the disk is.
 const STATE_READ_TIMEOUT: f64 = 0.25;
+/// Limit of the time from a cordon or uncordon to its reply (seconds): a caller waits 1 s.
+const OVERRIDE_REPLY_TIMEOUT: f64 = 0.7;
 
 /// An operator's call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,7 +97,7 @@
     pub metrics: Rc<Metrics>,
     /// The queue to the broker.
     pub operators: UnboundedSender<OperatorRequest>,
-    /// The state file of the cordons.
+    /// The saved overrides.
     pub store: StateWorker,
     /// The digest of the settings in force.
     pub settings: Rc<Cell<u64>>,
@@ -104,14 +107,14 @@
 
 /// Computes the digest of a program's file, by which operators tell builds apart. The file is read in chunks,
 /// since the whole of it would exceed a front's memory limit.
-pub fn program_digest(program: &std::path::Path) -> std::io::Result<u64> {
+pub fn program_digest(program: &std::path::Path) -> io::Result<u64> {
     let (mut file, mut chunk) = (std::fs::File::open(program)?, vec![0; DIGEST_CHUNK_BYTES]);
     let mut digest = xxhash_rust::xxh3::Xxh3Default::new();
     loop {
-        match std::io::Read::read(&mut file, &mut chunk) {
+        match io::Read::read(&mut file, &mut chunk) {
             Ok(0) => return Ok(digest.digest()),
             Ok(n) => digest.update(&chunk[..n]),
-            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
     }
@@ -135,42 +138,56 @@
             }
             _ => {}
         }
-        let action = match call {
-            Call::Health if self.ready.get() => return "ok yes\n".into(),
-            Call::Health => return "fail no: this process takes no clients now\n".into(),
-            Call::Counters => return format!("ok\n{}eof\n", self.metrics.render()),
-            Call::Slow => return format!("ok\n{}eof\n", self.metrics.render_slow()),
-            Call::Version => return self.version().await,
-            Call::Cordon(node) => OperatorOverride::Cordon(node),
-            Call::Uncordon(node) => OperatorOverride::Uncordon(node),
-        };
-        // The changes of the front's other process are applied first, so that this one does not overwrite
-        // them.
-        let restore = spawn_local(self.clone().restore_changed_state());
-        let _ = timeout_at(clock::instant(clock::now() + STATE_READ_TIMEOUT), restore).await;
+        match call {
+            Call::Health if self.ready.get() => "ok yes\n".into(),
+            Call::Health => "fail no: this process takes no clients now\n".into(),
+            Call::Counters => format!("ok\n{}eof\n", self.metrics.render()),
+            Call::Slow => format!("ok\n{}eof\n", self.metrics.render_slow()),
+            Call::Version => self.version().await,
+            Call::Cordon(node) => self.override_reply(OperatorOverride::Cordon(node)).await,
+            Call::Uncordon(node) => self.override_reply(OperatorOverride::Uncordon(node)).await,
+        }
+    }
+
+    /// Executes a cordon or uncordon, and returns the reply.
+    async fn override_reply(self: &Rc<Self>, action: OperatorOverride) -> String {
+        let reply_by = clock::now() + OVERRIDE_REPLY_TIMEOUT;
+        // What the front's other process has saved is applied first, so that the reply is right.
+        let refresh = spawn_local(self.clone().apply_saved_overrides());
+        let _ = timeout_at(clock::instant(clock::now() + STATE_READ_TIMEOUT), refresh).await;
         let (reply, answer) = oneshot::channel();
         // If the broker has ended, the call is dropped with its reply channel, which `answer` reports.
         let _ = self.operators.send(OperatorRequest::Override { action, reply });
-        let (message, saved, number) = match answer.await {
-            Ok(Ok(done)) => done,
-            Ok(Err(reason)) => return format!("fail {reason}\n"),
-            // The broker has ended and this process sends no more requests: the call is stored for its
-            // successor.
-            Err(_) => {
-                return match self.store.apply_override(action, clock::now()).await {
-                    Ok(()) => format!(
-                        "ok kept for the process that follows: {}\n",
-                        line.trim_ascii().escape_ascii()
-                    ),
-                    Err(e) => format!("fail this process is ending, and the call could not be kept: {e}\n"),
-                };
+        match answer.await {
+            Ok(Ok(applied)) => self.save_reply(applied, reply_by).await,
+            Ok(Err(reason)) => format!("fail {reason}\n"),
+            Err(_) => self.save_for_successor_reply(action, reply_by).await,
+        }
+    }
+
+    /// Saves the overrides after a call, and returns the reply.
+    async fn save_reply(self: &Rc<Self>, applied: OverrideApplied, reply_by: f64) -> String {
+        let (context, message) = (self.clone(), applied.message);
+        // A task of its own, which goes on if the disk is too slow for the reply.
+        let write = spawn_local(async move { context.store.write(applied.overrides).await });
+        match in_time(write, reply_by).await {
+            Ok(()) => format!("ok {message}\n"),
+            Err(e) => {
+                log!("cordons: cannot save the state: {e}");
+                format!("fail {message} in this process, but not kept for the next: {e}\n")
             }
-        };
-        if let Err(e) = self.store.write(number, saved).await {
-            log!("cordons: cannot write the state file: {e}");
-            return format!("fail {message} in this process, but not kept for the next: {e}\n");
         }
-        format!("ok {message}\n")
+    }
+
+    /// Saves a call for the successor of this process, whose broker has ended and which sends no more
+    /// requests; returns the reply.
+    async fn save_for_successor_reply(self: &Rc<Self>, action: OperatorOverride, reply_by: f64) -> String {
+        let context = self.clone();
+        let write = spawn_local(async move { context.store.apply_override(action, clock::now()).await });
+        match in_time(write, reply_by).await {
+            Ok(()) => format!("ok kept for the process that follows: {action}\n"),
+            Err(e) => format!("fail this process is ending, and the call could not be kept: {e}\n"),
+        }
     }
 
     /// Returns the reply that tells which program and settings this process runs. The digest is that of the
@@ -179,7 +196,7 @@
     async fn version(&self) -> String {
         if self.build.get().is_none() {
             let read = tokio::task::spawn_blocking(|| program_digest("/proc/self/exe".as_ref())).await;
-            match read.map_err(std::io::Error::other).and_then(|read| read) {
+            match read.map_err(io::Error::other).and_then(|read| read) {
                 Ok(digest) => self.build.set(Some(digest)),
                 Err(e) => return format!("fail the program's file cannot be read: {e}\n"),
             }
@@ -191,26 +208,34 @@
         )
     }
 
-    /// Reads the state file if another process has changed it, and passes its contents to the broker.
-    async fn restore_changed_state(self: Rc<Self>) {
-        if let Some(saved) = self.store.read_if_changed().await {
-            let _ = self.operators.send(OperatorRequest::Restore(saved));
+    /// Passes what other processes have saved to the broker.
+    async fn apply_saved_overrides(self: Rc<Self>) {
+        if let Some(saved) = self.store.refresh().await {
+            let _ = self.operators.send(OperatorRequest::Merge(saved));
         }
     }
 
-    /// Polls the state file until the program ends.
-    async fn poll_state_file(self: Rc<Self>) {
+    /// Polls the saved state until the program ends.
+    async fn poll_saved_state(self: Rc<Self>) {
         loop {
             sleep_until(clock::instant(clock::now() + STATE_POLL_INTERVAL)).await;
-            self.clone().restore_changed_state().await;
+            self.clone().apply_saved_overrides().await;
         }
     }
 }
 
+/// Waits for a save until this time (Unix seconds); it goes on after that.
+async fn in_time(save: JoinHandle<io::Result<()>>, by: f64) -> io::Result<()> {
+    match timeout_at(clock::instant(by), save).await {
+        Ok(result) => result.map_err(io::Error::other)?,
+        Err(_) => Err(io::Error::new(io::ErrorKind::TimedOut, "the disk is too slow")),
+    }
+}
+
 /// Serves operators until the program ends.
 pub async fn serve(listener: TcpListener, context: Rc<AdminContext>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
-    spawn_local(track_polls(TaskKind::Operators, context.clone().poll_state_file()));
+    spawn_local(track_polls(TaskKind::Operators, context.clone().poll_saved_state()));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -252,7 +277,7 @@
             let n = stream.read(&mut line[len..]).await?;
             len += n;
             if let Some(end) = line[..len].iter().position(|&b| b == b'\n') {
-                return std::io::Result::Ok(ReadLine::Line(end));
+                return io::Result::Ok(ReadLine::Line(end));
             }
             // A last line without its terminator is accepted, one that does not fit is not.
             match (n, len) {
--- a/src/state/succession.rs
+++ b/src/state/succession.rs
@@ -6,7 +6,7 @@
 //! ends. Earlier builds only write their pid to the `live` file and read it there, so that file is still
 //! written and read.
 
-use crate::{clock, log};
+use crate::log;
 use std::fs::{File, TryLockError};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
@@ -24,9 +24,9 @@
 }
 
 impl Succession {
-    /// Creates the record in files beside the front's file of cordons, without registering this process.
-    pub fn new(cordons: &Path) -> Succession {
-        let name = format!("{}-{:x}", std::process::id(), (clock::now() * 1e6) as u64);
+    /// Creates the record of the process of this name in files beside the front's file of cordons, without
+    /// registering the process.
+    pub fn new(cordons: &Path, name: String) -> Succession {
         let (newest, live) = (cordons.with_extension("newest"), cordons.with_extension("live"));
         Succession { newest, live, name, lock: None }
     }
--- a/src/state/succession/tests.rs
+++ b/src/state/succession/tests.rs
@@ -13,8 +13,7 @@
     }
 
     fn process(&self, name: &str) -> Succession {
-        let mut process = Succession::new(&self.0.join("front.cordons"));
-        process.name = name.to_owned();
+        let mut process = Succession::new(&self.0.join("front.cordons"), name.to_owned());
         process.register();
         process
     }
@@ -85,7 +84,7 @@
 
 #[test]
 fn unwritable_folder_yields_no_successor() {
-    let mut process = Succession::new(Path::new("/nonexistent/front.cordons"));
+    let mut process = Succession::new(Path::new("/nonexistent/front.cordons"), "process".to_owned());
     process.register();
     assert!(!process.has_successor());
     process.unregister();
