Apply purges of any group to requests whose group is not known

Cause: the path of a signed link tells no group, and the request's group was a number whose default, 0, is a group too. Purges of other groups did not apply: neither the age limit nor the list of known holders at the director, nor the recall of unwritten attempts at the broker. A request of the platform's protocol that leaves `set` out was taken for group 0 as well, and the purge of an object carried a group 0.

Change: the group is an Option in ClientRequest and Request; a purge of any group applies where it is None (PurgeScope::may_cover, Purges::latest), for its whole time. A purge names an object or a group by one type, PurgeScope. To lower the cost, an object that was asked for without its group gets the one that a request of the platform's protocol names for it (routing::ObjectGroups, 4,096 objects at most); where two groups were named, none counts.

Tests: tests/signed_purges.rs, a front as a process: the command for a signed link has an age limit after the purge of group 0, 17 and 300; after a client has named group 17 the purge of 18 leaves it without one; after different groups were named every purge counts.

The tests of purges.rs and admin.rs moved to files of their own, unchanged but for the types.

--- a/src/bin/onyxyoke-benchlink/wire.rs
+++ b/src/bin/onyxyoke-benchlink/wire.rs
@@ -171,7 +171,7 @@
                 object: ObjectId(f.u64()?),
                 expires: f.f64()?,
                 kb: f.f32()?,
-                group: GroupId(f.integer()?),
+                group: Some(GroupId(f.integer()?)),
                 part: f.integer()?,
                 ..Request::default()
             };
@@ -213,7 +213,9 @@
         10 => {
             let object = f.u64()?;
             let group = GroupId(u32::from(f.u16()?));
-            Event::Purged { object: (object != 0).then_some(ObjectId(object)), group, age: f.f64()? }
+            let scope =
+                if object == 0 { PurgeScope::Group(group) } else { PurgeScope::Object(ObjectId(object)) };
+            Event::Purged { scope, age: f.f64()? }
         }
         11 => {
             let number = f.u16()?;
--- a/src/broker/admission.rs
+++ b/src/broker/admission.rs
@@ -17,6 +17,7 @@
         // The request has just arrived and has no other owner.
         if let Some(request) = Rc::get_mut(&mut request) {
             request.deadline = request.deadline.min(self.shutdown_deadline);
+            request.group = self.groups.resolve(request.object, request.group);
         }
         // The client disconnected or cancelled while the request was queued: no answer is needed.
         if request.cancelled.get() {
@@ -93,7 +94,7 @@
     /// the memory is not granted.
     pub(super) fn account_learned(&mut self) {
         let (fixed, beliefs) = self.director.footprint();
-        let fixed = fixed + self.members.footprint();
+        let fixed = fixed + self.members.footprint() + self.groups.footprint();
         let cap = self.memory.accounts().plan().limits[Purpose::Learned as usize].cap;
         let wanted = (fixed + beliefs).min(cap);
         if wanted == self.learned_grant.bytes() {
--- a/src/broker/messages.rs
+++ b/src/broker/messages.rs
@@ -31,10 +31,8 @@
     },
     /// Copies made before the purge are stale.
     Purge {
-        /// The object; `None` purges the whole group.
-        object: Option<ObjectId>,
-        /// The group.
-        group: GroupId,
+        /// What was purged.
+        scope: PurgeScope,
         /// Time of the purge (Unix seconds).
         at: f64,
     },
@@ -53,8 +51,8 @@
     pub object: ObjectId,
     /// The part of the object.
     pub part: u32,
-    /// The group that the object belongs to, for purges.
-    pub group: GroupId,
+    /// The group that the object belongs to, for purges; `None` if it is not known.
+    pub group: Option<GroupId>,
     /// Size of the answer in KB; 0 if the client did not state it.
     pub size_kb: f64,
     /// Time by which the answer must be sent (Unix seconds).
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -26,6 +26,7 @@
 use crate::interface::*;
 use crate::membership::{Membership, OperatorOverride, Overrides};
 use crate::memory::{AccountOwner, Grant, Ledger, Purpose};
+use crate::routing::ObjectGroups;
 use crate::{Director, log};
 use attempts::OpenRequest;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -49,6 +50,8 @@
     budgets: tenants::Budgets,
     /// The listed nodes, with the operators' cordons applied.
     members: Membership,
+    /// The groups of objects that are also asked for without their group.
+    groups: ObjectGroups,
     timers: Timers,
     /// Time by which every request is answered during shutdown (Unix seconds); infinite before.
     shutdown_deadline: f64,
@@ -96,6 +99,7 @@
             callers: FxHashMap::default(),
             open_calls: FxHashSet::default(),
             members: Membership::default(),
+            groups: ObjectGroups::default(),
             timers: Timers::default(),
             shutdown_deadline: f64::INFINITY,
             next_id: 0,
@@ -187,12 +191,10 @@
                 self.dispatch(now, Event::List { kind, nodes });
                 self.cancel_unready();
             }
-            DiscoveryUpdate::Purge { object, group, at } => {
+            DiscoveryUpdate::Purge { scope, at } => {
                 self.counters.purges += 1;
-                self.dispatch(now, Event::Purged { object, group, age: (now - at).max(0.0) });
-                self.cancel_unwritten(|_, request, _| {
-                    object.map_or(request.group == group, |o| request.object == o)
-                });
+                self.dispatch(now, Event::Purged { scope, age: (now - at).max(0.0) });
+                self.cancel_unwritten(|_, request, _| scope.may_cover(request.object, request.group));
             }
         }
         self.drain_events(now);
--- a/src/broker/model.rs
+++ b/src/broker/model.rs
@@ -246,7 +246,8 @@
                 let request = ClientRequest {
                     class,
                     object,
-                    group: GroupId(3),
+                    // Some requests do not name the group.
+                    group: (object.0 % 2 == 0).then_some(GroupId(3)),
                     deadline,
                     call,
                     ..ClientRequest::default()
@@ -296,17 +297,19 @@
                 }
             }
             Step::Purge { object, group } => {
-                let object = (!group).then_some(ObjectId(object.into()));
+                let scope = match group {
+                    true => PurgeScope::Group(GroupId(3)),
+                    false => PurgeScope::Object(ObjectId(object.into())),
+                };
                 let unwritten: Vec<_> =
                     world.in_flight.iter().filter(|o| !o.1.written).map(|o| *o.0).collect();
-                broker.apply_update(
-                    world.now,
-                    DiscoveryUpdate::Purge { object, group: GroupId(3), at: world.now },
-                    false,
-                );
+                broker.apply_update(world.now, DiscoveryUpdate::Purge { scope, at: world.now }, false);
                 world.check_effects(&mut broker)?;
                 for attempt in unwritten.iter().filter_map(|k| world.in_flight.get(k)) {
-                    let affected = object.is_none_or(|o| o == attempt.order.request.object);
+                    let affected = match scope {
+                        PurgeScope::Group(_) => true,
+                        PurgeScope::Object(object) => object == attempt.order.request.object,
+                    };
                     prop_assert!(!affected, "still waiting with an age limit from before a purge");
                 }
             }
--- a/src/config/members.rs
+++ b/src/config/members.rs
@@ -19,18 +19,14 @@
             }));
         }
         let Some(purge) = update.opt("evict") else { return Ok(None) };
-        let object = match purge.opt("ref") {
+        let scope = match purge.opt("ref") {
             Some(object) => {
                 let digits = u64::from_str_radix(object.text()?, 16);
-                Some(ObjectId(digits.map_err(|_| object.invalid("hexadecimal digits"))?))
+                PurgeScope::Object(ObjectId(digits.map_err(|_| object.invalid("hexadecimal digits"))?))
             }
-            None => None,
+            None => PurgeScope::Group(GroupId(purge.get("shard")?.count()?.into())),
         };
-        let group = match object {
-            Some(_) => GroupId(0),
-            None => GroupId(purge.get("shard")?.count()?.into()),
-        };
-        Ok(Some(DiscoveryUpdate::Purge { object, group, at: purge.get("unix_ms")?.number()? / 1000.0 }))
+        Ok(Some(DiscoveryUpdate::Purge { scope, at: purge.get("unix_ms")?.number()? / 1000.0 }))
     })?;
     Ok((at.get("index")?.whole_number()?, updates.into_iter().flatten().collect()))
 }
--- a/src/director.rs
+++ b/src/director.rs
@@ -323,7 +323,7 @@
             }
             Event::Expired { request } => self.finish(request),
             Event::TimerFired { token } => self.check_attempt(now, token, actions),
-            Event::Purged { object, group, age } => self.record_purge(now, object, group, age),
+            Event::Purged { scope, age } => self.record_purge(now, scope, age),
             Event::ProbeEnd { .. } | Event::Message { .. } => {}
         }
     }
@@ -427,9 +427,9 @@
 
     // ---- Purges and beliefs ----
 
-    fn record_purge(&mut self, now: f64, object: Option<ObjectId>, group: GroupId, age: f64) {
+    fn record_purge(&mut self, now: f64, scope: PurgeScope, age: f64) {
         let keep = BELIEF_AGE.max(self.settings.purge_settle_time + PURGE_MARGIN);
-        self.purges.record(now, object.ok_or(group), now - age.max(0.0), keep);
+        self.purges.record(now, scope, now - age.max(0.0), keep);
     }
 
     /// Returns the greatest age of a copy that purges allow, while caches may still hold copies from before.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,6 +14,25 @@
 /// Identifies a group of objects that can be purged together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct GroupId(pub u32);
+/// The objects whose copies a purge invalidates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum PurgeScope {
+    /// One object.
+    Object(ObjectId),
+    /// All objects of a group.
+    Group(GroupId),
+}
+
+impl PurgeScope {
+    /// Returns whether an object may be among them. One whose group is not known may be in any group.
+    pub fn may_cover(self, object: ObjectId, group: Option<GroupId>) -> bool {
+        match self {
+            PurgeScope::Object(purged) => purged == object,
+            PurgeScope::Group(purged) => group.is_none_or(|group| group == purged),
+        }
+    }
+}
+
 /// A request class, as an index into [`Settings::classes`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct ClassId(pub u16);
@@ -250,8 +269,8 @@
     pub object: ObjectId,
     /// The part of the object.
     pub part: u32,
-    /// The group of the object, for purges.
-    pub group: GroupId,
+    /// The group of the object, for purges; `None` if it is not known.
+    pub group: Option<GroupId>,
     /// When the client gives up (clock time).
     pub expires: f64,
     /// Size of the answer in KB; 0: unknown.
@@ -391,10 +410,8 @@
     },
     /// The copies of an object, or of a whole group, are invalid.
     Purged {
-        /// The object; `None`: the whole group.
-        object: Option<ObjectId>,
-        /// The group.
-        group: GroupId,
+        /// What was purged.
+        scope: PurgeScope,
         /// Time since the purge (seconds).
         age: f64,
     },
--- a/src/net/clients/request.rs
+++ b/src/net/clients/request.rs
@@ -72,7 +72,7 @@
                 request.object = ObjectId(u64::from_str_radix(&request.asset, 16).ok()?);
             }
             b"slice" => request.part = parse_u64(value).filter(|&p| p < MAX_PARTS)? as u32,
-            b"set" => request.group = GroupId(parse_u64(value).filter(|&g| g < MAX_GROUPS)? as u32),
+            b"set" => request.group = Some(GroupId(parse_u64(value).filter(|&g| g < MAX_GROUPS)? as u32)),
             b"heap" => request.size_kb = parse_non_negative(value).filter(|&kb| kb <= MAX_PART_KB)?,
             b"org" => request.team = contracts.find(value),
             b"seen" => request.client_etag = Some(parse_token(value, MAX_TOKEN_BYTES)?),
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -48,12 +48,12 @@
         3 => {
             check_length(16)?;
             let (object, at) = (ObjectId(from_big_endian(&payload[..8])), seconds(&payload[8..]));
-            Frame::Event(DiscoveryUpdate::Purge { object: Some(object), group: GroupId(0), at })
+            Frame::Event(DiscoveryUpdate::Purge { scope: PurgeScope::Object(object), at })
         }
         4 => {
             check_length(10)?;
             let (group, at) = (GroupId(from_big_endian(&payload[..2]) as u32), seconds(&payload[2..]));
-            Frame::Event(DiscoveryUpdate::Purge { object: None, group, at })
+            Frame::Event(DiscoveryUpdate::Purge { scope: PurgeScope::Group(group), at })
         }
         _ => return Err(ProtocolError("frame of an unknown kind")),
     };
--- a/src/net/model/feed.rs
+++ b/src/net/model/feed.rs
@@ -2,7 +2,7 @@
 
 use super::check;
 use crate::broker::DiscoveryUpdate;
-use crate::interface::GroupId;
+use crate::interface::{GroupId, PurgeScope};
 use crate::net::coordinator;
 use crate::net::frames::Frame;
 use proptest::collection::vec;
@@ -12,7 +12,7 @@
 /// order, except for those that the coordinator no longer has.
 #[test]
 fn the_feed_delivers_each_event_once() {
-    let event = || DiscoveryUpdate::Purge { object: None, group: GroupId(0), at: 0.0 };
+    let event = || DiscoveryUpdate::Purge { scope: PurgeScope::Group(GroupId(0)), at: 0.0 };
     check(400, vec((0u8..4, 1u64..6), 1..80), |steps| {
         let (mut feed, mut sent) = (coordinator::FeedPosition::new(0), 0u64);
         let mut delivered = Vec::new();
--- a/src/net/model/parsers.rs
+++ b/src/net/model/parsers.rs
@@ -100,6 +100,6 @@
     );
     assert_eq!((node.weight, node.ready_at), (4.5, 1_764_576_000.123));
     let purge = [&[0, 0, 0, 19, 0, 0, 0, 0, 0, 0, 0, 10, 4, 0, 17][..], &1500u64.to_be_bytes()].concat();
-    let expected = DiscoveryUpdate::Purge { object: None, group: GroupId(17), at: 1.5 };
+    let expected = DiscoveryUpdate::Purge { scope: PurgeScope::Group(GroupId(17)), at: 1.5 };
     assert_eq!(frames::parse(&purge), Ok(Some((10, Frame::Event(expected), purge.len()))));
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod exclusion;
+mod groups;
 mod load;
 mod purges;
 mod sizes;
@@ -9,6 +10,7 @@
 
 pub use beliefs::Beliefs;
 pub use exclusion::{Exclusion, HOLDER_COUNTS};
+pub use groups::ObjectGroups;
 pub use load::{CachePace, FULL_LINK_SLOWDOWN, FadingCount, SharedLink, fade, smooth};
 pub use purges::{Purge, Purges};
 pub use sizes::SizeFairness;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -116,7 +116,7 @@
         let request = Request {
             id: RequestId(self.last_request),
             object: ObjectId(object),
-            group: GroupId(object as u32 % 4),
+            group: Some(GroupId(object as u32 % 4)),
             expires: self.now + self.patience,
             kb,
             ..Request::default()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -212,7 +212,7 @@
         }
         stage.now = 150.0;
         for group in 0..4 {
-            stage.event(Event::Purged { object: None, group: GroupId(group), age: 0.0 });
+            stage.event(Event::Purged { scope: PurgeScope::Group(GroupId(group)), age: 0.0 });
         }
         stage.now += 1.0;
         for object in 1..=20 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -116,8 +116,8 @@
     /// Tokens of the timers that are set.
     timers: Vec<u64>,
     nodes: BTreeMap<u64, Node>,
-    /// Time of the last purge of each object (true) and group (false), by number.
-    purged_at: BTreeMap<(bool, u64), f64>,
+    /// Time of the last purge of each object and group.
+    purged_at: BTreeMap<PurgeScope, f64>,
     log: Vec<Action>,
 }
 
@@ -191,8 +191,13 @@
 
     /// The age limit excludes copies from before a purge of the object or of its group.
     fn check_age_limit(&self, state: &RequestState, age: f64) {
-        let keys = [(true, state.request.object.0), (false, u64::from(state.request.group.0))];
-        for at in keys.iter().filter_map(|key| self.purged_at.get(key)) {
+        let applies = |scope: PurgeScope| match (scope, state.request.group) {
+            (PurgeScope::Object(object), _) => object == state.request.object,
+            (PurgeScope::Group(purged), Some(group)) => purged == group,
+            // The request does not name its group, which may be any.
+            (PurgeScope::Group(_), None) => true,
+        };
+        for at in self.purged_at.iter().filter(|(scope, _)| applies(**scope)).map(|(_, at)| at) {
             let since = self.now - at;
             let limit_suffices =
                 age > 0.0 && age <= since.max(0.001) || since >= self.settings.purge_settle_time;
@@ -301,7 +306,8 @@
         let request = Request {
             id: RequestId(self.last_request),
             object: ObjectId(u64::from(object) + 1),
-            group: GroupId(u32::from(object) % 3),
+            // Objects 3, 7 and 11 are asked for without their group.
+            group: (object % 4 != 3).then_some(GroupId(u32::from(object) % 3)),
             class: ClassId(u16::from(object) % 3),
             expires: self.now + f64::from(ttl_ms) / 1000.0,
             kb: f64::from(kb),
@@ -366,13 +372,13 @@
 
     fn purge(&mut self, object: u8, whole_group: bool, age: u8) {
         let age = f64::from(age) / 10.0;
-        let group = GroupId(u32::from(object) % 3);
-        let object = u64::from(object) + 1;
-        let key = if whole_group { (false, u64::from(group.0)) } else { (true, object) };
-        let at = self.purged_at.entry(key).or_insert(f64::MIN);
+        let scope = match whole_group {
+            true => PurgeScope::Group(GroupId(u32::from(object) % 3)),
+            false => PurgeScope::Object(ObjectId(u64::from(object) + 1)),
+        };
+        let at = self.purged_at.entry(scope).or_insert(f64::MIN);
         *at = at.max(self.now - age);
-        let object = (!whole_group).then_some(ObjectId(object));
-        self.event(Event::Purged { object, group, age });
+        self.event(Event::Purged { scope, age });
     }
 
     /// Delivers a message of a peer and the failure of a probe that was never sent.
@@ -391,10 +397,8 @@
         let listed = self.nodes.values().copied().filter(|node| node.state != NodeState::Withdrawn);
         let nodes: Vec<Node> = listed.collect();
         self.event(Event::List { kind: ListKind::Cached, nodes: nodes.into() });
-        for ((is_object, number), at) in self.purged_at.clone() {
-            let object = is_object.then_some(ObjectId(number));
-            let group = GroupId(if is_object { ((number - 1) % 3) as u32 } else { number as u32 });
-            self.event(Event::Purged { object, group, age: self.now - at });
+        for (scope, at) in self.purged_at.clone() {
+            self.event(Event::Purged { scope, age: self.now - at });
         }
     }
 }
